Add the workspace, the design page and the interfaces between crates

The crates dispatch, control, config, transport, http, standin, load and node hold typed interfaces with stub bodies, so that each can be built on its own. The timer service and the state chart interpreter are complete.

--- /dev/null
+++ b/crates/chart/src/lib.rs
@@ -0,0 +1,14 @@
+//! State charts that are read from TOML files and interpreted.
+//!
+//! A chart file lists states, the initial state, final states and
+//! transitions. [`Chart::parse`] reports every problem with file, line and
+//! column; [`Machine`] binds a chart to a pair of Rust enums. See "Life
+//! cycles" in `docs/design.md`.
+
+#![forbid(unsafe_code)]
+
+mod chart;
+mod machine;
+
+pub use chart::{Chart, Transition};
+pub use machine::{ChartDomain, Machine};
--- /dev/null
+++ b/crates/chart/src/machine.rs
@@ -0,0 +1,124 @@
+//! Binding of a chart to Rust enums.
+
+use hornbeam_core::{Error, Finding, Place, Result};
+
+use crate::chart::Chart;
+
+/// `ChartDomain` names the states and events of one kind of object. The names
+/// are those of the chart file.
+pub trait ChartDomain {
+    /// States, normally a fieldless enum.
+    type State: Copy + Eq + 'static;
+    /// Events, normally a fieldless enum.
+    type Event: Copy + Eq + 'static;
+
+    /// All states with their names.
+    const STATES: &'static [(&'static str, Self::State)];
+    /// All events with their names.
+    const EVENTS: &'static [(&'static str, Self::Event)];
+}
+
+/// `Machine` interprets a chart for the states and events of a domain.
+#[derive(Clone, Debug)]
+pub struct Machine<D: ChartDomain> {
+    initial: D::State,
+    finals: Vec<D::State>,
+    transitions: Vec<(D::State, D::Event, D::State)>,
+}
+
+impl<D: ChartDomain> Machine<D> {
+    /// Parses a chart and binds it to the domain.
+    ///
+    /// # Errors
+    /// [`Error::Invalid`] with the problems of the file, or with each name
+    /// that only the file or only the domain knows.
+    pub fn parse(source: &str, text: &str) -> Result<Self> {
+        Self::bind(source, &Chart::parse(source, text)?)
+    }
+
+    /// Gets the state in which an object starts.
+    pub fn initial(&self) -> D::State {
+        self.initial
+    }
+
+    /// Whether a state is never left.
+    pub fn is_final(&self, state: D::State) -> bool {
+        self.finals.contains(&state)
+    }
+
+    /// Gets the state that an event leads to, or `None` if the chart has no
+    /// such transition and the event must be ignored.
+    pub fn next(&self, state: D::State, event: D::Event) -> Option<D::State> {
+        let matches =
+            |(from, on, _): &&(D::State, D::Event, D::State)| *from == state && *on == event;
+        self.transitions.iter().find(matches).map(|(_, _, to)| *to)
+    }
+
+    fn bind(source: &str, chart: &Chart) -> Result<Self> {
+        let mut findings = Vec::new();
+        let mut report = |path: String, message: &str| {
+            let place = Place {
+                source: source.into(),
+                path,
+                ..Place::default()
+            };
+            findings.push(Finding::new(place, message));
+        };
+        for (name, _) in D::STATES
+            .iter()
+            .filter(|(name, _)| !chart.states.contains(*name))
+        {
+            report(
+                format!("states.{name}"),
+                "The program needs this state; the chart lacks it.",
+            );
+        }
+        for state in chart
+            .states
+            .iter()
+            .filter(|state| lookup(D::STATES, state).is_none())
+        {
+            report(
+                format!("states.{state}"),
+                "The program does not know this state.",
+            );
+        }
+        for on in chart.transitions.iter().map(|transition| &transition.on) {
+            if lookup(D::EVENTS, on).is_none() {
+                report(
+                    format!("transition.on={on}"),
+                    "The program does not know this event.",
+                );
+            }
+        }
+        if !findings.is_empty() {
+            return Err(Error::invalid(findings));
+        }
+        let unbound = || Error::corrupt("a checked chart has an unbound name");
+        let state = |name: &str| lookup(D::STATES, name).ok_or_else(unbound);
+        let event = |name: &str| lookup(D::EVENTS, name).ok_or_else(unbound);
+        let transitions = chart.transitions.iter().map(|transition| {
+            Ok((
+                state(&transition.from)?,
+                event(&transition.on)?,
+                state(&transition.to)?,
+            ))
+        });
+        Ok(Self {
+            initial: state(&chart.initial)?,
+            finals: chart
+                .finals
+                .iter()
+                .map(|name| state(name))
+                .collect::<Result<_>>()?,
+            transitions: transitions.collect::<Result<_>>()?,
+        })
+    }
+}
+
+fn lookup<T: Copy>(names: &[(&str, T)], name: &str) -> Option<T> {
+    names
+        .iter()
+        .find(|(known, _)| *known == name)
+        .map(|(_, value)| *value)
+}
--- /dev/null
+++ b/crates/core/src/lib.rs
@@ -0,0 +1,17 @@
+//! Plain types shared by every crate of hornbeamcourse.
+//!
+//! This crate holds identifiers, findings, errors, the JSON types of the HTTP
+//! interfaces, the configuration and the numbered log events. It does no I/O.
+//! The roles of the types are described in `docs/design.md`.
+
+#![forbid(unsafe_code)]
+
+pub mod api;
+pub mod config;
+pub mod error;
+pub mod event;
+pub mod finding;
+pub mod ids;
+
+pub use error::{Error, Result};
+pub use finding::{Finding, Findings, Place};
--- /dev/null
+++ b/crates/ctl/src/main.rs
@@ -0,0 +1,5 @@
+//! `hornbeam`, the operators' command line.
+
+#![forbid(unsafe_code)]
+
+fn main() {}
--- /dev/null
+++ b/crates/dispatch/src/io.rs
@@ -0,0 +1,265 @@
+//! Inputs and outputs of the dispatcher, and the messages between entry hosts
+//! that carry parts of them.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use hornbeam_core::api::backend::{
+    AnnounceAnswer, Announcement, CancelAnswer, CancelRequest, Fate, TaskBatch, TaskBatchAnswer,
+    Withdrawal,
+};
+use hornbeam_core::api::caller::{Reason, SubmitAnswer, SubmitRequest, TaskResult, TaskSpec};
+use hornbeam_core::config::Configuration;
+use hornbeam_core::event::Event;
+use hornbeam_core::ids::{
+    ChunkId, ConfigVersion, ExchangeId, FailureDomainId, HostId, InstitutionId, JobId, RequestId,
+    ServerId, ServiceId, TaskIndex, TeamId,
+};
+use serde::{Deserialize, Serialize};
+
+/// `CancelId` numbers one cancel query to a backend server.
+pub type CancelId = u64;
+
+/// `DispatchInput` is an event that the dispatcher reacts to.
+#[derive(Clone, Debug)]
+pub enum DispatchInput {
+    /// Time passed; leases, deadlines and time limits are checked.
+    Tick,
+    /// A newer configuration is in force.
+    ConfigInForce(ConfigVersion, Arc<Configuration>),
+    /// A backend server announced itself or renewed its lease. Answered by
+    /// [`DispatchOutput::AnswerAnnouncement`] in the same step.
+    Announced(Announcement),
+    /// A backend server withdrew.
+    Withdrawn(Withdrawal),
+    /// A caller submitted a job. `findings` of the body were checked by the
+    /// shell; everything that depends on the configuration is checked here.
+    Submitted(JobId, Arc<SubmitRequest>),
+    /// The caller of a job went away or cancelled it.
+    CallerCancelled(JobId),
+    /// A [`DispatchOutput::RecordClaim`] ended.
+    ClaimEnded(JobId, ClaimEnd),
+    /// A [`DispatchOutput::SendBatch`] ended.
+    ExchangeEnded(ExchangeId, ExchangeEnd),
+    /// A [`DispatchOutput::SendCancel`] ended; `None` if it got no answer.
+    CancelEnded(CancelId, Option<CancelAnswer>),
+    /// A peer entry host sent its status.
+    PeerStatusReceived(PeerStatus),
+    /// A peer forwarded a chunk. Answered once by
+    /// [`DispatchOutput::AnswerChunk`].
+    ChunkReceived(Chunk),
+    /// A peer cancels a chunk that it had forwarded. Answered in the same
+    /// step by [`DispatchOutput::AnswerChunkCancel`].
+    ChunkCancelReceived(HostId, ChunkId),
+    /// A [`DispatchOutput::SendChunk`] ended.
+    ChunkEnded(ChunkId, ChunkEnd),
+    /// A [`DispatchOutput::SendChunkCancel`] ended; `None` if unanswered.
+    ChunkCancelEnded(ChunkId, Option<Vec<ChunkFate>>),
+    /// This host starts to drain.
+    DrainStarted,
+}
+
+/// `DispatchOutput` is an action for the shell around the dispatcher.
+#[derive(Clone, Debug, PartialEq)]
+pub enum DispatchOutput {
+    /// Answer the announcement of this step.
+    AnswerAnnouncement(AnnounceAnswer),
+    /// Answer a caller; the job is over.
+    AnswerJob(JobId, SubmitAnswer),
+    /// Record a claim for a request that is not repeatable.
+    RecordClaim {
+        /// Job that waits for the claim; also the claim's token.
+        job_id: JobId,
+        /// Request to claim.
+        request_id: RequestId,
+        /// When the claim may be forgotten, in ms since the Unix epoch.
+        valid_until_unix_ms: u64,
+        /// How long the claim may take.
+        within: Duration,
+    },
+    /// Send tasks to a backend server.
+    SendBatch {
+        /// Id to end the exchange with.
+        exchange: ExchangeId,
+        /// Server to send to, for the connection pool.
+        server_id: ServerId,
+        /// Its address as `ip:port`.
+        address: String,
+        /// The request body.
+        batch: TaskBatch,
+        /// After this time the exchange counts as unanswered.
+        within: Duration,
+    },
+    /// Cancel tasks at a backend server on a new connection.
+    SendCancel {
+        /// Id to end the query with.
+        cancel: CancelId,
+        /// Its address as `ip:port`.
+        address: String,
+        /// The request body.
+        request: CancelRequest,
+        /// After this time the query counts as unanswered.
+        within: Duration,
+    },
+    /// Drop the pooled connections to a backend server's address.
+    DropConnections(String),
+    /// Forward a chunk to a peer.
+    SendChunk {
+        /// Peer to send to.
+        peer: HostId,
+        /// The chunk.
+        chunk: Chunk,
+        /// After this time the chunk counts as unanswered.
+        within: Duration,
+    },
+    /// Cancel a chunk at a peer on a new connection.
+    SendChunkCancel {
+        /// Peer to send to.
+        peer: HostId,
+        /// Chunk to cancel.
+        chunk_id: ChunkId,
+        /// After this time the query counts as unanswered.
+        within: Duration,
+    },
+    /// Answer a chunk that a peer forwarded.
+    AnswerChunk {
+        /// Peer that forwarded it.
+        peer: HostId,
+        /// Its id at that peer.
+        chunk_id: ChunkId,
+        /// The answer.
+        answer: ChunkAnswer,
+    },
+    /// Answer the chunk cancellation of this step.
+    AnswerChunkCancel(Vec<ChunkFate>),
+    /// Write a numbered log event.
+    Log(Event, String),
+    /// A drain is complete: no job and no exchange is left.
+    Drained,
+}
+
+/// `ExchangeEnd` is how an exchange with a backend server ended.
+#[derive(Clone, Debug, PartialEq)]
+pub enum ExchangeEnd {
+    /// A well-formed answer arrived.
+    Answered(TaskBatchAnswer),
+    /// The request certainly never left this host.
+    NotSent(String),
+    /// No usable answer; the tasks may have started.
+    Unanswered(String),
+}
+
+/// `ClaimEnd` is how recording a claim ended.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum ClaimEnd {
+    /// The claim is synced on a quorum.
+    Recorded,
+    /// Another job holds a claim on this request id.
+    AlreadyClaimed,
+    /// The request's validity has passed.
+    Expired,
+    /// No quorum answered in time; the claim may have been recorded.
+    Unavailable,
+}
+
+/// `Chunk` is a group of tasks of one job that an entry host forwards.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(deny_unknown_fields, rename_all = "snake_case")]
+pub struct Chunk {
+    /// Entry host that forwards.
+    pub from: HostId,
+    /// Id at that host.
+    pub chunk_id: ChunkId,
+    /// Job of the tasks.
+    pub job_id: JobId,
+    /// Institution of the job.
+    pub institution: InstitutionId,
+    /// Team of the job.
+    pub team: TeamId,
+    /// Service of the job.
+    pub service: ServiceId,
+    /// Time left until the job's deadline, in ms.
+    pub remaining_ms: u64,
+    /// Tasks.
+    pub tasks: Vec<ChunkTask>,
+}
+
+/// `ChunkTask` is one task of a [`Chunk`].
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(deny_unknown_fields, rename_all = "snake_case")]
+pub struct ChunkTask {
+    /// Position of the task in its job.
+    pub index: TaskIndex,
+    /// The task.
+    pub spec: TaskSpec,
+}
+
+/// `ChunkAnswer` answers a [`Chunk`].
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum ChunkAnswer {
+    /// Every task finished.
+    Complete(Vec<TaskResult>),
+    /// A task was lost; the others are cancelled.
+    Failed(Reason, String),
+    /// No task of the chunk started or will start.
+    NotStarted(String),
+}
+
+/// `ChunkFate` is what became of one task of a cancelled chunk.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields, rename_all = "snake_case")]
+pub struct ChunkFate {
+    /// Position of the task in its job.
+    pub index: TaskIndex,
+    /// Whether it started.
+    pub fate: Fate,
+}
+
+/// `ChunkEnd` is how forwarding a chunk ended.
+#[derive(Clone, Debug, PartialEq)]
+pub enum ChunkEnd {
+    /// The peer answered.
+    Answered(ChunkAnswer),
+    /// The chunk certainly never left this host.
+    NotSent(String),
+    /// No answer; tasks may have started.
+    Unanswered(String),
+}
+
+/// `PeerStatus` is what entry hosts tell each other 4 times a second.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(deny_unknown_fields, rename_all = "snake_case")]
+pub struct PeerStatus {
+    /// Host that reports.
+    pub host_id: HostId,
+    /// Its failure domain.
+    pub failure_domain: FailureDomainId,
+    /// Its HTTP address for backend servers, as `ip:port`.
+    pub http_address: String,
+    /// Its address for links between the system's own processes.
+    pub link_address: String,
+    /// Configuration version in force there.
+    pub config_version: ConfigVersion,
+    /// Whether it is draining.
+    pub draining: bool,
+    /// Backend servers that lease their slots to it.
+    pub servers: u32,
+    /// Load by service.
+    pub services: Vec<ServiceLoad>,
+}
+
+/// `ServiceLoad` is the load of one service at one entry host.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields, rename_all = "snake_case")]
+pub struct ServiceLoad {
+    /// Service.
+    pub service: ServiceId,
+    /// Slots that run nothing.
+    pub free_slots: u32,
+    /// Slots in all.
+    pub slots: u32,
+    /// Tasks that wait for a slot.
+    pub queued_tasks: u32,
+}
--- /dev/null
+++ b/crates/node/src/lib.rs
@@ -0,0 +1,15 @@
+//! Entry host and control host: the I/O around the decisions.
+//!
+//! [`EntryHost`] drives `hornbeam-dispatch`, [`ControlHost`] drives
+//! `hornbeam-control`. Both serve HTTP and links; see `docs/design.md`,
+//! sections 5 and 14.
+
+#![forbid(unsafe_code)]
+
+pub mod control;
+pub mod entry;
+mod wire;
+
+pub use control::{ControlHost, ControlOptions};
+pub use entry::{EntryHost, EntryOptions};
+pub use wire::{ApplyAnswer, Request, RequestAnswer};
