Add the HTTP client and server

The client tells requests that never left from those whose outcome is unknown by a body that notes when the library begins to write it. The server routes with volo-http and drives connections with hyper, because volo-http's Server::run reacts to signals, cuts connections after 30 s and offers no limits on the size and time of request heads.

--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -1,11 +1,26 @@
 //! The client.
 
+use std::fmt;
+use std::future::Future;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use hornbeam_core::{Error, Result};
+use http::header::{AUTHORIZATION, CONTENT_TYPE};
+use http::{HeaderValue, Method};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
+use tokio::time::{Instant, timeout_at};
+use volo::net::Address;
+use volo_http::body::Body;
+use volo_http::error::ClientError;
+use volo_http::response::Response;
+
+use crate::connections::{Connections, Pool};
+use crate::send_mark::{MarkedBody, SendMark};
 
 /// `ClientOptions` are the settings of an [`HttpClient`].
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -17,7 +32,9 @@
     /// Time after which an idle connection is closed; default 1 s, shorter
     /// than it takes a middlebox to forget a connection.
     pub idle_timeout: Duration,
-    /// Most connections to one address, busy and idle; default 64.
+    /// Most concurrent requests to one address, each on its own connection;
+    /// default 64. For a moment one more connection can be open while the
+    /// library takes back another whose exchange has just ended.
     pub max_connections_per_address: usize,
     /// Largest answer in bytes; default 64 MiB.
     pub max_answer_bytes: usize,
@@ -45,24 +62,48 @@
 }
 
 /// `HttpClient` sends JSON requests. Clones share the connections.
-#[derive(Clone, Debug)]
-pub struct HttpClient {}
+#[derive(Clone)]
+pub struct HttpClient {
+    shared: Arc<Shared>,
+}
+
+struct Shared {
+    options: ClientOptions,
+    authorization: Option<HeaderValue>,
+    connections: Connections,
+}
+
+/// `Outgoing` is one request before it is sent.
+struct Outgoing<'a> {
+    address: SocketAddr,
+    method: Method,
+    path: &'a str,
+    body: Bytes,
+    within: Duration,
+}
 
 impl HttpClient {
     /// Creates a client.
     ///
     /// # Errors
-    /// `Io` if the library cannot be set up.
+    /// `Io` if the credential cannot be sent in a header.
     pub fn new(options: ClientOptions) -> Result<Self> {
-        let _ = options;
-        Ok(Self {})
+        let authorization = options.credential.as_deref().map(bearer).transpose()?;
+        let connections = Connections::new(options.clone());
+        let shared = Arc::new(Shared {
+            options,
+            authorization,
+            connections,
+        });
+        Ok(Self { shared })
     }
 
     /// Sends `POST path` with a JSON body and decodes the JSON answer.
     ///
     /// # Errors
     /// `NotSent` if no byte of the request left, `Unknown` if it may have
-    /// arrived, `Codec` if an answer arrived that cannot be decoded.
+    /// arrived, `Codec` if an answer arrived that is too large or cannot be
+    /// decoded.
     pub async fn post<Q, A>(
         &self,
         address: SocketAddr,
@@ -74,8 +115,15 @@
         Q: Serialize + Sync,
         A: DeserializeOwned,
     {
-        let _ = (address, path, body, within);
-        Err(Error::not_sent("not connected"))
+        let body = serde_json::to_vec(body).map_err(Error::not_sent)?;
+        let outgoing = Outgoing {
+            address,
+            method: Method::POST,
+            path,
+            body: body.into(),
+            within,
+        };
+        decode(self.exchange(outgoing).await?)
     }
 
     /// Sends `GET path` and decodes the JSON answer.
@@ -88,8 +136,7 @@
         path: &str,
         within: Duration,
     ) -> Result<Reply<A>> {
-        let _ = (address, path, within);
-        Err(Error::not_sent("not connected"))
+        decode(self.exchange(Outgoing::get(address, path, within)).await?)
     }
 
     /// Sends `GET path` and gets the answer's body as text.
@@ -102,13 +149,142 @@
         path: &str,
         within: Duration,
     ) -> Result<Reply<String>> {
-        let _ = (address, path, within);
-        Err(Error::not_sent("not connected"))
+        let reply = self.exchange(Outgoing::get(address, path, within)).await?;
+        let body = String::from_utf8(reply.body.into()).map_err(Error::codec)?;
+        Ok(Reply {
+            status: reply.status,
+            body,
+        })
     }
 
     /// Closes the idle connections to an address and makes busy ones close
     /// when their exchange ends.
     pub fn drop_connections(&self, address: SocketAddr) {
-        let _ = address;
+        self.shared.connections.drop_pool(address);
+    }
+
+    /// Sends one request and reads the whole answer.
+    async fn exchange(&self, outgoing: Outgoing<'_>) -> Result<Reply<Bytes>> {
+        let deadline = Instant::now() + outgoing.within;
+        let slot = self.shared.connections.slot(outgoing.address)?;
+        let permit = timeout_at(deadline, slot.permits.acquire())
+            .await
+            .map_err(|_| Error::not_sent("every connection was busy until the time limit"))?
+            .map_err(Error::not_sent)?;
+        let response = self.send(slot.pool, outgoing, deadline).await?;
+        let reply = self.read_answer(response, deadline).await;
+        drop(permit);
+        reply
     }
+
+    /// Sends a request and waits for the head of the answer.
+    async fn send(
+        &self,
+        pool: Pool,
+        outgoing: Outgoing<'_>,
+        deadline: Instant,
+    ) -> Result<Response> {
+        let mark = SendMark::default();
+        let connect_deadline = Instant::now() + self.shared.options.connect_timeout;
+        let sending = self.call(pool, outgoing, mark.clone());
+        tokio::pin!(sending);
+        // The library ignores its own connect timeout, so it is kept here.
+        let early = timeout_at(connect_deadline.min(deadline), &mut sending).await;
+        let result = match early {
+            Ok(result) => result,
+            Err(_) if mark.revoke() => {
+                return Err(Error::not_sent("no connection within the time limit"));
+            }
+            Err(_) => timeout_at(deadline, &mut sending)
+                .await
+                .map_err(|_| Error::unknown("no answer within the time limit"))?,
+        };
+        result.map_err(|cause| classify(cause, &mark))
+    }
+
+    /// Builds the library's request and its future.
+    fn call(
+        &self,
+        pool: Pool,
+        outgoing: Outgoing<'_>,
+        mark: SendMark,
+    ) -> impl Future<Output = std::result::Result<Response, ClientError>> + Send {
+        let has_body = !outgoing.body.is_empty();
+        let mut request = pool
+            .request(outgoing.method, outgoing.path)
+            .address(Address::from(outgoing.address));
+        if has_body {
+            let json = HeaderValue::from_static("application/json");
+            request.headers_mut().insert(CONTENT_TYPE, json);
+        }
+        if let Some(value) = &self.shared.authorization {
+            request.headers_mut().insert(AUTHORIZATION, value.clone());
+        }
+        request.body(MarkedBody::new(outgoing.body, mark)).send()
+    }
+
+    async fn read_answer(&self, response: Response, deadline: Instant) -> Result<Reply<Bytes>> {
+        let status = response.status().as_u16();
+        let body = Limited::new(response.into_body(), self.shared.options.max_answer_bytes);
+        let collected = timeout_at(deadline, collect(body))
+            .await
+            .map_err(|_| Error::unknown("the answer was not whole within the time limit"))?;
+        Ok(Reply {
+            status,
+            body: collected?,
+        })
+    }
+}
+
+impl fmt::Debug for HttpClient {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        // The options hold the credential, which is not to be logged.
+        f.debug_struct("HttpClient").finish_non_exhaustive()
+    }
+}
+
+impl<'a> Outgoing<'a> {
+    fn get(address: SocketAddr, path: &'a str, within: Duration) -> Self {
+        Self {
+            address,
+            method: Method::GET,
+            path,
+            body: Bytes::new(),
+            within,
+        }
+    }
+}
+
+fn bearer(credential: &str) -> Result<HeaderValue> {
+    let mut value = HeaderValue::from_str(&format!("Bearer {credential}"))
+        .map_err(|_| Error::io("the credential holds characters that a header cannot hold"))?;
+    value.set_sensitive(true);
+    Ok(value)
+}
+
+/// Turns an error of the library into one that says whether the request left.
+fn classify(cause: ClientError, mark: &SendMark) -> Error {
+    if mark.revoke() {
+        Error::not_sent(cause)
+    } else {
+        Error::unknown(cause)
+    }
+}
+
+async fn collect(body: Limited<Body>) -> Result<Bytes> {
+    match body.collect().await {
+        Ok(collected) => Ok(collected.to_bytes()),
+        Err(cause) if cause.is::<LengthLimitError>() => {
+            Err(Error::codec("the answer is too large"))
+        }
+        Err(cause) => Err(Error::unknown(format!("the answer was cut: {cause}"))),
+    }
+}
+
+fn decode<A: DeserializeOwned>(reply: Reply<Bytes>) -> Result<Reply<A>> {
+    let body = serde_json::from_slice(&reply.body).map_err(Error::codec)?;
+    Ok(Reply {
+        status: reply.status,
+        body,
+    })
 }
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -7,8 +7,14 @@
 
 #![forbid(unsafe_code)]
 
+mod body;
 mod client;
+mod connections;
+mod credential;
+mod send_mark;
 mod server;
 
+pub use body::{BodyLimits, BodyRejection, json_answer, parse_json, read_json, text_answer};
 pub use client::{ClientOptions, HttpClient, Reply};
+pub use credential::is_authorized;
 pub use server::{HttpServer, HttpServerOptions};
--- /dev/null
+++ b/crates/http/tests/server.rs
@@ -0,0 +1,222 @@
+//! Tests of the server against slow, hostile and cut-off callers.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use googletest::prelude::*;
+use hornbeam_core::api::caller::SubmitRequest;
+use hornbeam_http::{
+    BodyLimits, ClientOptions, HttpClient, HttpServer, HttpServerOptions, is_authorized,
+    json_answer, parse_json, read_json,
+};
+use http::HeaderMap;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::time::{Instant, sleep, timeout};
+use volo_http::request::Request;
+use volo_http::response::Response;
+use volo_http::server::Router;
+use volo_http::server::route::{get, post};
+
+const HEAD_TIMEOUT: Duration = Duration::from_millis(200);
+const LIMITS: BodyLimits = BodyLimits {
+    max_bytes: 100,
+    within: Duration::from_millis(200),
+};
+
+async fn sum(request: Request) -> Response {
+    match read_json::<Vec<u32>>(request, &LIMITS).await {
+        Ok(numbers) => json_answer(200, &numbers.iter().sum::<u32>()),
+        Err(rejection) => json_answer(rejection.status, &rejection.findings),
+    }
+}
+
+async fn wait(request: Request) -> Response {
+    let wait_ms = read_json(request, &LIMITS).await.unwrap_or(0);
+    sleep(Duration::from_millis(wait_ms)).await;
+    json_answer(200, &wait_ms)
+}
+
+async fn server(max_connections: usize) -> HttpServer {
+    let router = Router::new()
+        .route("/sum", post(sum))
+        .route("/wait", post(wait))
+        .route("/ok", get(|| async { json_answer(200, &true) }));
+    let options = HttpServerOptions {
+        max_connections,
+        head_timeout: HEAD_TIMEOUT,
+        max_head_bytes: 1000,
+    };
+    let listen = "127.0.0.1:0".parse().unwrap();
+    HttpServer::start(listen, router, options).await.unwrap()
+}
+
+/// Sends raw bytes and gets everything until the server closes.
+async fn raw(address: SocketAddr, bytes: &[u8]) -> String {
+    let mut stream = TcpStream::connect(address).await.unwrap();
+    stream.write_all(bytes).await.unwrap();
+    let mut answer = Vec::new();
+    let reading = stream.read_to_end(&mut answer);
+    let _ = timeout(Duration::from_secs(2), reading)
+        .await
+        .expect("the server must close the connection");
+    String::from_utf8(answer).unwrap()
+}
+
+fn request(path: &str, body: &str) -> Vec<u8> {
+    let length = body.len();
+    format!("POST {path} HTTP/1.1\r\nhost: a\r\ncontent-length: {length}\r\n\r\n{body}").into()
+}
+
+/// Guards against a graceful stop that cuts a request which takes longer than
+/// the 30 s after which `volo-http` gives up (G7).
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn stop_waits_for_a_request_of_over_30_s() {
+    const RUN_MS: u64 = 31_500;
+    let server = server(10).await;
+    let address = server.address();
+    let client = HttpClient::new(ClientOptions::default()).unwrap();
+    let call = tokio::spawn(async move {
+        let within = Duration::from_secs(60);
+        client
+            .post::<_, u64>(address, "/wait", &RUN_MS, within)
+            .await
+    });
+    sleep(Duration::from_millis(200)).await;
+    let started = Instant::now();
+    server.stop().await;
+    expect_that!(started.elapsed(), gt(Duration::from_secs(31)));
+    expect_that!(call.await.unwrap().unwrap().body, eq(RUN_MS));
+    expect_true!(TcpStream::connect(address).await.is_err());
+}
+
+/// Guards against idle connections that delay a stop, and against an abort
+/// that answers requests in flight.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn stop_is_quick_when_idle_and_abort_cuts() {
+    let idle = server(10).await;
+    let client = HttpClient::new(ClientOptions::default()).unwrap();
+    let within = Duration::from_secs(5);
+    let reply = client.get::<bool>(idle.address(), "/ok", within).await;
+    expect_true!(reply.unwrap().body);
+    timeout(Duration::from_secs(1), idle.stop()).await.unwrap();
+
+    let busy = server(10).await;
+    let address = busy.address();
+    let call =
+        tokio::spawn(async move { client.post::<_, u64>(address, "/wait", &3000, within).await });
+    sleep(Duration::from_millis(100)).await;
+    busy.abort();
+    let result = timeout(Duration::from_secs(1), call).await.unwrap();
+    expect_true!(matches!(
+        result.unwrap(),
+        Err(hornbeam_core::Error::Unknown(_))
+    ));
+}
+
+/// Guards against callers that hold a connection or memory by sending slowly,
+/// endlessly or too much.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn slow_and_oversized_requests_are_ended() {
+    let server = server(10).await;
+    let address = server.address();
+    expect_that!(
+        raw(address, b"POST /sum HTTP/1.1\r\nho").await,
+        not(contains_substring("200"))
+    );
+    let header = format!("x: {}\r\n", "y".repeat(2000));
+    let large = format!("GET /ok HTTP/1.1\r\n{header}\r\n");
+    expect_that!(
+        raw(address, large.as_bytes()).await,
+        contains_substring(" 431 ")
+    );
+    let many = format!("GET /ok HTTP/1.1\r\n{}\r\n", "a: b\r\n".repeat(80));
+    expect_that!(
+        raw(address, many.as_bytes()).await,
+        contains_substring(" 431 ")
+    );
+    let body = "1".repeat(200);
+    expect_that!(
+        raw(address, &request("/sum", &body)).await,
+        contains_substring(" 413 ")
+    );
+    let slow = &request("/sum", "[1, 2, 3]")[..55];
+    expect_that!(raw(address, slow).await, contains_substring(" 408 "));
+    expect_that!(
+        raw(address, &request("/sum", "[1, 2]")).await,
+        contains_substring("\r\n\r\n3")
+    );
+}
+
+/// Guards against more open connections than the limit, and against permits
+/// that are lost with a connection.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn connections_over_the_limit_wait_to_be_accepted() {
+    let server = server(2).await;
+    let ask = async || {
+        let mut stream = TcpStream::connect(server.address()).await.unwrap();
+        stream.write_all(&request("/sum", "[7]")).await.unwrap();
+        stream
+    };
+    let answered = async |stream: &mut TcpStream| {
+        let mut buffer = [0; 500];
+        let reading = stream.read(&mut buffer);
+        matches!(timeout(HEAD_TIMEOUT / 2, reading).await, Ok(Ok(1..)))
+    };
+    for _ in 0..3 {
+        let (mut first, mut second, mut third) = (ask().await, ask().await, ask().await);
+        expect_true!(answered(&mut first).await);
+        expect_true!(answered(&mut second).await);
+        expect_false!(answered(&mut third).await);
+        drop(first);
+        expect_true!(answered(&mut third).await);
+    }
+}
+
+/// Guards against findings without the place that the caller must correct.
+#[gtest]
+fn findings_name_the_field_line_and_column() {
+    let text = "{\n  \"request_id\": \"r\",\n  \"tasks\": [{\"run_ms\": 5}, {\"run\u{e9}\": 1}]\n}";
+    let rejection = parse_json::<SubmitRequest>(text.as_bytes()).unwrap_err();
+    expect_that!(rejection.status, eq(400));
+    let place = &rejection.findings[0].place;
+    expect_that!(place.path, starts_with("tasks[1]"));
+    expect_that!(place.line, eq(3));
+    expect_that!(place.column, eq(34));
+    expect_that!(
+        rejection.findings[0].message,
+        starts_with("Unknown field `run\u{e9}`")
+    );
+    let trailing = parse_json::<u32>(b"1 2").unwrap_err();
+    expect_that!(trailing.findings[0].place.column, eq(3));
+    expect_that!(parse_json::<u32>(b"").unwrap_err().findings.len(), eq(1));
+}
+
+/// Guards against requests that pass with a missing, shorter, longer or wrong
+/// credential.
+#[gtest]
+fn only_the_right_credential_passes() {
+    let with = |value: &str| {
+        let mut headers = HeaderMap::new();
+        headers.insert("authorization", value.parse().unwrap());
+        is_authorized(&headers, Some("secret"))
+    };
+    expect_true!(with("Bearer secret"));
+    expect_true!(with("bearer secret"));
+    for wrong in [
+        "Bearer secre",
+        "Bearer secrets",
+        "Bearer ",
+        "Basic secret",
+        "secret",
+        "",
+    ] {
+        expect_false!(with(wrong), "{wrong}");
+    }
+    expect_false!(is_authorized(&HeaderMap::new(), Some("secret")));
+    expect_true!(is_authorized(&HeaderMap::new(), None));
+}
