--- /dev/null
+++ b/crates/ctl/src/cli.rs
@@ -0,0 +1,112 @@
+//! The commands and their help texts.
+
+use bpaf::{OptionParser, Parser, construct};
+use eyre::Result;
+
+use crate::commands::{
+    apply, check, demo, diff, drain, history, load, rollback, show, standin, status, submit,
+};
+use crate::exit::{EXIT_CODES_HELP, Exit};
+use crate::globals::Globals;
+
+/// `Command` is one parsed command line.
+#[derive(Clone, Debug)]
+pub(crate) enum Command {
+    /// Checks files.
+    Check(check::Check),
+    /// Puts files in force.
+    Apply(apply::Apply),
+    /// Shows a configuration.
+    Show(show::Show),
+    /// Compares configurations.
+    Diff(diff::Diff),
+    /// Shows the audit trail.
+    History(history::History),
+    /// Puts an earlier version in force.
+    Rollback(rollback::Rollback),
+    /// Shows the state of hosts.
+    Status(status::Status),
+    /// Drains hosts.
+    Drain(drain::Drain),
+    /// Submits a job.
+    Submit(Box<submit::Submit>),
+    /// Runs or compares loads.
+    Load(Box<load::Load>),
+    /// Runs stand-in backend servers.
+    Standin(Box<standin::Standin>),
+    /// Runs every role in one process.
+    Demo(demo::Demo),
+}
+
+impl Command {
+    /// Gets the settings that every command takes.
+    pub(crate) fn globals(&self) -> &Globals {
+        match self {
+            Self::Check(command) => &command.globals,
+            Self::Apply(command) => &command.globals,
+            Self::Show(command) => &command.globals,
+            Self::Diff(command) => &command.globals,
+            Self::History(command) => &command.globals,
+            Self::Rollback(command) => &command.globals,
+            Self::Status(command) => &command.globals,
+            Self::Drain(command) => &command.globals,
+            Self::Submit(command) => &command.globals,
+            Self::Load(command) => command.globals(),
+            Self::Standin(command) => &command.globals,
+            Self::Demo(command) => &command.globals,
+        }
+    }
+
+    /// Runs the command.
+    ///
+    /// # Errors
+    /// Whatever prevented the command; [`Exit::of`] gets the exit code.
+    pub(crate) async fn run(self) -> Result<Exit> {
+        match self {
+            Self::Check(command) => command.run(),
+            Self::Apply(command) => command.run().await,
+            Self::Show(command) => command.run().await,
+            Self::Diff(command) => command.run().await,
+            Self::History(command) => command.run().await,
+            Self::Rollback(command) => command.run().await,
+            Self::Status(command) => command.run().await,
+            Self::Drain(command) => command.run().await,
+            Self::Submit(command) => command.run().await,
+            Self::Load(command) => command.run().await,
+            Self::Standin(command) => command.run().await,
+            Self::Demo(command) => command.run().await,
+        }
+    }
+}
+
+/// Gets the parser of the whole command line.
+pub(crate) fn parser() -> OptionParser<Command> {
+    let check = check::parser().map(Command::Check);
+    let apply = apply::parser().map(Command::Apply);
+    let show = show::parser().map(Command::Show);
+    let diff = diff::parser().map(Command::Diff);
+    let history = history::parser().map(Command::History);
+    let rollback = rollback::parser().map(Command::Rollback);
+    let status = status::parser().map(Command::Status);
+    let drain = drain::parser().map(Command::Drain);
+    let submit = submit::parser().map(|command| Command::Submit(Box::new(command)));
+    let load = load::parser().map(|command| Command::Load(Box::new(command)));
+    let standin = standin::parser().map(|command| Command::Standin(Box::new(command)));
+    let demo = demo::parser().map(Command::Demo);
+    construct!([
+        check, apply, show, diff, history, rollback, status, drain, submit, load, standin, demo
+    ])
+    .to_options()
+    .version(env!("CARGO_PKG_VERSION"))
+    .descr("hornbeam: configures and watches the dispatcher, submits jobs, and runs tests")
+    .header("Options are given after the command: hornbeam COMMAND OPTIONS")
+    .footer(footer().as_str())
+}
+
+fn footer() -> String {
+    format!(
+        "Example:\n\n      hornbeam check --base config/base.toml --overlay config/sites/dala.toml\n\n\
+         {EXIT_CODES_HELP}.\n\n\
+         Shell completion:\n\n      source <(hornbeam --bpaf-complete-style-bash)"
+    )
+}
--- /dev/null
+++ b/crates/ctl/src/commands.rs
@@ -0,0 +1,14 @@
+//! The commands, one module each.
+
+pub(crate) mod apply;
+pub(crate) mod check;
+pub(crate) mod demo;
+pub mod diff;
+pub(crate) mod drain;
+pub(crate) mod history;
+pub(crate) mod load;
+pub(crate) mod rollback;
+pub(crate) mod show;
+pub(crate) mod standin;
+pub(crate) mod status;
+pub(crate) mod submit;
--- /dev/null
+++ b/crates/ctl/src/commands/demo/cluster.rs
@@ -0,0 +1,204 @@
+//! All roles in one process.
+
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::time::Duration;
+
+use eyre::Result;
+use hornbeam_control::ReplicaOptions;
+use hornbeam_core::ids::{ReplicaId, TaskId};
+use hornbeam_dispatch::DispatchOptions;
+use hornbeam_http::{ClientOptions, HttpClient};
+use hornbeam_node::{ControlHost, ControlOptions, EntryHost, EntryOptions};
+use hornbeam_standin::{FaultPlan, StandinOptions};
+use tempfile::TempDir;
+
+use crate::client::Api;
+use crate::commands::show::READ_TIMEOUT;
+use crate::commands::standin::{self, Running, Shape};
+
+/// Stand-ins: 6 servers with 8 slots each hold the 40 tasks of the job.
+pub(super) const STANDINS: u32 = 6;
+/// Service of the stand-ins, from config/sites/dala.toml.
+pub(super) const SERVICE: &str = "subscribe";
+
+/// Failure domains of the entry hosts, one host in each.
+const FAILURE_DOMAINS: [&str; 2] = ["almaty-a", "almaty-b"];
+/// Id of the only control replica.
+const REPLICA: ReplicaId = 1;
+/// Largest body of a job in bytes.
+const MAX_BODY_BYTES: usize = 40 << 20;
+/// Connections to one server besides its slots.
+const MAX_CONNECTIONS_PER_SERVER: usize = 4;
+/// Any free port of the loopback interface.
+const ANY_PORT: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
+
+/// `Cluster` holds one control host, two entry hosts and the stand-ins.
+#[derive(Debug)]
+pub(super) struct Cluster {
+    /// Removed with its content when the cluster is dropped.
+    _data_folder: TempDir,
+    control: ControlHost,
+    entries: Vec<EntryHost>,
+    standins: Vec<Running>,
+}
+
+impl Cluster {
+    /// Starts every role.
+    ///
+    /// # Errors
+    /// If a folder cannot be made or an address cannot be bound.
+    pub(super) async fn start(credential: &str) -> Result<Self> {
+        let data_folder = tempfile::tempdir()?;
+        let options = control_options(&data_folder, credential);
+        let mut cluster = Self {
+            _data_folder: data_folder,
+            control: ControlHost::start(options).await?,
+            entries: Vec::new(),
+            standins: Vec::new(),
+        };
+        match cluster.start_rest().await {
+            Ok(()) => Ok(cluster),
+            Err(error) => {
+                cluster.stop().await;
+                Err(error)
+            }
+        }
+    }
+
+    async fn start_rest(&mut self) -> Result<()> {
+        let links = free_addresses(FAILURE_DOMAINS.len())?;
+        for (number, failure_domain) in FAILURE_DOMAINS.into_iter().enumerate() {
+            let options = self.entry_options(number, failure_domain, &links);
+            self.entries.push(EntryHost::start(options).await?);
+        }
+        for number in 0..STANDINS {
+            let options = self.standin_options(number);
+            self.standins.push(standin::start(options).await?);
+        }
+        Ok(())
+    }
+
+    fn entry_options(
+        &self,
+        number: usize,
+        failure_domain: &str,
+        links: &[SocketAddr],
+    ) -> EntryOptions {
+        let own = links[number];
+        EntryOptions {
+            dispatch: DispatchOptions {
+                host_id: format!("entry-{number}"),
+                failure_domain: failure_domain.into(),
+                ..DispatchOptions::default()
+            },
+            http_listen: ANY_PORT,
+            link_listen: own,
+            peers: links.iter().copied().filter(|link| *link != own).collect(),
+            control_hosts: vec![(REPLICA, self.control.link_address())],
+            link_credential: None,
+            operator_credential: None,
+            max_body_bytes: MAX_BODY_BYTES,
+            max_connections_per_server: MAX_CONNECTIONS_PER_SERVER,
+        }
+    }
+
+    fn standin_options(&self, number: u32) -> StandinOptions {
+        let domain = FAILURE_DOMAINS[number as usize % FAILURE_DOMAINS.len()];
+        let shape = Shape {
+            name: "standin".into(),
+            service: SERVICE.into(),
+            failure_domain: domain.into(),
+            slots: 8,
+            max_connections: 64,
+            cpu_milli: 16_000,
+            memory_mib: 65_536,
+            accelerators: 0,
+            shared: false,
+        };
+        StandinOptions {
+            announcement: shape.announcement(number),
+            listen: ANY_PORT,
+            entry_hosts: self.entry_addresses(),
+            latency: Duration::ZERO,
+            faults: FaultPlan::default(),
+            seed: number.into(),
+        }
+    }
+
+    fn entry_addresses(&self) -> Vec<SocketAddr> {
+        self.entries.iter().map(EntryHost::http_address).collect()
+    }
+
+    /// Creates a client of the control host.
+    ///
+    /// # Errors
+    /// If the HTTP library cannot be set up.
+    pub(super) fn control_api(&self, credential: &str) -> Result<Api> {
+        let options = ClientOptions {
+            credential: Some(credential.into()),
+            ..ClientOptions::default()
+        };
+        let address = self.control.http_address();
+        Ok(Api::new(
+            HttpClient::new(options)?,
+            vec![address],
+            READ_TIMEOUT,
+        ))
+    }
+
+    /// Creates a client of the entry hosts.
+    ///
+    /// # Errors
+    /// If the HTTP library cannot be set up.
+    pub(super) fn entry_api(&self, within: Duration) -> Result<Api> {
+        let client = HttpClient::new(ClientOptions::default())?;
+        Ok(Api::new(client, self.entry_addresses(), within))
+    }
+
+    /// Gets every start of a task at any stand-in.
+    pub(super) fn starts(&self) -> Vec<TaskId> {
+        let starts = self
+            .standins
+            .iter()
+            .flat_map(|running| running.server.starts());
+        starts.map(|start| start.task).collect()
+    }
+
+    /// Stops everything: first the stand-ins, which withdraw, then the hosts.
+    pub(super) async fn stop(self) {
+        for running in self.standins {
+            running.server.leave().await;
+        }
+        for entry in self.entries {
+            entry.stop().await;
+        }
+        self.control.stop().await;
+    }
+}
+
+fn control_options(data_folder: &TempDir, credential: &str) -> ControlOptions {
+    ControlOptions {
+        host_id: "control-0".into(),
+        replica: ReplicaOptions {
+            id: REPLICA,
+            initial_voters: vec![REPLICA],
+            ..ReplicaOptions::default()
+        },
+        data_folder: data_folder.path().to_owned(),
+        http_listen: ANY_PORT,
+        link_listen: ANY_PORT,
+        peers: Vec::new(),
+        link_credential: None,
+        operator_credential: Some(credential.into()),
+    }
+}
+
+/// Gets free addresses. Entry hosts must know each other's link addresses
+/// before they start, so port 0 cannot be used for them.
+fn free_addresses(count: usize) -> Result<Vec<SocketAddr>> {
+    let listeners: std::io::Result<Vec<TcpListener>> =
+        (0..count).map(|_| TcpListener::bind(ANY_PORT)).collect();
+    let addresses: std::io::Result<Vec<SocketAddr>> =
+        listeners?.iter().map(TcpListener::local_addr).collect();
+    Ok(addresses?)
+}
--- /dev/null
+++ b/crates/ctl/src/commands/drain.rs
@@ -0,0 +1,89 @@
+//! `hornbeam drain`: makes hosts finish their work and end.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bpaf::{Parser, construct, long};
+use eyre::Result;
+use serde::Serialize;
+use serde_json::{Value, json};
+
+use crate::exit::Exit;
+use crate::globals::{Addresses, Globals, globals};
+use crate::output;
+
+/// Time in which a host must confirm that it drains.
+const DRAIN_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// `Drain` holds the arguments of the command.
+#[derive(Clone, Debug)]
+pub(crate) struct Drain {
+    /// Settings of every command.
+    pub(crate) globals: Globals,
+    hosts: Addresses,
+}
+
+/// `DrainLine` is the answer of one host as printed.
+#[derive(Debug, Serialize)]
+#[serde(rename_all = "snake_case")]
+struct DrainLine {
+    address: SocketAddr,
+    draining: bool,
+    message: String,
+}
+
+/// Parses the command.
+pub(crate) fn parser() -> impl Parser<Drain> {
+    let globals = globals();
+    // The hosts are named apart from --control and --entry, which may come
+    // from the environment and then list every host of the site.
+    let hosts = long("host")
+        .help("HTTP addresses of the hosts to drain, ip:port, separated by commas")
+        .argument::<Addresses>("ADDRESSES");
+    construct!(Drain { globals, hosts })
+        .to_options()
+        .descr("Makes hosts refuse new work, finish what is in flight, and end")
+        .footer(
+            "The exit code is that of the last host that did not confirm.\n\n\
+             Example:\n\n      hornbeam drain --credential-file operator.key --host 10.0.1.1:7000",
+        )
+        .command("drain")
+        .help("Drain hosts")
+}
+
+impl Drain {
+    /// Asks each host and prints its answer.
+    ///
+    /// # Errors
+    /// If the credential cannot be read.
+    pub(crate) async fn run(self) -> Result<Exit> {
+        let api = self.globals.api(self.hosts.0.clone(), DRAIN_TIMEOUT)?;
+        let mut exit = Exit::Ok;
+        for &address in api.addresses() {
+            let reply = api
+                .post_to::<_, Value>(address, "/v1/drain", &json!({}))
+                .await;
+            let (draining, message) = match reply {
+                Ok(reply) if reply.status < 300 => (true, "draining".to_owned()),
+                Ok(reply) => {
+                    exit = Exit::Refused;
+                    (false, format!("answered {}: {}", reply.status, reply.body))
+                }
+                Err(error) => {
+                    let message = error.to_string();
+                    exit = Exit::of(&error.into());
+                    (false, message)
+                }
+            };
+            let line = DrainLine {
+                address,
+                draining,
+                message,
+            };
+            output::result(self.globals.output, &line, |line| {
+                format!("{}: {}", line.address, line.message)
+            })?;
+        }
+        Ok(exit)
+    }
+}
--- /dev/null
+++ b/crates/ctl/src/commands/load.rs
@@ -0,0 +1,373 @@
+//! `hornbeam load`: runs open-loop loads and compares their reports.
+
+use std::io::BufRead;
+use std::path::{Path, PathBuf};
+use std::str::FromStr;
+use std::time::Duration;
+
+use bpaf::{Parser, construct, long};
+use eyre::{Result, WrapErr, eyre};
+use hornbeam_load::{LoadOptions, LoadReport};
+use serde::Serialize;
+
+use crate::exit::Exit;
+use crate::globals::{Globals, globals};
+use crate::input::{file, id, number};
+use crate::output;
+use crate::progress::Progress;
+
+/// `Load` holds the arguments of the command.
+#[derive(Clone, Debug)]
+pub(crate) enum Load {
+    /// Runs loads.
+    Run(Box<LoadRun>),
+    /// Compares two reports.
+    Compare(Compare),
+}
+
+/// `LoadRun` holds the arguments of `load run`.
+#[derive(Clone, Debug)]
+pub(crate) struct LoadRun {
+    globals: Globals,
+    target: Target,
+    arrivals: Arrivals,
+    shape: Shape,
+    runs: u32,
+}
+
+/// `Target` says on whose behalf the jobs run.
+#[derive(Clone, Debug)]
+struct Target {
+    institution: String,
+    teams: Names,
+    service: String,
+}
+
+/// `Arrivals` say when jobs are submitted.
+#[derive(Clone, Debug)]
+struct Arrivals {
+    jobs: u32,
+    task_rate: f64,
+    burst_factor: f64,
+    burst_period_ms: u64,
+    seed: u64,
+}
+
+/// `Shape` says what the jobs are like.
+#[derive(Clone, Debug)]
+struct Shape {
+    tasks_per_job: Span,
+    task_ms: Span,
+    long_share: f64,
+    declared_error: f64,
+    not_repeatable_share: f64,
+    timeout_ms: u64,
+    ideal_network_us: u64,
+}
+
+/// `Compare` holds the arguments of `load compare`.
+#[derive(Clone, Debug)]
+pub(crate) struct Compare {
+    globals: Globals,
+    baseline: PathBuf,
+    candidate: PathBuf,
+}
+
+/// `Names` is a list of ids, separated by commas.
+#[derive(Clone, Debug, Eq, PartialEq)]
+struct Names(Vec<String>);
+
+impl FromStr for Names {
+    type Err = String;
+
+    fn from_str(text: &str) -> std::result::Result<Self, Self::Err> {
+        let names: Vec<String> = text.split(',').map(|name| name.trim().into()).collect();
+        if names.iter().any(String::is_empty) {
+            return Err("an id is empty".into());
+        }
+        Ok(Self(names))
+    }
+}
+
+/// `Span` is a range of whole numbers, both ends included, as `1-20`.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+struct Span {
+    min: u32,
+    max: u32,
+}
+
+impl FromStr for Span {
+    type Err = String;
+
+    fn from_str(text: &str) -> std::result::Result<Self, Self::Err> {
+        let (min, max) = text.split_once('-').unwrap_or((text, text));
+        let number = |part: &str| {
+            part.parse::<u32>()
+                .map_err(|_| format!("`{part}` is not a whole number"))
+        };
+        let span = Self {
+            min: number(min)?,
+            max: number(max)?,
+        };
+        if span.min == 0 || span.min > span.max {
+            return Err(format!("`{text}` is not a range such as 1-20"));
+        }
+        Ok(span)
+    }
+}
+
+/// `RatioLine` is one figure of a comparison as printed.
+#[derive(Debug, Serialize)]
+#[serde(rename_all = "snake_case")]
+struct RatioLine {
+    figure: &'static str,
+    candidate_over_baseline: f64,
+}
+
+/// Parses the command.
+pub(crate) fn parser() -> impl Parser<Load> {
+    let run = run_parser();
+    let compare = compare_parser();
+    construct!([run, compare])
+        .to_options()
+        .descr("Runs open-loop loads and compares their reports; prints JSON lines")
+        .footer(
+            "Example:\n\n      hornbeam load run --entry 10.0.1.1:7000 --institution dala \
+             --teams orders,pricing --service subscribe --task-rate 200 > candidate.jsonl\n      \
+             hornbeam load compare --baseline baseline.jsonl --candidate candidate.jsonl",
+        )
+        .command("load")
+        .help("Run or compare loads")
+}
+
+fn run_parser() -> impl Parser<Load> {
+    let globals = globals();
+    let target = target();
+    let arrivals = arrivals();
+    let shape = shape();
+    let runs = long("runs")
+        .help("Number of runs, each with the next seed; default 1")
+        .argument::<u32>("N")
+        .fallback(1);
+    construct!(LoadRun {
+        globals,
+        target,
+        arrivals,
+        shape,
+        runs
+    })
+    .map(|run| Load::Run(Box::new(run)))
+    .to_options()
+    .descr("Submits jobs at scheduled times and prints one report per run")
+    .footer(
+        "The exit code is 1 if an answer was not whole or not its own.\n\n\
+         Example:\n\n      hornbeam load run --entry 10.0.1.1:7000 --institution dala \
+         --teams orders --service subscribe --jobs 500 --task-rate 320 --task-ms 50-1000",
+    )
+    .command("run")
+    .help("Run a load")
+}
+
+fn compare_parser() -> impl Parser<Load> {
+    let globals = globals();
+    let baseline = file(
+        "baseline",
+        "JSON lines of the baseline; the last line counts",
+    );
+    let candidate = file(
+        "candidate",
+        "JSON lines of the candidate; the last line counts",
+    );
+    construct!(Compare {
+        globals,
+        baseline,
+        candidate
+    })
+    .map(Load::Compare)
+    .to_options()
+    .descr("Prints the ratio of each figure of two reports")
+    .footer(
+        "Example:\n\n      hornbeam load compare --baseline baseline.jsonl --candidate candidate.jsonl",
+    )
+    .command("compare")
+    .help("Compare the reports of two runs")
+}
+
+fn target() -> impl Parser<Target> {
+    let institution = id("institution", "Institution of the jobs");
+    let teams = long("teams")
+        .help("Teams of the jobs, used in turn, separated by commas")
+        .argument::<Names>("IDS");
+    let service = id("service", "Service of the jobs");
+    construct!(Target {
+        institution,
+        teams,
+        service
+    })
+}
+
+fn arrivals() -> impl Parser<Arrivals> {
+    let jobs = number("jobs", "Jobs to submit in all; default 100", 100_u32);
+    let task_rate = number("task-rate", "Task starts a second; default 100", 100.0);
+    let burst_factor = number(
+        "burst-factor",
+        "Factor by which the rate rises in bursts; default 1",
+        1.0,
+    );
+    let burst_period_ms = number(
+        "burst-period-ms",
+        "Period of the bursts in ms; default 10000",
+        10_000_u64,
+    );
+    let seed = number("seed", "Seed of every random choice; default 0", 0_u64);
+    construct!(Arrivals {
+        jobs,
+        task_rate,
+        burst_factor,
+        burst_period_ms,
+        seed
+    })
+}
+
+fn shape() -> impl Parser<Shape> {
+    let tasks_per_job = number(
+        "tasks-per-job",
+        "Tasks per job; default 1-20",
+        Span { min: 1, max: 20 },
+    );
+    let task_ms = number(
+        "task-ms",
+        "Length of a task in ms; default 50-1000",
+        Span { min: 50, max: 1000 },
+    );
+    let long_share = number(
+        "long-share",
+        "Share of tasks that take 3 to 5 s; default 0",
+        0.0,
+    );
+    let declared_error = number(
+        "declared-error",
+        "Factor by which declared run times are wrong; default 1",
+        1.0,
+    );
+    let not_repeatable_share = number(
+        "not-repeatable-share",
+        "Share of jobs that are not repeatable; default 0",
+        0.0,
+    );
+    let timeout_ms = number(
+        "timeout-ms",
+        "How long callers wait, in ms; default 30000",
+        30_000_u64,
+    );
+    let ideal_network_us = number(
+        "ideal-network-us",
+        "Network time in the ideal, in microseconds; default 0",
+        0_u64,
+    );
+    construct!(Shape {
+        tasks_per_job,
+        task_ms,
+        long_share,
+        declared_error,
+        not_repeatable_share,
+        timeout_ms,
+        ideal_network_us
+    })
+}
+
+impl Load {
+    /// Gets the settings that every command takes.
+    pub(crate) fn globals(&self) -> &Globals {
+        match self {
+            Self::Run(run) => &run.globals,
+            Self::Compare(compare) => &compare.globals,
+        }
+    }
+
+    /// Runs or compares loads.
+    ///
+    /// # Errors
+    /// If no entry host can be reached or a report cannot be read.
+    pub(crate) async fn run(self) -> Result<Exit> {
+        match self {
+            Self::Run(run) => run.run().await,
+            Self::Compare(compare) => compare.run(),
+        }
+    }
+}
+
+impl LoadRun {
+    async fn run(self) -> Result<Exit> {
+        // The client itself is made by the load tool; this checks the flag.
+        self.globals.entry_api(Duration::ZERO)?;
+        let mut exit = Exit::Ok;
+        for run in 0..self.runs {
+            let seed = self.arrivals.seed.wrapping_add(run.into());
+            let progress = Progress::start(format!("run {} of {}", run + 1, self.runs));
+            let report = hornbeam_load::run(self.options(seed)).await;
+            progress.finish().await;
+            let report = report?;
+            if report.wrong > 0 {
+                exit = Exit::Failure;
+            }
+            output::json_line(&report)?;
+        }
+        Ok(exit)
+    }
+
+    fn options(&self, seed: u64) -> LoadOptions {
+        let Shape {
+            tasks_per_job,
+            task_ms,
+            ..
+        } = self.shape;
+        LoadOptions {
+            entry_hosts: self.globals.entry.0.clone(),
+            institution: self.target.institution.clone(),
+            teams: self.target.teams.0.clone(),
+            service: self.target.service.clone(),
+            jobs: self.arrivals.jobs,
+            task_rate: self.arrivals.task_rate,
+            tasks_per_job: (tasks_per_job.min, tasks_per_job.max),
+            task_ms: (task_ms.min.into(), task_ms.max.into()),
+            long_share: self.shape.long_share,
+            burst_factor: self.arrivals.burst_factor,
+            burst_period: Duration::from_millis(self.arrivals.burst_period_ms),
+            declared_error: self.shape.declared_error,
+            not_repeatable_share: self.shape.not_repeatable_share,
+            timeout: Duration::from_millis(self.shape.timeout_ms),
+            ideal_network: Duration::from_micros(self.shape.ideal_network_us),
+            seed,
+        }
+    }
+}
+
+impl Compare {
+    fn run(self) -> Result<Exit> {
+        let baseline = read_report(&self.baseline)?;
+        let candidate = read_report(&self.candidate)?;
+        for (figure, ratio) in hornbeam_load::compare(&baseline, &candidate) {
+            output::json_line(&RatioLine {
+                figure,
+                candidate_over_baseline: ratio,
+            })?;
+        }
+        Ok(Exit::Ok)
+    }
+}
+
+/// Reads the last report of a file of JSON lines.
+fn read_report(path: &Path) -> Result<LoadReport> {
+    let name = path.display();
+    let file = std::fs::File::open(path).wrap_err_with(|| format!("cannot read {name}"))?;
+    let mut last = None;
+    for line in std::io::BufReader::new(file).lines() {
+        let line = line?;
+        if !line.trim().is_empty() {
+            last = Some(line);
+        }
+    }
+    let line = last.ok_or_else(|| eyre!("{name} has no report"))?;
+    serde_json::from_str(&line).wrap_err_with(|| format!("{name} has no report in its last line"))
+}
--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -2,4 +2,8 @@
 
 #![forbid(unsafe_code)]
 
-fn main() {}
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    hornbeam_ctl::main()
+}
