--- a/crates/ctl/src/client.rs
+++ b/crates/ctl/src/client.rs
@@ -66,7 +66,8 @@
         address: SocketAddr,
         path: &str,
     ) -> Result<A> {
-        let reply = self.client.get::<Value>(address, path, self.within).await;
+        // Error answers are often plain text, so the body is decoded here.
+        let reply = self.client.get_text(address, path, self.within).await;
         // A read without an answer has no effect that could be in doubt.
         let reply = reply.map_err(|error| match error {
             Error::Unknown(cause) => Error::Io(format!("{address} did not answer: {cause}")),
@@ -74,9 +75,9 @@
             other => other,
         })?;
         if reply.status == OK {
-            decode(reply)
+            serde_json::from_str(&reply.body).map_err(Error::codec)
         } else {
-            Err(Error::refused(describe(address, &reply)))
+            Err(Error::refused(describe(address, reply.status, &reply.body)))
         }
     }
 
@@ -97,20 +98,32 @@
         A: DeserializeOwned,
     {
         let sent = self.client.post(address, path, body, self.within).await;
-        let reply: Reply<Value> = sent.map_err(|error| match error {
-            // An answer that is not JSON does not tell what happened.
-            Error::Codec(cause) => Error::Unknown(cause),
-            other => other,
-        })?;
+        let reply: Reply<Value> = match sent {
+            Err(Error::Codec(cause)) => return Err(self.explain(address, &cause).await),
+            other => other?,
+        };
         let status = reply.status;
-        let description = describe(address, &reply);
-        match decode(reply) {
+        let description = describe(address, status, &reply.body.to_string());
+        match serde_json::from_value(reply.body) {
             Ok(body) => Ok(Reply { status, body }),
             Err(_) if status < SERVER_ERROR && status != OK => Err(Error::refused(description)),
             Err(_) => Err(Error::unknown(description)),
         }
     }
 
+    /// Finds out why an answer was not JSON. The client does not report the
+    /// status of such an answer, so a read with the same credential shows
+    /// whether the host refuses the credential.
+    async fn explain(&self, address: SocketAddr, cause: &str) -> Error {
+        let read = self.client.get_text(address, "/v1/status", self.within);
+        match read.await {
+            Ok(reply) if is_credential_refused(reply.status) => {
+                Error::refused(describe(address, reply.status, &reply.body))
+            }
+            _ => Error::unknown(format!("{address} gave no usable answer: {cause}")),
+        }
+    }
+
     /// Posts a body to the first host that can be reached. Only a request
     /// that was never sent goes to the next host.
     ///
@@ -147,15 +160,11 @@
     matches!(status, UNAUTHORIZED | FORBIDDEN)
 }
 
-fn describe(address: SocketAddr, reply: &Reply<Value>) -> String {
-    let hint = if is_credential_refused(reply.status) {
+fn describe(address: SocketAddr, status: u16, body: &str) -> String {
+    let hint = if is_credential_refused(status) {
         "; check --credential-file"
     } else {
         ""
     };
-    format!("{address} answered {}: {}{hint}", reply.status, reply.body)
-}
-
-fn decode<A: DeserializeOwned>(reply: Reply<Value>) -> Result<A> {
-    serde_json::from_value(reply.body).map_err(Error::codec)
+    format!("{address} answered {status}: {}{hint}", body.trim_end())
 }
--- a/crates/ctl/src/commands/drain.rs
+++ b/crates/ctl/src/commands/drain.rs
@@ -5,13 +5,18 @@
 
 use bpaf::{Parser, construct, long};
 use eyre::Result;
+use hornbeam_core::Error;
+use hornbeam_core::api::operator::EntryStatus;
 use serde::Serialize;
 use serde_json::{Value, json};
 
+use crate::client::Api;
 use crate::exit::Exit;
 use crate::globals::{Addresses, Globals, globals};
 use crate::output;
 
+const OK: u16 = 200;
+
 /// Time in which a host must confirm that it drains.
 const DRAIN_TIMEOUT: Duration = Duration::from_secs(5);
 
@@ -60,15 +65,8 @@
         let api = self.globals.api(self.hosts.0.clone(), DRAIN_TIMEOUT)?;
         let mut exit = Exit::Ok;
         for &address in api.addresses() {
-            let reply = api
-                .post_to::<_, Value>(address, "/v1/drain", &json!({}))
-                .await;
-            let (draining, message) = match reply {
-                Ok(reply) if reply.status < 300 => (true, "draining".to_owned()),
-                Ok(reply) => {
-                    exit = Exit::Refused;
-                    (false, format!("answered {}: {}", reply.status, reply.body))
-                }
+            let (draining, message) = match drain(&api, address).await {
+                Ok(()) => (true, "draining".to_owned()),
                 Err(error) => {
                     let message = error.to_string();
                     exit = Exit::of(&error.into());
@@ -87,3 +85,26 @@
         Ok(exit)
     }
 }
+
+/// Asks one host to drain.
+async fn drain(api: &Api, address: SocketAddr) -> hornbeam_core::Result<()> {
+    let body = json!({});
+    let asked = api.post_to::<_, Value>(address, "/v1/drain", &body);
+    let doubt = match asked.await {
+        Ok(reply) if reply.status == OK => return Ok(()),
+        Ok(reply) => {
+            let message = format!("{address} answered {}: {}", reply.status, reply.body);
+            return Err(Error::refused(message));
+        }
+        Err(Error::Unknown(cause)) => cause,
+        Err(error) => return Err(error),
+    };
+    // An entry host shows whether it drains, which settles the doubt.
+    match api.get_from::<EntryStatus>(address, "/v1/status").await {
+        Ok(status) if status.draining => Ok(()),
+        Ok(_) => Err(Error::refused(format!(
+            "{address} does not drain; check --credential-file"
+        ))),
+        Err(_) => Err(Error::unknown(doubt)),
+    }
+}
