Add the dispatch decisions of an entry host

Covers leases, admission, claims, the fair queue, quotas, exchanges and cancel queries, retries, ejection, forwarding, drain and the baseline placement policies, with a golden session file.

--- /dev/null
+++ b/crates/dispatch/src/admission.rs
@@ -0,0 +1,264 @@
+//! Admission of submitted jobs.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::Duration;
+
+use hornbeam_core::api::caller::{Outcome, Reason, SubmitAnswer, SubmitRequest, TaskSpec};
+use hornbeam_core::event::Event;
+use hornbeam_core::ids::JobId;
+use hornbeam_core::{Finding, Findings, Place};
+
+use crate::charts::JobEvent;
+use crate::dispatcher::Dispatcher;
+use crate::fair_queue::{FlowKey, Weights};
+use crate::io::DispatchOutput;
+use crate::job::{Job, Origin, Task};
+use crate::keys::{JobKey, PoolKey};
+use crate::request_checks::{Terms, check_request, find_terms};
+use crate::server::Resources;
+use crate::timers::Timer;
+
+/// `Refusal` is why a job was not admitted.
+#[derive(Debug)]
+pub(crate) struct Refusal {
+    pub(crate) reason: Reason,
+    pub(crate) message: String,
+    pub(crate) findings: Findings,
+}
+
+impl Refusal {
+    /// Creates a refusal without findings.
+    pub(crate) fn new(reason: Reason, message: impl Into<String>) -> Self {
+        Self {
+            reason,
+            message: message.into(),
+            findings: Vec::new(),
+        }
+    }
+}
+
+/// `Placement` is the queue of a job and the terms under which it runs.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Placement {
+    pub(crate) pool: PoolKey,
+    pub(crate) flow: FlowKey,
+    pub(crate) terms: Terms,
+}
+
+impl Dispatcher {
+    /// Admits or refuses a job.
+    pub(crate) fn submitted(&mut self, job_id: JobId, request: Arc<SubmitRequest>) {
+        match self.check(&request) {
+            Ok(placement) => self.admit(job_id, request, placement),
+            Err(refusal) => self.refuse(job_id, &request, refusal),
+        }
+    }
+
+    fn check(&mut self, request: &SubmitRequest) -> Result<Placement, Refusal> {
+        if self.draining {
+            return Err(Refusal::new(Reason::NotReady, "This host is draining."));
+        }
+        let Some(config) = self.config.clone() else {
+            let message = "This host has no configuration yet.";
+            return Err(Refusal::new(Reason::NotReady, message));
+        };
+        check_request(&config, request)?;
+        let terms = find_terms(
+            &config,
+            &request.institution,
+            &request.team,
+            &request.service,
+        )?;
+        self.check_validity(request)?;
+        let placement = self.placement(request, terms);
+        self.check_runnable(request, &placement)?;
+        self.check_wait(request, &placement)?;
+        Ok(placement)
+    }
+
+    fn check_validity(&self, request: &SubmitRequest) -> Result<(), Refusal> {
+        match request.valid_until_unix_ms {
+            Some(until) if until <= self.unix_ms => {
+                let message = "The time in valid_until_unix_ms has passed.";
+                Err(Refusal::new(Reason::Expired, message))
+            }
+            _ => Ok(()),
+        }
+    }
+
+    fn placement(&mut self, request: &SubmitRequest, terms: Terms) -> Placement {
+        let (institution, team) = self.quotas.key(&request.institution, &request.team);
+        Placement {
+            pool: self.pool_key(&request.service),
+            flow: FlowKey {
+                institution,
+                team,
+                foreign: false,
+            },
+            terms,
+        }
+    }
+
+    /// Refuses tasks that no known server could hold. Nothing is known of the
+    /// capacity of peers' servers, so only this host's servers count.
+    fn check_runnable(&self, request: &SubmitRequest, at: &Placement) -> Result<(), Refusal> {
+        let pool = &self.pools[at.pool];
+        if pool.servers == 0 {
+            return match self.peer_slots(&pool.service) {
+                0 => {
+                    let message = "No backend server of the service is known.";
+                    Err(Refusal::new(Reason::Overloaded, message))
+                }
+                _ => Ok(()),
+            };
+        }
+        let too_large = |spec: &TaskSpec| !pool.could_hold(&Resources::of_task(spec));
+        match request.tasks.iter().position(too_large) {
+            Some(index) => {
+                let message = format!("No backend server can ever hold tasks[{index}].");
+                Err(Refusal::new(Reason::NeverRunnable, message))
+            }
+            None => Ok(()),
+        }
+    }
+
+    /// Refuses a job that would wait longer than its terms or its deadline
+    /// allow. The wait is the queued work over the slots, and no longer than
+    /// the team's share of the slots implies.
+    fn check_wait(&mut self, request: &SubmitRequest, at: &Placement) -> Result<(), Refusal> {
+        let pool = &self.pools[at.pool];
+        let slots = match pool.slots {
+            0 => self.peer_slots(&pool.service),
+            slots => slots,
+        };
+        let estimates = || {
+            request
+                .tasks
+                .iter()
+                .map(|t| pool.ratio.estimate_ms(t.run_ms))
+        };
+        let longest_ms = estimates().max().unwrap_or(0);
+        let work_ms: u64 = estimates().sum();
+        let wait_ms = pool.queued_work_ms / u64::from(slots.max(1));
+        let run_ms = longest_ms.max(work_ms / u64::from(slots.max(1)));
+        let team = self.quotas.team(at.flow.team);
+        let share = u64::from(team.share_slots);
+        let team_wait_ms = team.queued_work_ms.checked_div(share).unwrap_or(u64::MAX);
+        let team_run_ms = work_ms.checked_div(share).unwrap_or(u64::MAX);
+        let late = |wait_ms: u64, run_ms: u64| {
+            wait_ms > at.terms.max_queue_ms || wait_ms.saturating_add(run_ms) > request.timeout_ms
+        };
+        if late(team_wait_ms, team_run_ms) {
+            let message = format!("The team's quota of {share} slots here has no room in time.");
+            return Err(Refusal::new(Reason::QuotaExceeded, message));
+        }
+        if late(wait_ms, run_ms) {
+            let message =
+                format!("The job would wait {wait_ms} ms and run {run_ms} ms, which is too long.");
+            return Err(Refusal::new(Reason::Overloaded, message));
+        }
+        Ok(())
+    }
+
+    fn admit(&mut self, job_id: JobId, request: Arc<SubmitRequest>, placement: Placement) {
+        let timeout = Duration::from_millis(request.timeout_ms);
+        let claim = (!request.repeatable).then_some(request.valid_until_unix_ms);
+        let request_id = request.request_id.clone();
+        let mut job = self.new_job(job_id.clone(), Origin::Caller(request), placement, timeout);
+        if let Some(valid_until_unix_ms) = claim.flatten() {
+            job.start_until = self.start_limit(&job, valid_until_unix_ms);
+        }
+        let key = self.insert_job(job);
+        match claim.flatten() {
+            Some(valid_until_unix_ms) => {
+                self.change_job(key, JobEvent::Claim);
+                self.out.push(DispatchOutput::RecordClaim {
+                    job_id,
+                    request_id,
+                    valid_until_unix_ms,
+                    within: timeout,
+                });
+            }
+            None => self.enqueue_job(key),
+        }
+    }
+
+    fn start_limit(&self, job: &Job, valid_until_unix_ms: u64) -> Duration {
+        let left = valid_until_unix_ms.saturating_sub(self.unix_ms);
+        job.deadline.min(self.now + Duration::from_millis(left))
+    }
+
+    /// Creates a job with all its tasks not yet queued.
+    pub(crate) fn new_job(
+        &self,
+        id: JobId,
+        origin: Origin,
+        at: Placement,
+        timeout: Duration,
+    ) -> Job {
+        let ratio = self.pools[at.pool].ratio;
+        let task = |spec: &TaskSpec| Task {
+            state: self.charts.task.initial(),
+            work_ms: ratio.estimate_ms(spec.run_ms),
+            sent_before: false,
+            result: None,
+            refused_by: Vec::new(),
+        };
+        let tasks = match &origin {
+            Origin::Caller(request) => request.tasks.iter().map(task).collect(),
+            Origin::Peer(chunk) => chunk.tasks.iter().map(|t| task(&t.spec)).collect(),
+        };
+        Job {
+            id,
+            origin,
+            state: self.charts.job.initial(),
+            pool: at.pool,
+            flow: at.flow,
+            weights: Weights {
+                institution: at.terms.institution_weight,
+                team: at.terms.team_weight,
+            },
+            most_per_exchange: at.terms.max_tasks_per_exchange,
+            task_grace_ms: at.terms.task_grace_ms,
+            admitted_at: self.now,
+            deadline: self.now + timeout,
+            start_until: self.now + timeout,
+            tasks,
+            queued: BTreeSet::new(),
+            queued_work_ms: 0,
+            finished_tasks: 0,
+            exchanges: BTreeSet::new(),
+            chunks: BTreeSet::new(),
+        }
+    }
+
+    /// Adds a job and its deadline.
+    pub(crate) fn insert_job(&mut self, job: Job) -> JobKey {
+        let deadline = job.deadline;
+        let key = self.jobs.insert(job);
+        self.timers.set(deadline, Timer::Deadline(key));
+        key
+    }
+
+    fn refuse(&mut self, job_id: JobId, request: &SubmitRequest, refusal: Refusal) {
+        let message = format!("request {}: {}", request.request_id, refusal.message);
+        let answer = SubmitAnswer {
+            request_id: request.request_id.clone(),
+            job_id: None,
+            outcome: Outcome::Refused,
+            reason: Some(refusal.reason),
+            message: refusal.message,
+            findings: refusal.findings,
+            results: Vec::new(),
+            elapsed_ms: 0,
+        };
+        self.out.push(DispatchOutput::AnswerJob(job_id, answer));
+        self.log(Event::JobRefused, message);
+    }
+}
+
+/// Creates a finding about a field of the body.
+pub(crate) fn finding(path: impl Into<String>, message: impl Into<String>) -> Finding {
+    Finding::new(Place::body(path), message)
+}
--- /dev/null
+++ b/crates/dispatch/src/claims.rs
@@ -0,0 +1,35 @@
+//! Claims of requests that are not repeatable.
+
+use hornbeam_core::api::caller::Reason;
+
+use crate::charts::JobState;
+use crate::dispatcher::Dispatcher;
+use crate::io::ClaimEnd;
+
+impl Dispatcher {
+    /// Queues a job whose claim is recorded and refuses it otherwise.
+    pub(crate) fn claim_ended(&mut self, job_id: &str, end: ClaimEnd) {
+        let Some(key) = self.jobs.find(job_id) else {
+            return;
+        };
+        let claiming = |state| state == JobState::Claiming;
+        if !self.jobs.get(key).is_some_and(|job| claiming(job.state)) {
+            return;
+        }
+        match end {
+            ClaimEnd::Recorded => self.enqueue_job(key),
+            ClaimEnd::AlreadyClaimed => {
+                let message = "Another job holds the claim on this request id.";
+                self.refuse_job(key, Reason::AlreadyClaimed, message);
+            }
+            ClaimEnd::Expired => {
+                let message = "The time in valid_until_unix_ms has passed.";
+                self.refuse_job(key, Reason::Expired, message);
+            }
+            ClaimEnd::Unavailable => {
+                let message = "The claim on the request id was not confirmed in time.";
+                self.refuse_job(key, Reason::ClaimUnavailable, message);
+            }
+        }
+    }
+}
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -1,17 +1,61 @@
 //! The dispatcher.
 
+use std::collections::BTreeSet;
+use std::sync::Arc;
 use std::time::Duration;
 
 use hornbeam_core::Result;
 use hornbeam_core::api::operator::EntryStatus;
+use hornbeam_core::config::Configuration;
+use hornbeam_core::event::Event;
+use hornbeam_core::ids::{ChunkId, ConfigVersion, ExchangeId, HostId, ServiceId};
+use indexmap::IndexMap;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
 
-use crate::io::{DispatchInput, DispatchOutput, PeerStatus};
+use crate::cancels::CancelQuery;
+use crate::charts::Charts;
+use crate::chunks_received::ReceivedChunks;
+use crate::chunks_sent::SentChunk;
+use crate::exchanges::Exchange;
+use crate::io::{CancelId, DispatchInput, DispatchOutput, PeerStatus};
+use crate::job::JobTable;
+use crate::keys::PoolKey;
 use crate::options::DispatchOptions;
+use crate::peers::Peer;
+use crate::pool::Pool;
+use crate::quota::Quotas;
+use crate::retry_budget::RetryBudget;
+use crate::server::ServerTable;
+use crate::timers::{Timer, Timers};
 
 /// `Dispatcher` decides for one entry host.
 #[derive(Debug)]
 pub struct Dispatcher {
-    options: DispatchOptions,
+    pub(crate) options: DispatchOptions,
+    pub(crate) charts: Charts,
+    pub(crate) now: Duration,
+    pub(crate) unix_ms: u64,
+    pub(crate) out: Vec<DispatchOutput>,
+    pub(crate) config_version: ConfigVersion,
+    pub(crate) config: Option<Arc<Configuration>>,
+    pub(crate) pools: IndexMap<ServiceId, Pool>,
+    pub(crate) quotas: Quotas,
+    pub(crate) servers: ServerTable,
+    pub(crate) jobs: JobTable,
+    pub(crate) exchanges: IndexMap<ExchangeId, Exchange>,
+    pub(crate) cancels: IndexMap<CancelId, CancelQuery>,
+    pub(crate) peers: IndexMap<HostId, Peer>,
+    pub(crate) chunks: IndexMap<ChunkId, SentChunk>,
+    pub(crate) received: ReceivedChunks,
+    pub(crate) retries: RetryBudget,
+    pub(crate) timers: Timers,
+    pub(crate) rng: ChaCha8Rng,
+    /// Pools whose queue or capacity changed in this step.
+    pub(crate) changed_pools: BTreeSet<PoolKey>,
+    pub(crate) draining: bool,
+    pub(crate) drained: bool,
+    last_id: u64,
 }
 
 impl Dispatcher {
@@ -20,7 +64,31 @@
     /// # Errors
     /// The findings of an invalid state chart.
     pub fn new(options: DispatchOptions) -> Result<Self> {
-        Ok(Self { options })
+        Ok(Self {
+            charts: Charts::parse()?,
+            rng: ChaCha8Rng::seed_from_u64(options.seed),
+            options,
+            now: Duration::ZERO,
+            unix_ms: 0,
+            out: Vec::new(),
+            config_version: 0,
+            config: None,
+            pools: IndexMap::new(),
+            quotas: Quotas::default(),
+            servers: ServerTable::default(),
+            jobs: JobTable::default(),
+            exchanges: IndexMap::new(),
+            cancels: IndexMap::new(),
+            peers: IndexMap::new(),
+            chunks: IndexMap::new(),
+            received: ReceivedChunks::default(),
+            retries: RetryBudget::default(),
+            timers: Timers::default(),
+            changed_pools: BTreeSet::new(),
+            draining: false,
+            drained: false,
+            last_id: 0,
+        })
     }
 
     /// Reacts to one input. `now` is the monotonic time of the process and
@@ -31,44 +99,105 @@
         unix_ms: u64,
         input: DispatchInput,
     ) -> Vec<DispatchOutput> {
-        let _ = (now, unix_ms, input);
-        Vec::new()
+        self.now = self.now.max(now);
+        self.unix_ms = unix_ms;
+        self.run_timers();
+        self.react(input);
+        self.schedule_changed_pools();
+        self.check_drained();
+        std::mem::take(&mut self.out)
     }
 
     /// Gets the next time at which a `Tick` has something to do.
     pub fn next_wakeup(&self) -> Option<Duration> {
-        None
+        self.timers.first()
     }
 
     /// Gets the status for peers. The shell fills in the addresses.
     pub fn peer_status(&self, now: Duration) -> PeerStatus {
         let _ = now;
-        PeerStatus {
-            host_id: self.options.host_id.clone(),
-            failure_domain: self.options.failure_domain.clone(),
-            http_address: String::new(),
-            link_address: String::new(),
-            config_version: 0,
-            draining: false,
-            servers: 0,
-            services: Vec::new(),
-        }
+        self.status_for_peers()
     }
 
     /// Gets the status for operators.
     pub fn entry_status(&self, now: Duration) -> EntryStatus {
-        let _ = now;
-        EntryStatus {
-            host_id: self.options.host_id.clone(),
-            failure_domain: self.options.failure_domain.clone(),
-            config_version: 0,
-            draining: false,
-            servers: 0,
-            slots: 0,
-            slots_busy: 0,
-            queued_tasks: 0,
-            jobs: 0,
-            peers: Vec::new(),
+        self.status_for_operators(now)
+    }
+
+    /// Gets a number that is unique within the process, and above those of
+    /// earlier processes of the same host as long as its wall clock advances.
+    pub(crate) fn next_id(&mut self) -> u64 {
+        /// Ids that a process may use per millisecond of its life before they
+        /// could repeat in the next process.
+        const IDS_PER_MS: u64 = 1 << 20;
+        if self.last_id == 0 {
+            self.last_id = self.unix_ms.saturating_mul(IDS_PER_MS);
+        }
+        self.last_id += 1;
+        self.last_id
+    }
+
+    /// Adds a log event to the outputs.
+    pub(crate) fn log(&mut self, event: Event, message: impl Into<String>) {
+        self.out.push(DispatchOutput::Log(event, message.into()));
+    }
+
+    /// Gets the pool of a service, which is added if it is new.
+    pub(crate) fn pool_key(&mut self, service: &str) -> PoolKey {
+        if let Some(key) = self.pools.get_index_of(service) {
+            return key;
+        }
+        let pool = Pool::new(service);
+        self.pools.insert_full(service.to_owned(), pool).0
+    }
+
+    fn react(&mut self, input: DispatchInput) {
+        match input {
+            DispatchInput::Tick => {}
+            DispatchInput::ConfigInForce(version, config) => self.configure(version, config),
+            DispatchInput::Announced(announcement) => self.announced(announcement),
+            DispatchInput::Withdrawn(withdrawal) => self.withdrawn(withdrawal),
+            DispatchInput::Submitted(job_id, request) => self.submitted(job_id, request),
+            DispatchInput::CallerCancelled(job_id) => self.caller_cancelled(&job_id),
+            DispatchInput::ClaimEnded(job_id, end) => self.claim_ended(&job_id, end),
+            DispatchInput::ExchangeEnded(exchange, end) => self.exchange_ended(exchange, end),
+            DispatchInput::CancelEnded(cancel, answer) => self.cancel_ended(cancel, answer),
+            DispatchInput::PeerStatusReceived(status) => self.peer_status_received(status),
+            DispatchInput::ChunkReceived(chunk) => self.chunk_received(chunk),
+            DispatchInput::ChunkCancelReceived(peer, chunk) => {
+                self.chunk_cancel_received(peer, chunk);
+            }
+            DispatchInput::ChunkEnded(chunk, end) => self.chunk_ended(chunk, end),
+            DispatchInput::ChunkCancelEnded(chunk, fates) => self.chunk_cancel_ended(chunk, fates),
+            DispatchInput::DrainStarted => self.start_drain(),
+        }
+    }
+
+    fn run_timers(&mut self) {
+        while let Some(timer) = self.timers.pop_due(self.now) {
+            match timer {
+                Timer::Lease(server) => self.expire_lease(server),
+                Timer::Trial(server) => self.start_trial(server),
+                Timer::Forget(server) => self.servers.remove(server),
+                Timer::Deadline(job) => self.deadline_passed(job),
+                Timer::Peer(peer) => self.peer_lost(&peer),
+                Timer::ForgetChunk(peer, chunk) => self.received.forget(&peer, chunk),
+            }
+        }
+    }
+
+    fn configure(&mut self, version: ConfigVersion, config: Arc<Configuration>) {
+        if version <= self.config_version {
+            return;
+        }
+        self.config_version = version;
+        for (pool, flow) in self.quotas.configure(&config) {
+            self.activate(pool, flow);
         }
+        self.config = Some(config);
+        self.log(
+            Event::ConfigInForce,
+            format!("configuration {version} is in force"),
+        );
     }
 }
--- /dev/null
+++ b/crates/dispatch/src/exchanges.rs
@@ -0,0 +1,268 @@
+//! Exchanges with backend servers, and what each end of one proves.
+
+use hornbeam_core::api::backend::{TaskBatchAnswer, TaskEnd, TaskStatus};
+use hornbeam_core::api::caller::{Reason, TaskResult};
+use hornbeam_core::event::Event;
+use hornbeam_core::ids::{ExchangeId, Incarnation, JobId, TaskIndex};
+
+use crate::charts::TaskEvent;
+use crate::dispatcher::Dispatcher;
+use crate::io::{CancelId, DispatchOutput, ExchangeEnd};
+use crate::keys::{JobKey, ServerKey, TaskPosition, TeamKey};
+use crate::server::Resources;
+
+/// `ExchangeTask` is one task of an exchange.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct ExchangeTask {
+    pub(crate) position: TaskPosition,
+    pub(crate) index: TaskIndex,
+    pub(crate) declared_ms: u64,
+}
+
+/// `Exchange` is one request to a backend server without a final answer.
+#[derive(Debug)]
+pub(crate) struct Exchange {
+    pub(crate) job: JobKey,
+    pub(crate) job_id: JobId,
+    pub(crate) server: ServerKey,
+    pub(crate) incarnation: Incarnation,
+    pub(crate) tasks: Vec<ExchangeTask>,
+    pub(crate) used: Resources,
+    /// Team whose quota the tasks use.
+    pub(crate) quota: Option<TeamKey>,
+    /// Cancel query that names the tasks.
+    pub(crate) query: Option<CancelId>,
+    /// Whether the request itself ended without a usable answer.
+    pub(crate) unanswered: bool,
+}
+
+/// `Loss` is why a task is lost.
+#[derive(Debug)]
+struct Loss {
+    reason: Reason,
+    message: String,
+}
+
+impl Dispatcher {
+    /// Reacts to the end of an exchange by what it proves.
+    pub(crate) fn exchange_ended(&mut self, id: ExchangeId, end: ExchangeEnd) {
+        let Some(exchange) = self.exchanges.get(&id) else {
+            if matches!(end, ExchangeEnd::Answered(_)) {
+                self.log(
+                    Event::AnswerDropped,
+                    format!("late answer to exchange {id}"),
+                );
+            }
+            return;
+        };
+        match end {
+            ExchangeEnd::Answered(answer) if self.is_answer_to(exchange, &answer) => {
+                self.exchange_answered(id, answer);
+            }
+            ExchangeEnd::Answered(_) => {
+                self.exchange_unanswered(id, "the answer has wrong ids");
+            }
+            ExchangeEnd::NotSent(cause) => self.exchange_not_sent(id, &cause),
+            ExchangeEnd::Unanswered(cause) => self.exchange_unanswered(id, &cause),
+        }
+    }
+
+    /// Removes an exchange and frees what it uses.
+    pub(crate) fn release_exchange(&mut self, id: ExchangeId) -> Option<Exchange> {
+        let exchange = self.exchanges.swap_remove(&id)?;
+        let slots = u32::try_from(exchange.tasks.len()).unwrap_or(u32::MAX);
+        if let Some(job) = self.jobs.get_mut(exchange.job) {
+            job.exchanges.remove(&id);
+        }
+        if let Some(server) = self.servers.get_mut(exchange.server)
+            && server.exchanges.remove(&id)
+        {
+            server.busy_slots -= slots;
+            server.used = server.used.without(&exchange.used);
+            self.relist(exchange.server);
+            self.drop_unused_server(exchange.server);
+        }
+        if let Some(team) = exchange.quota {
+            self.release_quota(team, slots);
+        }
+        Some(exchange)
+    }
+
+    /// Frees slots of a team and wakes its waiting flows.
+    pub(crate) fn release_quota(&mut self, team: TeamKey, slots: u32) {
+        for (pool, flow) in self.quotas.release(team, slots) {
+            self.activate(pool, flow);
+        }
+    }
+
+    /// Applies an event to the charts of tasks.
+    pub(crate) fn change_tasks(
+        &mut self,
+        key: JobKey,
+        positions: &[TaskPosition],
+        event: TaskEvent,
+    ) {
+        let Some(job) = self.jobs.get_mut(key) else {
+            return;
+        };
+        for &position in positions {
+            let task = &mut job.tasks[position as usize];
+            if let Some(next) = self.charts.task.next(task.state, event) {
+                task.state = next;
+            }
+        }
+    }
+
+    /// Takes over the result of a task.
+    pub(crate) fn finish_task(&mut self, key: JobKey, position: TaskPosition, result: TaskResult) {
+        let Some(job) = self.jobs.get_mut(key) else {
+            return;
+        };
+        let task = &mut job.tasks[position as usize];
+        if let Some(next) = self.charts.task.next(task.state, TaskEvent::Finish) {
+            task.state = next;
+            task.result = Some(result);
+            job.finished_tasks += 1;
+        }
+    }
+
+    /// Gives a server no task until its next renewal: a new one would most
+    /// likely fail as well.
+    pub(crate) fn suspend(&mut self, key: ServerKey) {
+        if let Some(server) = self.servers.get_mut(key) {
+            server.suspended = true;
+            self.relist(key);
+        }
+    }
+
+    fn is_answer_to(&self, exchange: &Exchange, answer: &TaskBatchAnswer) -> bool {
+        let server = self.servers.get(exchange.server);
+        let mut asked: Vec<_> = exchange.tasks.iter().map(|task| task.index).collect();
+        let mut answered: Vec<_> = answer.ends.iter().map(|end| end.index).collect();
+        asked.sort_unstable();
+        answered.sort_unstable();
+        server.is_some_and(|server| server.announcement.server_id == answer.server_id)
+            && exchange.incarnation == answer.incarnation
+            && exchange.job_id == answer.job_id
+            && asked == answered
+    }
+
+    fn exchange_answered(&mut self, id: ExchangeId, answer: TaskBatchAnswer) {
+        let Some(exchange) = self.release_exchange(id) else {
+            return;
+        };
+        if let Some(server) = self.servers.get_mut(exchange.server) {
+            server.reported_load = answer.load;
+            server.sent_since_report = 0;
+        }
+        self.learn(&exchange, &answer);
+        if self.jobs.get(exchange.job).is_none() {
+            self.log(
+                Event::AnswerDropped,
+                format!("job {} had ended", exchange.job_id),
+            );
+            return;
+        }
+        let mut returned = Vec::new();
+        let mut lost = Vec::new();
+        let mut loss = None;
+        for end in answer.ends {
+            let Some(task) = exchange.tasks.iter().find(|task| task.index == end.index) else {
+                continue;
+            };
+            match end.status {
+                TaskStatus::Finished => {
+                    let result = TaskResult {
+                        index: end.index,
+                        output: end.output,
+                        server_id: answer.server_id.clone(),
+                        run_ms: end.run_ms,
+                    };
+                    self.finish_task(exchange.job, task.position, result);
+                }
+                TaskStatus::NotStarted => returned.push(task.position),
+                TaskStatus::Failed | TaskStatus::Stopped => {
+                    lost.push(task.position);
+                    loss.get_or_insert_with(|| loss_of(&end, &answer.server_id));
+                }
+            }
+        }
+        self.change_tasks(exchange.job, &lost, TaskEvent::Lose);
+        if let Some(loss) = loss {
+            self.fail_job(exchange.job, loss.reason, loss.message);
+        } else if !returned.is_empty() {
+            let cause = format!("server {} did not start it", answer.server_id);
+            self.suspend_unless_shared(exchange.server);
+            self.retry_tasks(exchange.job, &returned, returned.len(), &cause);
+        } else {
+            self.complete_if_finished(exchange.job);
+        }
+    }
+
+    /// Learns run times and failures from an answer, also for ended jobs.
+    /// A stopped task says nothing about its server.
+    fn learn(&mut self, exchange: &Exchange, answer: &TaskBatchAnswer) {
+        let pool = self.servers.get(exchange.server).map(|server| server.pool);
+        for end in &answer.ends {
+            match end.status {
+                TaskStatus::Finished => {
+                    let task = exchange.tasks.iter().find(|task| task.index == end.index);
+                    if let (Some(pool), Some(task)) = (pool, task) {
+                        let ratio = &mut self.pools[pool].ratio;
+                        ratio.observe(task.declared_ms, end.run_ms);
+                    }
+                    self.count_task_end(exchange.server, false);
+                }
+                TaskStatus::Failed => self.count_task_end(exchange.server, true),
+                TaskStatus::Stopped | TaskStatus::NotStarted => {}
+            }
+        }
+    }
+
+    fn suspend_unless_shared(&mut self, key: ServerKey) {
+        let shared = |server: &crate::server::Server| server.announcement.shared;
+        if !self.servers.get(key).is_some_and(shared) {
+            self.suspend(key);
+        }
+    }
+
+    fn exchange_not_sent(&mut self, id: ExchangeId, cause: &str) {
+        let Some(exchange) = self.release_exchange(id) else {
+            return;
+        };
+        self.suspend(exchange.server);
+        self.count_task_end(exchange.server, true);
+        let positions: Vec<_> = exchange.tasks.iter().map(|task| task.position).collect();
+        self.retry_tasks(exchange.job, &positions, positions.len(), cause);
+    }
+
+    fn exchange_unanswered(&mut self, id: ExchangeId, cause: &str) {
+        let Some(exchange) = self.exchanges.get_mut(&id) else {
+            return;
+        };
+        exchange.unanswered = true;
+        let (job, server_key, query) = (exchange.job, exchange.server, exchange.query);
+        let message = format!("exchange {id} of job {}: {cause}", exchange.job_id);
+        self.log(Event::ExchangeUnanswered, message);
+        if let Some(server) = self.servers.get(server_key) {
+            let address = server.announcement.address.clone();
+            self.out.push(DispatchOutput::DropConnections(address));
+        }
+        self.suspend(server_key);
+        self.count_task_end(server_key, true);
+        if self.jobs.get(job).is_none() {
+            self.release_exchange(id);
+        } else if query.is_none() {
+            self.query_exchanges(server_key, vec![id]);
+        }
+    }
+}
+
+fn loss_of(end: &TaskEnd, server_id: &str) -> Loss {
+    let (reason, what) = match end.status {
+        TaskStatus::Stopped => (Reason::TaskStopped, "was stopped"),
+        _ => (Reason::TaskFailed, "failed"),
+    };
+    let message = format!("Task {} {what} on {server_id}: {}", end.index, end.output);
+    Loss { reason, message }
+}
--- /dev/null
+++ b/crates/dispatch/src/leases.rs
@@ -0,0 +1,251 @@
+//! Announcements, leases, withdrawals.
+
+use std::time::Duration;
+
+use hornbeam_core::api::backend::{AnnounceAnswer, Announcement, Withdrawal};
+use hornbeam_core::event::Event;
+
+use crate::charts::{ServerEvent, ServerState};
+use crate::dispatcher::Dispatcher;
+use crate::io::DispatchOutput;
+use crate::keys::ServerKey;
+use crate::options::PlacementPolicy;
+use crate::server::Server;
+use crate::timers::Timer;
+
+/// Part of the lease after which the owner treats it as ended, in per cent;
+/// the rest covers the drift between the two clocks.
+const OWNER_LEASE_PERCENT: u32 = 90;
+
+/// Renewals within one lease, so that one lost renewal does not end it.
+const RENEWALS_PER_LEASE: u32 = 3;
+
+/// Time for which the incarnation of a server that left is remembered, so
+/// that a delayed announcement does not bring it back.
+const FORGET_AFTER: Duration = Duration::from_secs(60);
+
+impl Dispatcher {
+    /// Takes, renews, redirects or refuses a lease.
+    pub(crate) fn announced(&mut self, announcement: Announcement) {
+        let known = self.servers.find(&announcement.server_id);
+        let answer = match known {
+            Some(key) if self.is_same_incarnation(key, &announcement) => {
+                self.renew(key, announcement)
+            }
+            Some(key) if self.is_stale(key, &announcement) => self.refuse_lease(None),
+            _ => self.announced_new(known, announcement),
+        };
+        self.out.push(DispatchOutput::AnswerAnnouncement(answer));
+    }
+
+    /// Stops sending work to a server that leaves.
+    pub(crate) fn withdrawn(&mut self, withdrawal: Withdrawal) {
+        let Some(key) = self.servers.find(&withdrawal.server_id) else {
+            return;
+        };
+        let incarnation = self.servers.get(key).map(|s| s.announcement.incarnation);
+        if incarnation != Some(withdrawal.incarnation) {
+            return;
+        }
+        self.release_server(key);
+    }
+
+    /// Marks a server as leaving. Its running tasks finish.
+    pub(crate) fn release_server(&mut self, key: ServerKey) {
+        if !self.change_server(key, ServerEvent::Withdraw) {
+            return;
+        }
+        let Some(server) = self.servers.get(key) else {
+            return;
+        };
+        let message = format!("server {} withdrew", server.announcement.server_id);
+        self.timers.clear(server.lease_end, Timer::Lease(key));
+        self.timers.set(self.now + FORGET_AFTER, Timer::Forget(key));
+        self.log(Event::ServerWithdrawn, message);
+    }
+
+    /// Ends a lease that was not renewed and asks for its running tasks.
+    pub(crate) fn expire_lease(&mut self, key: ServerKey) {
+        if !self.change_server(key, ServerEvent::Expire) {
+            return;
+        }
+        let Some(server) = self.servers.get(key) else {
+            return;
+        };
+        let address = server.announcement.address.clone();
+        let message = format!("lease of server {} ended", server.announcement.server_id);
+        self.timers.clear(server.lease_end, Timer::Lease(key));
+        self.log(Event::ServerLeaseExpired, message);
+        self.out.push(DispatchOutput::DropConnections(address));
+        self.query_server(key);
+        self.drop_unused_server(key);
+    }
+
+    /// Drops the record of an expired server without exchanges.
+    pub(crate) fn drop_unused_server(&mut self, key: ServerKey) {
+        let unused = self.servers.get(key).is_some_and(|server| {
+            server.state == ServerState::Expired && server.exchanges.is_empty()
+        });
+        if unused {
+            self.servers.remove(key);
+        }
+    }
+
+    /// Applies an event to a server's chart; `false` if the chart ignores it.
+    pub(crate) fn change_server(&mut self, key: ServerKey, event: ServerEvent) -> bool {
+        let Some(server) = self.servers.get_mut(key) else {
+            return false;
+        };
+        let Some(next) = self.charts.server.next(server.state, event) else {
+            return false;
+        };
+        server.state = next;
+        self.relist(key);
+        true
+    }
+
+    /// Updates the pool's index after a change to a server.
+    pub(crate) fn relist(&mut self, key: ServerKey) {
+        let Some(server) = self.servers.get_mut(key) else {
+            return;
+        };
+        let pool = server.pool;
+        self.pools[pool].relist(key, server);
+        self.changed_pools.insert(pool);
+    }
+
+    fn is_same_incarnation(&self, key: ServerKey, announcement: &Announcement) -> bool {
+        self.servers.get(key).is_some_and(|server| {
+            let known = &server.announcement;
+            known.incarnation == announcement.incarnation && known.grant <= announcement.grant
+        })
+    }
+
+    fn is_stale(&self, key: ServerKey, announcement: &Announcement) -> bool {
+        self.servers.get(key).is_some_and(|server| {
+            let known = &server.announcement;
+            known.incarnation >= announcement.incarnation
+        })
+    }
+
+    fn announced_new(
+        &mut self,
+        earlier: Option<ServerKey>,
+        announcement: Announcement,
+    ) -> AnnounceAnswer {
+        if let Some(key) = earlier {
+            self.abandon_incarnation(key);
+        }
+        if self.draining {
+            let peer = self.redirect_target(&announcement.failure_domain);
+            return self.refuse_lease(peer);
+        }
+        if announcement.shared && self.options.placement == PlacementPolicy::Leased {
+            return self.refuse_lease(None);
+        }
+        if !announcement.shared
+            && let Some(peer) = self.less_loaded_peer(&announcement.failure_domain)
+        {
+            return self.refuse_lease(Some(peer));
+        }
+        self.take_lease(announcement)
+    }
+
+    fn take_lease(&mut self, announcement: Announcement) -> AnnounceAnswer {
+        let pool = self.pool_key(&announcement.service);
+        let message = format!(
+            "server {} at {} leased {} slots",
+            announcement.server_id, announcement.address, announcement.slots,
+        );
+        let initial = self.charts.server.initial();
+        let key = self
+            .servers
+            .insert(Server::new(announcement, pool, initial));
+        self.log(Event::ServerLeased, message);
+        self.extend_lease(key);
+        self.accept_lease()
+    }
+
+    fn renew(&mut self, key: ServerKey, announcement: Announcement) -> AnnounceAnswer {
+        if self.draining
+            && self.pool_is_idle(key)
+            && let Some(peer) = self.redirect_target(&announcement.failure_domain)
+        {
+            self.release_server(key);
+            return self.refuse_lease(Some(peer));
+        }
+        let Some(server) = self.servers.get_mut(key) else {
+            return self.refuse_lease(None);
+        };
+        if server.state == ServerState::Leaving {
+            return self.refuse_lease(None);
+        }
+        server.suspended = false;
+        server.announcement.grant = announcement.grant;
+        server.announcement.address = announcement.address;
+        self.change_server(key, ServerEvent::Renew);
+        self.extend_lease(key);
+        self.accept_lease()
+    }
+
+    fn pool_is_idle(&self, key: ServerKey) -> bool {
+        self.servers
+            .get(key)
+            .is_none_or(|server| self.pools[server.pool].queued_tasks == 0)
+    }
+
+    fn extend_lease(&mut self, key: ServerKey) {
+        let lease_end = self.now + self.options.lease * OWNER_LEASE_PERCENT / 100;
+        let Some(server) = self.servers.get_mut(key) else {
+            return;
+        };
+        self.timers.clear(server.lease_end, Timer::Lease(key));
+        server.lease_end = lease_end;
+        self.timers.set(lease_end, Timer::Lease(key));
+        self.relist(key);
+    }
+
+    /// Gives up a record whose server has started again: nothing can be
+    /// learned about its tasks any more.
+    fn abandon_incarnation(&mut self, key: ServerKey) {
+        self.change_server(key, ServerEvent::Withdraw);
+        let Some(server) = self.servers.get_mut(key) else {
+            return;
+        };
+        let lease_end = server.lease_end;
+        let exchanges = std::mem::take(&mut server.exchanges);
+        self.timers.clear(lease_end, Timer::Lease(key));
+        let tasks: Vec<_> = exchanges
+            .into_iter()
+            .filter_map(|id| self.release_exchange(id))
+            .collect();
+        for exchange in tasks {
+            self.lose_tasks(&exchange, "the server started again");
+        }
+        self.servers.remove(key);
+    }
+
+    fn accept_lease(&self) -> AnnounceAnswer {
+        AnnounceAnswer {
+            host_id: self.options.host_id.clone(),
+            accepted: true,
+            lease_ms: millis(self.options.lease),
+            renew_ms: millis(self.options.lease / RENEWALS_PER_LEASE),
+            redirect: None,
+        }
+    }
+
+    fn refuse_lease(&self, redirect: Option<String>) -> AnnounceAnswer {
+        AnnounceAnswer {
+            accepted: false,
+            lease_ms: 0,
+            redirect,
+            ..self.accept_lease()
+        }
+    }
+}
+
+/// Gets whole milliseconds.
+pub(crate) fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -6,9 +6,37 @@
 
 #![forbid(unsafe_code)]
 
+mod admission;
+mod cancels;
+mod charts;
+mod chunks_received;
+mod chunks_sent;
+mod claims;
+mod completion;
 mod dispatcher;
+mod drain;
+mod ejection;
+mod estimate;
+mod exchanges;
+mod fair_queue;
 mod io;
+mod job;
+mod keys;
+mod leases;
 mod options;
+mod peers;
+mod placement;
+mod pool;
+mod queueing;
+mod quota;
+mod request_checks;
+mod retries;
+mod retry_budget;
+mod scheduling;
+mod sending;
+mod server;
+mod status;
+mod timers;
 
 pub use dispatcher::Dispatcher;
 pub use io::{
--- /dev/null
+++ b/crates/dispatch/src/peers.rs
@@ -0,0 +1,157 @@
+//! Peer entry hosts: their statuses, their loss, and redirects to them.
+
+use std::time::Duration;
+
+use hornbeam_core::event::Event;
+use hornbeam_core::ids::HostId;
+
+use crate::dispatcher::Dispatcher;
+use crate::io::PeerStatus;
+use crate::timers::Timer;
+
+/// Servers by which this host may exceed twice a peer's before it redirects
+/// new servers to the peer; it keeps small sites from moving servers around.
+const REDIRECT_MARGIN_SERVERS: u32 = 4;
+
+/// `Peer` is the last status of one peer.
+#[derive(Debug)]
+pub(crate) struct Peer {
+    /// The status, less what this host has sent there since.
+    pub(crate) status: PeerStatus,
+    lost_at: Duration,
+    alive: bool,
+}
+
+impl Peer {
+    fn usable(&self) -> bool {
+        self.alive && !self.status.draining
+    }
+
+    /// Gets the slots of a service that run nothing.
+    pub(crate) fn free_slots(&self, service: &str) -> u32 {
+        self.load(service).map_or(0, |load| load.free_slots)
+    }
+
+    fn slots(&self, service: &str) -> u32 {
+        self.load(service).map_or(0, |load| load.slots)
+    }
+
+    fn load(&self, service: &str) -> Option<&crate::io::ServiceLoad> {
+        let mut services = self.status.services.iter();
+        services.find(|load| load.service == service)
+    }
+}
+
+impl Dispatcher {
+    /// Takes over the status of a peer.
+    pub(crate) fn peer_status_received(&mut self, status: PeerStatus) {
+        let id = status.host_id.clone();
+        if id == self.options.host_id {
+            return;
+        }
+        let lost_at = self.now + self.options.peer_timeout;
+        let peer = Peer {
+            status,
+            lost_at,
+            alive: true,
+        };
+        let before = self.peers.insert(id.clone(), peer);
+        if let Some(before) = &before {
+            self.timers.clear(before.lost_at, Timer::Peer(id.clone()));
+        }
+        self.timers.set(lost_at, Timer::Peer(id.clone()));
+        if !before.is_some_and(|peer| peer.alive) {
+            self.log(Event::PeerFound, format!("peer {id}"));
+        }
+        self.change_waiting_pools();
+    }
+
+    /// Stops using a peer whose status is overdue, asks for the chunks it has
+    /// and cancels those that it had forwarded.
+    pub(crate) fn peer_lost(&mut self, id: &HostId) {
+        let Some(peer) = self.peers.get_mut(id) else {
+            return;
+        };
+        peer.alive = false;
+        self.log(Event::PeerLost, format!("peer {id}"));
+        self.query_chunks_of(id);
+        self.cancel_chunks_from(id);
+    }
+
+    /// Gets the slots of a service at all usable peers.
+    pub(crate) fn peer_slots(&self, service: &str) -> u32 {
+        let peers = self.peers.values().filter(|peer| peer.usable());
+        peers.map(|peer| peer.slots(service)).sum()
+    }
+
+    /// Gets the peer to forward to: one of the same failure domain if any has
+    /// free slots, and of those the one with most.
+    pub(crate) fn best_peer(&self, service: &str) -> Option<(&HostId, u32)> {
+        let peers = self.peers.iter().filter(|(_, peer)| peer.usable());
+        let free = peers.map(|(id, peer)| (id, peer, peer.free_slots(service)));
+        let order = |peer: &Peer, free| (self.is_near(&peer.status.failure_domain), free);
+        free.filter(|(_, _, free)| *free > 0)
+            .max_by_key(|(_, peer, free)| order(peer, *free))
+            .map(|(id, _, free)| (id, free))
+    }
+
+    /// Subtracts forwarded tasks from a peer's free slots until its next
+    /// status arrives.
+    pub(crate) fn use_peer_slots(&mut self, id: &str, service: &str, slots: u32) {
+        let Some(peer) = self.peers.get_mut(id) else {
+            return;
+        };
+        let mut services = peer.status.services.iter_mut();
+        if let Some(load) = services.find(|load| load.service == service) {
+            load.free_slots = load.free_slots.saturating_sub(slots);
+        }
+    }
+
+    /// Gets the address of the peer with the fewest servers, those of a
+    /// failure domain first.
+    pub(crate) fn redirect_target(&mut self, failure_domain: &str) -> Option<String> {
+        let peers = self.peers.values_mut();
+        let targets = peers.filter(|peer| peer.usable() && !peer.status.http_address.is_empty());
+        let peer = targets.min_by_key(|peer| {
+            let far = peer.status.failure_domain != failure_domain;
+            (far, peer.status.servers)
+        })?;
+        peer.status.servers += 1;
+        Some(peer.status.http_address.clone())
+    }
+
+    /// Gets the address of a peer that owns far fewer servers than this host.
+    pub(crate) fn less_loaded_peer(&mut self, failure_domain: &str) -> Option<String> {
+        let own: u32 = self.pools.values().map(|pool| pool.servers).sum();
+        let peers = self.peers.values_mut();
+        let targets = peers.filter(|peer| {
+            let much_more = peer.status.servers * 2 + REDIRECT_MARGIN_SERVERS;
+            peer.usable() && !peer.status.http_address.is_empty() && own > much_more
+        });
+        let peer = targets.min_by_key(|peer| {
+            let far = peer.status.failure_domain != failure_domain;
+            (peer.status.servers, far)
+        })?;
+        peer.status.servers += 1;
+        Some(peer.status.http_address.clone())
+    }
+
+    /// Gets the peers whose status is not overdue.
+    pub(crate) fn live_peers(&self, now: Duration) -> Vec<HostId> {
+        let live = |peer: &Peer| peer.alive && peer.lost_at > now;
+        let peers = self.peers.iter().filter(|(_, peer)| live(peer));
+        peers.map(|(id, _)| id.clone()).collect()
+    }
+
+    fn is_near(&self, failure_domain: &str) -> bool {
+        failure_domain == self.options.failure_domain
+    }
+
+    fn change_waiting_pools(&mut self) {
+        for (key, pool) in self.pools.values().enumerate() {
+            if pool.queued_tasks > 0 {
+                self.changed_pools.insert(key);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/dispatch/src/retries.rs
@@ -0,0 +1,53 @@
+//! Sending tasks again that are proven not to have started.
+
+use hornbeam_core::api::caller::Reason;
+use hornbeam_core::event::Event;
+
+use crate::charts::{JobEvent, TaskEvent};
+use crate::dispatcher::Dispatcher;
+use crate::exchanges::Exchange;
+use crate::keys::{JobKey, TaskPosition};
+
+impl Dispatcher {
+    /// Queues tasks again that are proven not to have started, at the price of
+    /// `retries` from the budget, or fails their job.
+    pub(crate) fn retry_tasks(
+        &mut self,
+        key: JobKey,
+        positions: &[TaskPosition],
+        retries: usize,
+        cause: &str,
+    ) {
+        let Some(job) = self.jobs.get(key) else {
+            return;
+        };
+        let id = job.id.clone();
+        for _ in 0..retries {
+            if !self.retries.take(self.now) {
+                self.change_tasks(key, positions, TaskEvent::Lose);
+                let message = format!("The retry budget is used up: {cause}.");
+                self.fail_job(key, Reason::RetriesExhausted, message);
+                return;
+            }
+        }
+        let message = format!("job {id}: {} tasks again: {cause}", positions.len());
+        self.log(Event::TaskRetried, message);
+        self.change_tasks(key, positions, TaskEvent::Return);
+        self.enqueue_tasks(key, positions.iter().copied());
+        if self.jobs.get(key).is_some_and(|job| job.nothing_started()) {
+            self.change_job(key, JobEvent::Unsend);
+        }
+    }
+
+    /// Keeps the tasks of an exchange away from its server, which promised to
+    /// refuse them from now on.
+    pub(crate) fn avoid_server(&mut self, exchange: &Exchange) {
+        let Some(job) = self.jobs.get_mut(exchange.job) else {
+            return;
+        };
+        for task in &exchange.tasks {
+            let refused_by = &mut job.tasks[task.position as usize].refused_by;
+            refused_by.push(exchange.server);
+        }
+    }
+}
--- /dev/null
+++ b/crates/dispatch/src/status.rs
@@ -0,0 +1,48 @@
+//! Status for peers and operators.
+
+use std::time::Duration;
+
+use hornbeam_core::api::operator::EntryStatus;
+
+use crate::dispatcher::Dispatcher;
+use crate::io::{PeerStatus, ServiceLoad};
+use crate::pool::Pool;
+
+impl Dispatcher {
+    /// Gets the status for peers, without addresses.
+    pub(crate) fn status_for_peers(&self) -> PeerStatus {
+        let load = |pool: &Pool| ServiceLoad {
+            service: pool.service.clone(),
+            free_slots: pool.free_slots,
+            slots: pool.slots,
+            queued_tasks: pool.queued_tasks,
+        };
+        PeerStatus {
+            host_id: self.options.host_id.clone(),
+            failure_domain: self.options.failure_domain.clone(),
+            http_address: String::new(),
+            link_address: String::new(),
+            config_version: self.config_version,
+            draining: self.draining,
+            servers: self.pools.values().map(|pool| pool.servers).sum(),
+            services: self.pools.values().map(load).collect(),
+        }
+    }
+
+    /// Gets the status for operators.
+    pub(crate) fn status_for_operators(&self, now: Duration) -> EntryStatus {
+        let busy: usize = self.exchanges.values().map(|e| e.tasks.len()).sum();
+        EntryStatus {
+            host_id: self.options.host_id.clone(),
+            failure_domain: self.options.failure_domain.clone(),
+            config_version: self.config_version,
+            draining: self.draining,
+            servers: self.pools.values().map(|pool| pool.servers).sum(),
+            slots: self.pools.values().map(|pool| pool.slots).sum(),
+            slots_busy: u32::try_from(busy).unwrap_or(u32::MAX),
+            queued_tasks: self.pools.values().map(|pool| pool.queued_tasks).sum(),
+            jobs: u32::try_from(self.jobs.len()).unwrap_or(u32::MAX),
+            peers: self.live_peers(now),
+        }
+    }
+}
--- /dev/null
+++ b/crates/dispatch/tests/session.rs
@@ -0,0 +1,75 @@
+//! Golden file of a whole session.
+
+mod common;
+
+use std::io::Write;
+
+use common::{Host, announcement, batches, finished, request};
+use goldenfile::Mint;
+use hornbeam_core::api::backend::{CancelAnswer, Fate, TaskFate};
+use hornbeam_dispatch::{DispatchInput, DispatchOutput, ExchangeEnd};
+
+/// `Session` writes every input and output to a golden file.
+struct Session {
+    host: Host,
+    file: std::fs::File,
+}
+
+impl Session {
+    fn step(&mut self, input: DispatchInput) -> Vec<DispatchOutput> {
+        writeln!(self.file, "at {} ms: {input:?}", self.host.now_ms).unwrap();
+        let outputs = self.host.step(input);
+        for output in &outputs {
+            writeln!(self.file, "    {output:?}").unwrap();
+        }
+        outputs
+    }
+}
+
+/// Guards against a change to the order or content of what a host sends in a
+/// whole job that is claimed, retried after a lost exchange and completed.
+#[test]
+fn job_with_a_retry() {
+    let mut mint = Mint::new("tests/golden");
+    let file = mint.new_goldenfile("job_with_a_retry.txt").unwrap();
+    let mut session = Session {
+        host: Host::named("e1"),
+        file,
+    };
+    session.step(DispatchInput::Announced(announcement("s1")));
+    let mut once = request("r-1", 2);
+    once.repeatable = false;
+    once.valid_until_unix_ms = Some(9_000);
+    session.step(DispatchInput::Submitted("j1".into(), once.into()));
+    session.host.now_ms = 5;
+    let recorded = hornbeam_dispatch::ClaimEnd::Recorded;
+    let sent = batches(&session.step(DispatchInput::ClaimEnded("j1".into(), recorded)));
+    session.host.now_ms = 20;
+    let lost = ExchangeEnd::Unanswered("connection reset".into());
+    let outputs = session.step(DispatchInput::ExchangeEnded(sent[0].exchange, lost));
+    let cancel = outputs.iter().find_map(|output| match output {
+        DispatchOutput::SendCancel { cancel, .. } => Some(*cancel),
+        _ => None,
+    });
+    session.step(DispatchInput::Announced(announcement("s2")));
+    session.host.now_ms = 25;
+    let never_started = CancelAnswer {
+        incarnation: 1,
+        fates: vec![TaskFate {
+            index: 0,
+            fate: Fate::NeverStarted,
+        }],
+    };
+    let again = session.step(DispatchInput::CancelEnded(
+        cancel.unwrap(),
+        Some(never_started),
+    ));
+    session.host.now_ms = 105;
+    for sent in [&sent[1..], &batches(&again)].concat() {
+        let answer = finished(&sent.server_id, &sent.batch);
+        let end = ExchangeEnd::Answered(answer);
+        session.step(DispatchInput::ExchangeEnded(sent.exchange, end));
+        session.host.now_ms += 20;
+    }
+    session.step(DispatchInput::DrainStarted);
+}
