--- a/crates/dispatch/src/cancels.rs
+++ b/crates/dispatch/src/cancels.rs
@@ -9,10 +9,10 @@
 
 use crate::charts::TaskEvent;
 use crate::dispatcher::Dispatcher;
-use crate::exchanges::Exchange;
+use crate::exchanges::{Exchange, ExchangeTask};
 use crate::io::{CancelId, DispatchOutput};
 use crate::job::Job;
-use crate::keys::ServerKey;
+use crate::keys::{JobKey, ServerKey};
 
 /// `CancelQuery` is a cancel message without an answer.
 #[derive(Debug)]
@@ -60,7 +60,7 @@
             let Some(exchange) = self.exchanges.get(id) else {
                 continue;
             };
-            if exchange.query.is_none() {
+            if exchange.query.is_none() && !exchange.cancelled {
                 by_server.entry(exchange.server).or_default().push(*id);
             }
         }
@@ -80,12 +80,12 @@
         }
     }
 
-    /// Fails the job of an exchange of which nothing can be learned.
-    pub(crate) fn lose_tasks(&mut self, exchange: &Exchange, cause: &str) {
-        let positions: Vec<_> = exchange.tasks.iter().map(|task| task.position).collect();
-        self.change_tasks(exchange.job, &positions, TaskEvent::Lose);
+    /// Fails a job because nothing can be learned about some of its tasks.
+    pub(crate) fn lose_tasks(&mut self, job: JobKey, tasks: &[ExchangeTask], cause: &str) {
+        let positions: Vec<_> = tasks.iter().map(|task| task.position).collect();
+        self.change_tasks(job, &positions, TaskEvent::Lose);
         let message = format!("Tasks may or may not have run: {cause}.");
-        self.fail_job(exchange.job, Reason::OutcomeUnknown, message);
+        self.fail_job(job, Reason::OutcomeUnknown, message);
     }
 
     fn send_cancel(&mut self, key: ServerKey, exchanges: Vec<ExchangeId>) {
@@ -121,35 +121,30 @@
         self.cancels.insert(id, query);
     }
 
+    /// Concludes what the end of a cancel message proves about an exchange.
     fn settle(&mut self, id: ExchangeId, answer: Option<&CancelAnswer>) {
         let Some(exchange) = self.exchanges.get_mut(&id) else {
             return;
         };
         exchange.query = None;
-        if self.jobs.get(exchange.job).is_none() {
-            let exchange = &self.exchanges[&id];
-            if exchange.unanswered || all_have(exchange, answer, |fate| fate != Fate::Started) {
-                self.release_exchange(id);
-            }
-            return;
+        exchange.cancelled = answer.is_some();
+        let over = exchange.unanswered || all_have(exchange, answer, |fate| fate != Fate::Started);
+        let never_started = all_have(exchange, answer, |fate| fate == Fate::NeverStarted);
+        let (job, server, tasks) = (exchange.job, exchange.server, exchange.tasks.clone());
+        // Tasks that may still run keep their slots until the exchange ends.
+        if over {
+            self.release_exchange(id);
         }
-        if !all_have(exchange, answer, |fate| fate == Fate::NeverStarted) {
-            let cause = match answer {
-                Some(_) => "a task had started when its server was asked",
-                None => "the server did not answer the query",
-            };
-            if let Some(exchange) = self.release_exchange(id) {
-                self.lose_tasks(&exchange, cause);
+        match answer {
+            Some(_) if never_started => {
+                let positions: Vec<_> = tasks.iter().map(|task| task.position).collect();
+                let cause = "the server says that it never started";
+                self.avoid_server(job, server, &positions);
+                self.retry_tasks(job, &positions, positions.len(), cause);
             }
-            return;
+            Some(_) => self.lose_tasks(job, &tasks, "a task had started when its server was asked"),
+            None => self.lose_tasks(job, &tasks, "the server did not answer the query"),
         }
-        let Some(exchange) = self.release_exchange(id) else {
-            return;
-        };
-        let positions: Vec<_> = exchange.tasks.iter().map(|task| task.position).collect();
-        let cause = "the server says that it never started";
-        self.avoid_server(&exchange);
-        self.retry_tasks(exchange.job, &positions, positions.len(), cause);
     }
 }
 
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -8,7 +8,9 @@
 use hornbeam_core::api::operator::EntryStatus;
 use hornbeam_core::config::Configuration;
 use hornbeam_core::event::Event;
-use hornbeam_core::ids::{ChunkId, ConfigVersion, ExchangeId, HostId, ServiceId};
+use hornbeam_core::ids::{
+    ChunkId, ConfigVersion, ExchangeId, HostId, Incarnation, ServerId, ServiceId,
+};
 use indexmap::IndexMap;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -42,6 +44,8 @@
     pub(crate) pools: IndexMap<ServiceId, Pool>,
     pub(crate) quotas: Quotas,
     pub(crate) servers: ServerTable,
+    /// Servers that withdrew without a lease.
+    pub(crate) withdrawn: BTreeSet<(ServerId, Incarnation)>,
     pub(crate) jobs: JobTable,
     pub(crate) exchanges: IndexMap<ExchangeId, Exchange>,
     pub(crate) cancels: IndexMap<CancelId, CancelQuery>,
@@ -76,6 +80,7 @@
             pools: IndexMap::new(),
             quotas: Quotas::default(),
             servers: ServerTable::default(),
+            withdrawn: BTreeSet::new(),
             jobs: JobTable::default(),
             exchanges: IndexMap::new(),
             cancels: IndexMap::new(),
@@ -179,6 +184,9 @@
                 Timer::Lease(server) => self.expire_lease(server),
                 Timer::Trial(server) => self.start_trial(server),
                 Timer::Forget(server) => self.servers.remove(server),
+                Timer::ForgetWithdrawal(server, incarnation) => {
+                    self.withdrawn.remove(&(server, incarnation));
+                }
                 Timer::Deadline(job) => self.deadline_passed(job),
                 Timer::Peer(peer) => self.peer_lost(&peer),
                 Timer::ForgetChunk(peer, chunk) => self.received.forget(&peer, chunk),
--- a/crates/dispatch/src/exchanges.rs
+++ b/crates/dispatch/src/exchanges.rs
@@ -32,6 +32,8 @@
     pub(crate) quota: Option<TeamKey>,
     /// Cancel query that names the tasks.
     pub(crate) query: Option<CancelId>,
+    /// Whether the server has answered a cancel message about the tasks.
+    pub(crate) cancelled: bool,
     /// Whether the request itself ended without a usable answer.
     pub(crate) unanswered: bool,
 }
--- a/crates/dispatch/src/leases.rs
+++ b/crates/dispatch/src/leases.rs
@@ -41,6 +41,7 @@
     /// Stops sending work to a server that leaves.
     pub(crate) fn withdrawn(&mut self, withdrawal: Withdrawal) {
         let Some(key) = self.servers.find(&withdrawal.server_id) else {
+            self.remember_withdrawal(withdrawal);
             return;
         };
         let incarnation = self.servers.get(key).map(|s| s.announcement.incarnation);
@@ -50,6 +51,23 @@
         self.release_server(key);
     }
 
+    /// Remembers the withdrawal of a server without a lease, whose
+    /// announcement may be delayed.
+    fn remember_withdrawal(&mut self, withdrawal: Withdrawal) {
+        let Withdrawal {
+            server_id,
+            incarnation,
+        } = withdrawal;
+        let timer = Timer::ForgetWithdrawal(server_id.clone(), incarnation);
+        self.timers.set(self.now + FORGET_AFTER, timer);
+        self.withdrawn.insert((server_id, incarnation));
+    }
+
+    fn has_withdrawn(&self, announcement: &Announcement) -> bool {
+        let key = (announcement.server_id.clone(), announcement.incarnation);
+        self.withdrawn.contains(&key)
+    }
+
     /// Marks a server as leaving. Its running tasks finish.
     pub(crate) fn release_server(&mut self, key: ServerKey) {
         if !self.change_server(key, ServerEvent::Withdraw) {
@@ -136,6 +154,9 @@
         if let Some(key) = earlier {
             self.abandon_incarnation(key);
         }
+        if self.has_withdrawn(&announcement) {
+            return self.refuse_lease(None);
+        }
         if self.draining {
             let peer = self.redirect_target(&announcement.failure_domain);
             return self.refuse_lease(peer);
@@ -220,7 +241,7 @@
             .filter_map(|id| self.release_exchange(id))
             .collect();
         for exchange in tasks {
-            self.lose_tasks(&exchange, "the server started again");
+            self.lose_tasks(exchange.job, &exchange.tasks, "the server started again");
         }
         self.servers.remove(key);
     }
--- a/crates/dispatch/src/retries.rs
+++ b/crates/dispatch/src/retries.rs
@@ -5,8 +5,7 @@
 
 use crate::charts::{JobEvent, TaskEvent};
 use crate::dispatcher::Dispatcher;
-use crate::exchanges::Exchange;
-use crate::keys::{JobKey, TaskPosition};
+use crate::keys::{JobKey, ServerKey, TaskPosition};
 
 impl Dispatcher {
     /// Queues tasks again that are proven not to have started, at the price of
@@ -39,15 +38,19 @@
         }
     }
 
-    /// Keeps the tasks of an exchange away from its server, which promised to
+    /// Keeps tasks away from a server that promised to
     /// refuse them from now on.
-    pub(crate) fn avoid_server(&mut self, exchange: &Exchange) {
-        let Some(job) = self.jobs.get_mut(exchange.job) else {
+    pub(crate) fn avoid_server(
+        &mut self,
+        key: JobKey,
+        server: ServerKey,
+        positions: &[TaskPosition],
+    ) {
+        let Some(job) = self.jobs.get_mut(key) else {
             return;
         };
-        for task in &exchange.tasks {
-            let refused_by = &mut job.tasks[task.position as usize].refused_by;
-            refused_by.push(exchange.server);
+        for &position in positions {
+            job.tasks[position as usize].refused_by.push(server);
         }
     }
 }
--- a/crates/dispatch/src/sending.rs
+++ b/crates/dispatch/src/sending.rs
@@ -74,6 +74,7 @@
             used,
             quota,
             query: None,
+            cancelled: false,
             unanswered: false,
         };
         self.out.push(DispatchOutput::SendBatch {
--- a/crates/dispatch/src/timers.rs
+++ b/crates/dispatch/src/timers.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-use hornbeam_core::ids::{ChunkId, HostId};
+use hornbeam_core::ids::{ChunkId, HostId, Incarnation, ServerId};
 
 use crate::keys::{JobKey, ServerKey};
 
@@ -16,6 +16,8 @@
     Trial(ServerKey),
     /// The record of a server that left is dropped.
     Forget(ServerKey),
+    /// The withdrawal of a server without a lease is forgotten.
+    ForgetWithdrawal(ServerId, Incarnation),
     /// The deadline of a job passes.
     Deadline(JobKey),
     /// The status of a peer is overdue.
--- /dev/null
+++ b/crates/dispatch/tests/common/history.rs
@@ -0,0 +1,221 @@
+//! Checker of the history of a run over several hosts and servers.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use hornbeam_core::api::caller::{Outcome, SubmitAnswer};
+use hornbeam_core::ids::{HostId, Incarnation, JobId, RequestId, ServerId, TaskIndex};
+
+/// `Step` is one thing that happened, in the order in which it happened.
+#[derive(Clone, Debug)]
+pub enum Step {
+    /// A caller submitted a job.
+    Submitted {
+        /// Job.
+        job: JobId,
+        /// Its request id.
+        request: RequestId,
+        /// Number of its tasks.
+        tasks: u32,
+        /// Whether it may run twice.
+        repeatable: bool,
+    },
+    /// A claim was recorded for a job.
+    Claimed {
+        /// Job.
+        job: JobId,
+    },
+    /// The host of a job crashed, so that its caller gets no answer.
+    CallerLost {
+        /// Job.
+        job: JobId,
+    },
+    /// A task started on a server.
+    Started {
+        /// Job.
+        job: JobId,
+        /// Task.
+        index: TaskIndex,
+        /// Server.
+        server: ServerId,
+    },
+    /// A caller got an answer.
+    Answered {
+        /// Job.
+        job: JobId,
+        /// The answer.
+        answer: SubmitAnswer,
+    },
+    /// A host learned that a server withdraws.
+    Withdrew {
+        /// Host.
+        host: HostId,
+        /// Server.
+        server: ServerId,
+        /// Its incarnation.
+        incarnation: Incarnation,
+    },
+    /// A host sent tasks to a server.
+    Sent {
+        /// Host.
+        host: HostId,
+        /// Server.
+        server: ServerId,
+        /// Its incarnation.
+        incarnation: Incarnation,
+    },
+    /// So much of a limited thing is in use.
+    InUse {
+        /// What is limited.
+        what: String,
+        /// Use.
+        used: u32,
+        /// Limit.
+        limit: u32,
+    },
+}
+
+/// `Violation` is a broken guarantee.
+#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub enum Violation {
+    /// A task started more than once.
+    StartedTwice(JobId, TaskIndex),
+    /// A job got more than one answer.
+    AnsweredTwice(JobId),
+    /// A job got no answer.
+    NotAnswered(JobId),
+    /// A complete answer lacks a result, or has one out of order, of another
+    /// task, or of a server on which the task did not start.
+    WrongResults(JobId),
+    /// A failed or refused answer carries results or no reason.
+    WrongFailure(JobId),
+    /// A task of a refused job started.
+    RefusedButStarted(JobId),
+    /// Two jobs of a request that is not repeatable started.
+    RequestRanTwice(RequestId),
+    /// A task started without the claim that it needs.
+    StartedUnclaimed(JobId),
+    /// A host sent work to a server that it knew to be leaving.
+    SentAfterWithdrawal(ServerId),
+    /// A limit was exceeded.
+    LimitExceeded(String),
+}
+
+#[derive(Default)]
+struct JobFacts {
+    request: RequestId,
+    tasks: u32,
+    repeatable: bool,
+    claimed: bool,
+    caller_lost: bool,
+    starts: BTreeMap<TaskIndex, Vec<ServerId>>,
+    answers: Vec<SubmitAnswer>,
+}
+
+/// Finds every violation in the history of a run that has ended.
+pub fn check(history: &[Step]) -> BTreeSet<Violation> {
+    let mut jobs: BTreeMap<JobId, JobFacts> = BTreeMap::new();
+    let mut withdrawn = BTreeSet::new();
+    let mut violations = BTreeSet::new();
+    for step in history.iter().cloned() {
+        match step {
+            Step::Submitted {
+                job,
+                request,
+                tasks,
+                repeatable,
+            } => {
+                let facts = jobs.entry(job).or_default();
+                (facts.request, facts.tasks, facts.repeatable) = (request, tasks, repeatable);
+            }
+            Step::Claimed { job } => jobs.entry(job).or_default().claimed = true,
+            Step::CallerLost { job } => jobs.entry(job).or_default().caller_lost = true,
+            Step::Started { job, index, server } => {
+                let facts = jobs.entry(job.clone()).or_default();
+                if !facts.repeatable && !facts.claimed {
+                    violations.insert(Violation::StartedUnclaimed(job));
+                }
+                facts.starts.entry(index).or_default().push(server);
+            }
+            Step::Answered { job, answer } => jobs.entry(job).or_default().answers.push(answer),
+            Step::Withdrew {
+                host,
+                server,
+                incarnation,
+            } => {
+                withdrawn.insert((host, server, incarnation));
+            }
+            Step::Sent {
+                host,
+                server,
+                incarnation,
+            } => {
+                if withdrawn.contains(&(host, server.clone(), incarnation)) {
+                    violations.insert(Violation::SentAfterWithdrawal(server));
+                }
+            }
+            Step::InUse { what, used, limit } => {
+                if used > limit {
+                    violations.insert(Violation::LimitExceeded(what));
+                }
+            }
+        }
+    }
+    for (job, facts) in &jobs {
+        check_job(job, facts, &mut violations);
+    }
+    check_requests(&jobs, &mut violations);
+    violations
+}
+
+fn check_job(job: &JobId, facts: &JobFacts, violations: &mut BTreeSet<Violation>) {
+    for (index, servers) in &facts.starts {
+        if servers.len() > 1 {
+            violations.insert(Violation::StartedTwice(job.clone(), *index));
+        }
+    }
+    match facts.answers.len() {
+        0 if !facts.caller_lost => {
+            violations.insert(Violation::NotAnswered(job.clone()));
+        }
+        0 | 1 => {}
+        _ => {
+            violations.insert(Violation::AnsweredTwice(job.clone()));
+        }
+    }
+    for answer in &facts.answers {
+        let sound_failure = answer.results.is_empty() && answer.reason.is_some();
+        match answer.outcome {
+            Outcome::Complete if !has_all_results(job, facts, answer) => {
+                violations.insert(Violation::WrongResults(job.clone()));
+            }
+            Outcome::Refused if !facts.starts.is_empty() => {
+                violations.insert(Violation::RefusedButStarted(job.clone()));
+            }
+            Outcome::Refused | Outcome::Failed if !sound_failure => {
+                violations.insert(Violation::WrongFailure(job.clone()));
+            }
+            _ => {}
+        }
+    }
+}
+
+fn has_all_results(job: &JobId, facts: &JobFacts, answer: &SubmitAnswer) -> bool {
+    let in_order = answer.results.iter().map(|result| result.index);
+    let own = |result: &hornbeam_core::api::caller::TaskResult| {
+        let starts = facts.starts.get(&result.index);
+        let started_there = starts.is_some_and(|servers| servers.contains(&result.server_id));
+        started_there && result.output == format!("{job}/{}", result.index)
+    };
+    in_order.eq(0..facts.tasks)
+        && answer.results.iter().all(own)
+        && answer.request_id == facts.request
+}
+
+fn check_requests(jobs: &BTreeMap<JobId, JobFacts>, violations: &mut BTreeSet<Violation>) {
+    let mut ran = BTreeSet::new();
+    for facts in jobs.values() {
+        if !facts.repeatable && !facts.starts.is_empty() && !ran.insert(&facts.request) {
+            violations.insert(Violation::RequestRanTwice(facts.request.clone()));
+        }
+    }
+}
--- a/crates/dispatch/tests/common/mod.rs
+++ b/crates/dispatch/tests/common/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code)] // Justification: each test file uses its own part.
 
+pub mod history;
+
 use std::sync::Arc;
 use std::time::Duration;
 
--- /dev/null
+++ b/crates/dispatch/tests/model/links.rs
@@ -0,0 +1,238 @@
+//! What hosts send to servers and to each other.
+
+use super::*;
+
+impl World {
+    pub(super) fn send_batch(
+        &mut self,
+        from: HostRef,
+        id: ExchangeId,
+        server_id: &str,
+        batch: TaskBatch,
+        within: Duration,
+    ) {
+        let server = server_index(server_id);
+        let exchange = ExchangeRef { from, id };
+        self.open_exchange(exchange, server, server_id, &batch);
+        let unanswered = |cause: &str| ExchangeEnd::Unanswered(cause.into());
+        let limit_ms = u64::try_from(within.as_millis()).unwrap();
+        self.after(
+            limit_ms,
+            Event::ExchangeEnd(exchange, unanswered("time limit")),
+        );
+        let fault = match self.faulty() {
+            true => FAULTS[self.rng.random_range(0..FAULTS.len())],
+            false => Fault::None,
+        };
+        let mut delay = self.latency();
+        match fault {
+            Fault::NotSent => {
+                let end = ExchangeEnd::NotSent("connection refused".into());
+                self.after(delay, Event::ExchangeEnd(exchange, end));
+                return;
+            }
+            Fault::LostBeforeStart => {
+                self.after(delay, Event::ExchangeEnd(exchange, unanswered("reset")));
+                return;
+            }
+            Fault::ArrivesLate => {
+                self.after(delay, Event::ExchangeEnd(exchange, unanswered("reset")));
+                delay = self.rng.random_range(2..2_000);
+            }
+            Fault::LateAnswer => {
+                let end = Event::ExchangeEnd(exchange, unanswered("reset"));
+                self.after(delay + 10, end);
+            }
+            _ => {}
+        }
+        self.after(delay, Event::Batch(server, exchange, batch, fault));
+    }
+
+    fn open_exchange(
+        &mut self,
+        exchange: ExchangeRef,
+        server: usize,
+        server_id: &str,
+        batch: &TaskBatch,
+    ) {
+        let from = exchange.from;
+        let entry = &mut self.entries[from.host];
+        let tasks = u32::try_from(batch.tasks.len()).unwrap();
+        let small_quota = entry.jobs.get(&batch.job_id).copied();
+        self.history.push(Step::Sent {
+            host: format!("e{}/{}", from.host, from.epoch),
+            server: server_id.to_owned(),
+            incarnation: batch.incarnation,
+        });
+        let key = (from, server, batch.incarnation);
+        let load = self.server_load.entry(key).or_default();
+        *load += tasks;
+        self.history.push(Step::InUse {
+            what: format!("slots of {server_id}"),
+            used: *load,
+            limit: self.backends[server].announcement.slots,
+        });
+        let open = Open {
+            server: (server, batch.incarnation),
+            tasks,
+            local_team: small_quota.map(|small| (from.host, small)),
+        };
+        self.open.insert(exchange, open);
+        if small_quota == Some(true) {
+            self.use_quota(from.host, tasks);
+        }
+    }
+
+    fn use_quota(&mut self, host: usize, tasks: u32) {
+        let limit = SMALL_QUOTA.div_ceil(u32::try_from(self.entries.len()).unwrap());
+        let entry = &mut self.entries[host];
+        entry.small_quota_used += tasks;
+        self.history.push(Step::InUse {
+            what: format!("quota at e{host}"),
+            used: entry.small_quota_used,
+            limit,
+        });
+    }
+
+    /// Delivers the first end of an exchange, and a late answer after it.
+    pub(super) fn exchange_ended(&mut self, exchange: ExchangeRef, end: ExchangeEnd) {
+        let answered = matches!(end, ExchangeEnd::Answered(_));
+        if !self.ended.insert(exchange) && !answered {
+            return;
+        }
+        self.close(exchange);
+        let input = DispatchInput::ExchangeEnded(exchange.id, end);
+        self.step(exchange.from, input, &Reply::Nobody);
+    }
+
+    /// Frees what an exchange used once its host knows that it is over.
+    pub(super) fn close(&mut self, exchange: ExchangeRef) {
+        let Some(open) = self.open.remove(&exchange) else {
+            return;
+        };
+        let key = (exchange.from, open.server.0, open.server.1);
+        if let Some(load) = self.server_load.get_mut(&key) {
+            *load -= open.tasks;
+        }
+        if let Some((host, true)) = open.local_team {
+            self.entries[host].small_quota_used -= open.tasks;
+        }
+    }
+
+    pub(super) fn send_cancel(
+        &mut self,
+        from: HostRef,
+        cancel: CancelId,
+        address: &str,
+        request: CancelRequest,
+        within: Duration,
+    ) {
+        let server_id = address.split(':').next().unwrap();
+        let server = server_index(server_id);
+        let named = self.named_exchanges(from, server, &request);
+        self.cancels.insert((from, cancel), named);
+        if self.faulty() {
+            let limit_ms = u64::try_from(within.as_millis()).unwrap();
+            let input = DispatchInput::CancelEnded(cancel, None);
+            self.input(limit_ms, from, input);
+        } else {
+            let delay = self.latency();
+            self.after(delay, Event::Cancel(server, from, cancel, request));
+        }
+    }
+
+    fn named_exchanges(
+        &self,
+        from: HostRef,
+        server: usize,
+        request: &CancelRequest,
+    ) -> Vec<ExchangeRef> {
+        let key = (server, request.incarnation);
+        let open = self.open.iter();
+        let named = open.filter(|(exchange, open)| exchange.from == from && open.server == key);
+        named.map(|(exchange, _)| *exchange).collect()
+    }
+
+    pub(super) fn send_chunk(&mut self, from: HostRef, peer: &str, chunk: Chunk, within: Duration) {
+        let to = self.index_of(peer);
+        let id = chunk.chunk_id;
+        let tasks = u32::try_from(chunk.tasks.len()).unwrap();
+        let small_quota = self.entries[from.host].jobs[&chunk.job_id];
+        self.chunks.insert((from, id), (tasks, small_quota));
+        if small_quota {
+            self.use_quota(from.host, tasks);
+        }
+        let limit_ms = u64::try_from(within.as_millis()).unwrap();
+        self.end_chunk(
+            limit_ms,
+            from,
+            id,
+            ChunkEnd::Unanswered("time limit".into()),
+        );
+        let delay = self.latency();
+        let receiver = self.current(to);
+        if !self.connected(from.host, to) || self.faulty() {
+            match self.rng.random_range(0..3) {
+                0 => self.end_chunk(delay, from, id, ChunkEnd::NotSent("refused".into())),
+                1 => self.end_chunk(delay, from, id, ChunkEnd::Unanswered("reset".into())),
+                _ => {
+                    self.end_chunk(delay, from, id, ChunkEnd::Unanswered("reset".into()));
+                    let late = self.rng.random_range(1..200);
+                    self.input(late, receiver, DispatchInput::ChunkReceived(chunk));
+                }
+            }
+            return;
+        }
+        self.input(delay, receiver, DispatchInput::ChunkReceived(chunk));
+    }
+
+    fn end_chunk(&mut self, delay_ms: u64, to: HostRef, chunk: ChunkId, end: ChunkEnd) {
+        self.input(delay_ms, to, DispatchInput::ChunkEnded(chunk, end));
+    }
+
+    pub(super) fn answer_chunk(
+        &mut self,
+        from: HostRef,
+        peer: &str,
+        chunk: ChunkId,
+        answer: ChunkAnswer,
+    ) {
+        let to = self.index_of(peer);
+        if self.connected(from.host, to) && !self.faulty() {
+            let (delay, to) = (self.latency(), self.current(to));
+            self.end_chunk(delay, to, chunk, ChunkEnd::Answered(answer));
+        }
+    }
+
+    pub(super) fn send_chunk_cancel(
+        &mut self,
+        from: HostRef,
+        peer: &str,
+        chunk: ChunkId,
+        within: Duration,
+    ) {
+        let to = self.index_of(peer);
+        if !self.connected(from.host, to) || self.faulty() {
+            let limit_ms = u64::try_from(within.as_millis()).unwrap();
+            let input = DispatchInput::ChunkCancelEnded(chunk, None);
+            self.input(limit_ms, from, input);
+            return;
+        }
+        let input = DispatchInput::ChunkCancelReceived(format!("e{}", from.host), chunk);
+        let (delay, receiver) = (self.latency(), self.current(to));
+        let reply = Reply::Peer(from, chunk);
+        self.after(delay, Event::Input(receiver, Box::new(input), reply));
+    }
+
+    pub(super) fn answer_chunk_cancel(&mut self, fates: Vec<ChunkFate>, reply: &Reply) {
+        if let Reply::Peer(to, chunk) = reply {
+            let delay = self.latency();
+            let input = DispatchInput::ChunkCancelEnded(*chunk, Some(fates));
+            self.input(delay, *to, input);
+        }
+    }
+}
+
+fn server_index(server_id: &str) -> usize {
+    server_id[1..].parse().unwrap()
+}
--- /dev/null
+++ b/crates/dispatch/tests/model/servers.rs
@@ -0,0 +1,143 @@
+//! The servers' side of the world.
+
+use super::*;
+
+impl World {
+    pub(super) fn announce(&mut self, server: usize, incarnation: Incarnation) {
+        let backend = &mut self.backends[server];
+        if backend.announcement.incarnation != incarnation || backend.withdrawn {
+            return;
+        }
+        if backend
+            .lease_until_ms
+            .is_some_and(|until| until <= self.now_ms)
+        {
+            self.turn_to(server, None);
+        }
+        let backend = &self.backends[server];
+        let announcement = backend.announcement.clone();
+        let owner = self.current(backend.owner);
+        self.after(600, Event::Announce(server, incarnation));
+        let muted = self.muted_until_ms[server] > self.now_ms;
+        if muted || self.faulty() {
+            return;
+        }
+        let late = self.chance(self.faults_per_mille / 4);
+        let delay = self.latency() + if late { 700 } else { 0 };
+        let reply = Reply::Server(server, incarnation, self.now_ms);
+        let input = Box::new(DispatchInput::Announced(announcement));
+        self.after(delay, Event::Input(owner, input, reply));
+    }
+
+    pub(super) fn announce_answered(
+        &mut self,
+        server: usize,
+        incarnation: Incarnation,
+        sent_ms: u64,
+        answer: &AnnounceAnswer,
+    ) {
+        let owner = self.index_of(&answer.host_id);
+        let backend = &mut self.backends[server];
+        if backend.announcement.incarnation != incarnation || backend.owner != owner {
+            return;
+        }
+        if answer.accepted {
+            backend.lease_until_ms = Some(sent_ms + answer.lease_ms);
+            return;
+        }
+        let target = answer.redirect.as_deref().map(|address| {
+            let index = &address[1..];
+            index.parse().unwrap()
+        });
+        self.turn_to(server, target);
+        self.after(20, Event::Announce(server, incarnation));
+    }
+
+    /// Turns to another host under a new grant.
+    fn turn_to(&mut self, server: usize, host: Option<usize>) {
+        let hosts = self.entries.len();
+        let backend = &mut self.backends[server];
+        backend.owner = host.unwrap_or((backend.owner + 1) % hosts);
+        backend.announcement.grant += 1;
+        backend.lease_until_ms = None;
+    }
+
+    pub(super) fn batch_arrives(
+        &mut self,
+        server: usize,
+        exchange: ExchangeRef,
+        batch: TaskBatch,
+        fault: Fault,
+    ) {
+        self.backends[server].receive(exchange, batch, fault);
+        let wait_ms = match fault {
+            Fault::Stalls => self.rng.random_range(100..2_000),
+            _ => 0,
+        };
+        self.after(wait_ms, Event::Start(server, exchange, wait_ms));
+    }
+
+    pub(super) fn start(&mut self, server: usize, exchange: ExchangeRef, waited_ms: u64) {
+        let started = self.backends[server].start(exchange, waited_ms);
+        for (job, index) in started {
+            let run_ms = self.rng.random_range(1..600);
+            self.after(run_ms, Event::TaskEnd(server, exchange, index, run_ms));
+            let server = self.backends[server].announcement.server_id.clone();
+            self.history.push(Step::Started { job, index, server });
+        }
+        self.answer_ended(server);
+    }
+
+    pub(super) fn answer_ended(&mut self, server: usize) {
+        for held in self.backends[server].take_ended() {
+            self.answer_batch(server, held);
+        }
+    }
+
+    fn answer_batch(&mut self, server: usize, held: Held) {
+        let backend = &self.backends[server];
+        let mut answer = TaskBatchAnswer {
+            server_id: backend.announcement.server_id.clone(),
+            incarnation: backend.announcement.incarnation,
+            job_id: held.batch.job_id,
+            load: 0,
+            ends: held.ends.into_values().collect(),
+        };
+        let delay = self.latency();
+        let end = match held.fault {
+            Fault::Silent => return,
+            Fault::LostAfterRun => ExchangeEnd::Unanswered("connection lost".into()),
+            Fault::WrongAnswer => {
+                answer.job_id = "another".into();
+                ExchangeEnd::Answered(answer)
+            }
+            _ => ExchangeEnd::Answered(answer),
+        };
+        self.after(delay, Event::ExchangeEnd(held.exchange, end));
+    }
+
+    pub(super) fn restart(&mut self, server: usize) {
+        let held = self.backends[server].restart();
+        for held in held {
+            if self.chance(700) {
+                let end = ExchangeEnd::Unanswered("connection reset".into());
+                self.after(2, Event::ExchangeEnd(held.exchange, end));
+            }
+        }
+        let incarnation = self.backends[server].announcement.incarnation;
+        let delay = self.rng.random_range(10..1_000);
+        self.after(delay, Event::Announce(server, incarnation));
+    }
+
+    pub(super) fn withdraw(&mut self, server: usize) {
+        let backend = &mut self.backends[server];
+        backend.withdrawn = true;
+        let input = DispatchInput::Withdrawn(Withdrawal {
+            server_id: backend.announcement.server_id.clone(),
+            incarnation: backend.announcement.incarnation,
+        });
+        let owner = backend.owner;
+        let (delay, owner) = (self.latency(), self.current(owner));
+        self.input(delay, owner, input);
+    }
+}
--- /dev/null
+++ b/crates/dispatch/tests/model/world.rs
@@ -0,0 +1,496 @@
+//! Several dispatchers and fake servers in one virtual time.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+use hornbeam_core::api::backend::{
+    AnnounceAnswer, Announcement, CancelRequest, TaskBatch, TaskBatchAnswer, Withdrawal,
+};
+use hornbeam_core::ids::{ChunkId, ExchangeId, Incarnation, JobId, RequestId, TaskIndex};
+use hornbeam_dispatch::{
+    CancelId, Chunk, ChunkAnswer, ChunkEnd, ChunkFate, ClaimEnd, DispatchInput, DispatchOptions,
+    DispatchOutput, ExchangeEnd,
+};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use crate::backend::{Backend, Held};
+use crate::common::history::Step;
+use crate::common::{Host, announcement, configuration, request};
+use crate::plan::{FAULTS, Fault, Incident, Plan, PlannedJob};
+
+/// Virtual time at which a run ends, in ms. Every time limit has passed then.
+const END_MS: u64 = 20_000;
+
+/// Quota of the team with the small quota, over all hosts.
+const SMALL_QUOTA: u32 = 8;
+
+const STATUS_EVERY_MS: u64 = 250;
+const MUTE_MS: u64 = 3_000;
+const ISOLATE_MS: u64 = 2_000;
+
+/// `HostRef` is one process of a host.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub struct HostRef {
+    host: usize,
+    epoch: u32,
+}
+
+/// `ExchangeRef` is an exchange of one process.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub struct ExchangeRef {
+    from: HostRef,
+    id: ExchangeId,
+}
+
+/// `Reply` is where the answer goes that a step gives at once.
+#[derive(Clone, Debug)]
+enum Reply {
+    Nobody,
+    Server(usize, Incarnation, u64),
+    Peer(HostRef, ChunkId),
+}
+
+#[derive(Clone, Debug)]
+enum Event {
+    Input(HostRef, Box<DispatchInput>, Reply),
+    Wake(HostRef),
+    Statuses,
+    Announce(usize, Incarnation),
+    AnnounceAnswered(usize, Incarnation, u64, AnnounceAnswer),
+    Batch(usize, ExchangeRef, TaskBatch, Fault),
+    Start(usize, ExchangeRef, u64),
+    TaskEnd(usize, ExchangeRef, TaskIndex, u64),
+    Cancel(usize, HostRef, CancelId, CancelRequest),
+    ExchangeEnd(ExchangeRef, ExchangeEnd),
+    Submit(PlannedJob),
+    Happen(Incident),
+}
+
+struct Open {
+    server: (usize, Incarnation),
+    tasks: u32,
+    local_team: Option<(usize, bool)>,
+}
+
+struct Entry {
+    host: Host,
+    epoch: u32,
+    isolated_until_ms: u64,
+    wakes: BTreeSet<u64>,
+    small_quota_used: u32,
+    jobs: BTreeMap<JobId, bool>,
+}
+
+/// `World` is a run in progress.
+pub struct World {
+    now_ms: u64,
+    sequence: u64,
+    events: BTreeMap<(u64, u64), Event>,
+    entries: Vec<Entry>,
+    backends: Vec<Backend>,
+    muted_until_ms: Vec<u64>,
+    faults_per_mille: u32,
+    max_tasks_per_exchange: u32,
+    rng: ChaCha8Rng,
+    open: BTreeMap<ExchangeRef, Open>,
+    ended: BTreeSet<ExchangeRef>,
+    server_load: BTreeMap<(HostRef, usize, Incarnation), u32>,
+    cancels: BTreeMap<(HostRef, CancelId), Vec<ExchangeRef>>,
+    chunks: BTreeMap<(HostRef, ChunkId), (u32, bool)>,
+    claims: BTreeMap<RequestId, JobId>,
+    submitted: u32,
+    /// What happened.
+    pub history: Vec<Step>,
+    /// Every output in order, for the test of determinism.
+    pub trace: Vec<String>,
+}
+
+impl World {
+    /// Runs a plan to its end.
+    pub fn run(plan: &Plan) -> Self {
+        let mut world = Self::new(plan);
+        while let Some(((at_ms, _), event)) = world.events.pop_first() {
+            if at_ms > END_MS {
+                break;
+            }
+            world.now_ms = at_ms;
+            world.happen(event);
+        }
+        world
+    }
+
+    /// Describes what is still in progress; empty after a sound run.
+    pub fn leftovers(&self) -> Vec<String> {
+        let now = Duration::from_millis(self.now_ms);
+        let busy = self.entries.iter().map(|entry| {
+            let status = entry.host.dispatcher.entry_status(now);
+            (status.jobs, status.queued_tasks, status.slots_busy)
+        });
+        let busy = busy.enumerate().filter(|(_, load)| *load != (0, 0, 0));
+        busy.map(|(host, load)| format!("host {host}: jobs, queued, busy = {load:?}"))
+            .collect()
+    }
+
+    fn new(plan: &Plan) -> Self {
+        let mut world = Self {
+            now_ms: 0,
+            sequence: 0,
+            events: BTreeMap::new(),
+            entries: Vec::new(),
+            backends: Vec::new(),
+            muted_until_ms: vec![0; plan.server_slots.len()],
+            faults_per_mille: plan.faults_per_mille,
+            max_tasks_per_exchange: plan.max_tasks_per_exchange,
+            rng: ChaCha8Rng::seed_from_u64(plan.seed),
+            open: BTreeMap::new(),
+            ended: BTreeSet::new(),
+            server_load: BTreeMap::new(),
+            cancels: BTreeMap::new(),
+            chunks: BTreeMap::new(),
+            claims: BTreeMap::new(),
+            submitted: 0,
+            history: Vec::new(),
+            trace: Vec::new(),
+        };
+        for host in 0..plan.hosts {
+            let entry = world.entry(host, 0, plan.hosts);
+            world.entries.push(entry);
+        }
+        for (index, slots) in plan.server_slots.iter().enumerate() {
+            let announcement = Announcement {
+                slots: *slots,
+                ..announcement(&format!("s{index}"))
+            };
+            let owner = world.rng.random_range(0..plan.hosts);
+            world.backends.push(Backend::new(announcement, owner));
+            world.after(0, Event::Announce(index, 1));
+        }
+        world.after(1, Event::Statuses);
+        for job in &plan.jobs {
+            world.after(job.at_ms, Event::Submit(job.clone()));
+        }
+        for (at_ms, incident) in &plan.incidents {
+            world.after(*at_ms, Event::Happen(*incident));
+        }
+        world
+    }
+
+    fn entry(&self, host: usize, epoch: u32, hosts: usize) -> Entry {
+        let mut configuration = configuration();
+        configuration.entry_hosts = u32::try_from(hosts).unwrap();
+        configuration.services[0].task_grace_ms = 2_000;
+        configuration.institutions[0].max_tasks_per_exchange = self.max_tasks_per_exchange;
+        let options = DispatchOptions {
+            host_id: format!("e{host}"),
+            failure_domain: "almaty-a".into(),
+            ..DispatchOptions::default()
+        };
+        let mut host = Host::new(options, configuration);
+        host.now_ms = self.now_ms;
+        Entry {
+            host,
+            epoch,
+            isolated_until_ms: 0,
+            wakes: BTreeSet::new(),
+            small_quota_used: 0,
+            jobs: BTreeMap::new(),
+        }
+    }
+
+    fn after(&mut self, delay_ms: u64, event: Event) {
+        self.sequence += 1;
+        let key = (self.now_ms + delay_ms, self.sequence);
+        self.events.insert(key, event);
+    }
+
+    fn latency(&mut self) -> u64 {
+        self.rng.random_range(1..4)
+    }
+
+    fn chance(&mut self, per_mille: u32) -> bool {
+        self.rng.random_range(0..1_000) < per_mille
+    }
+
+    fn faulty(&mut self) -> bool {
+        self.chance(self.faults_per_mille)
+    }
+
+    fn input(&mut self, delay_ms: u64, to: HostRef, input: DispatchInput) {
+        self.after(delay_ms, Event::Input(to, Box::new(input), Reply::Nobody));
+    }
+
+    fn current(&self, host: usize) -> HostRef {
+        let epoch = self.entries[host].epoch;
+        HostRef { host, epoch }
+    }
+
+    fn is_current(&self, host: HostRef) -> bool {
+        self.current(host.host) == host
+    }
+
+    fn connected(&self, a: usize, b: usize) -> bool {
+        let free = |host: usize| self.entries[host].isolated_until_ms <= self.now_ms;
+        free(a) && free(b)
+    }
+
+    fn index_of(&self, host_id: &str) -> usize {
+        host_id[1..].parse().unwrap()
+    }
+
+    fn happen(&mut self, event: Event) {
+        match event {
+            Event::Input(to, input, reply) => self.step(to, *input, &reply),
+            Event::Wake(to) => {
+                self.step(to, DispatchInput::Tick, &Reply::Nobody);
+            }
+            Event::Statuses => self.exchange_statuses(),
+            Event::Announce(server, incarnation) => self.announce(server, incarnation),
+            Event::AnnounceAnswered(server, incarnation, sent_ms, answer) => {
+                self.announce_answered(server, incarnation, sent_ms, &answer);
+            }
+            Event::Batch(server, exchange, batch, fault) => {
+                self.batch_arrives(server, exchange, batch, fault);
+            }
+            Event::Start(server, exchange, waited_ms) => self.start(server, exchange, waited_ms),
+            Event::TaskEnd(server, exchange, index, run_ms) => {
+                self.backends[server].end(exchange, index, run_ms);
+                self.answer_ended(server);
+            }
+            Event::Cancel(server, from, cancel, request) => {
+                let answer = self.backends[server].cancel(&request);
+                let delay = self.latency();
+                let input = DispatchInput::CancelEnded(cancel, Some(answer));
+                self.input(delay, from, input);
+                self.answer_ended(server);
+            }
+            Event::ExchangeEnd(exchange, end) => self.exchange_ended(exchange, end),
+            Event::Submit(job) => self.submit(&job),
+            Event::Happen(incident) => self.incident(incident),
+        }
+    }
+
+    fn step(&mut self, to: HostRef, input: DispatchInput, reply: &Reply) {
+        if !self.is_current(to) {
+            return;
+        }
+        self.before_step(to, &input);
+        let entry = &mut self.entries[to.host];
+        entry.host.now_ms = self.now_ms;
+        let outputs = entry.host.step(input);
+        for output in outputs {
+            self.trace
+                .push(format!("{} e{}: {output:?}", self.now_ms, to.host));
+            self.act(to, output, reply);
+        }
+        self.schedule_wake(to);
+    }
+
+    fn schedule_wake(&mut self, to: HostRef) {
+        let now_ms = self.now_ms;
+        let entry = &mut self.entries[to.host];
+        entry.wakes = entry.wakes.split_off(&(now_ms + 1));
+        let Some(at) = entry.host.dispatcher.next_wakeup() else {
+            return;
+        };
+        let at_ms = u64::try_from(at.as_nanos().div_ceil(1_000_000)).unwrap();
+        let at_ms = at_ms.max(now_ms + 1);
+        if entry.wakes.insert(at_ms) {
+            self.after(at_ms - now_ms, Event::Wake(to));
+        }
+    }
+
+    /// Records what the host learns with an input.
+    fn before_step(&mut self, to: HostRef, input: &DispatchInput) {
+        match input {
+            DispatchInput::Withdrawn(withdrawal) => self.history.push(Step::Withdrew {
+                host: format!("e{}/{}", to.host, to.epoch),
+                server: withdrawal.server_id.clone(),
+                incarnation: withdrawal.incarnation,
+            }),
+            DispatchInput::Announced(announcement) => {
+                let server = self.index_of(&announcement.server_id);
+                let earlier = (server, 0)..(server, announcement.incarnation);
+                let open = self.open.iter();
+                let gone = open.filter(|(exchange, open)| {
+                    exchange.from == to && earlier.contains(&open.server)
+                });
+                let gone: Vec<_> = gone.map(|(exchange, _)| *exchange).collect();
+                gone.into_iter().for_each(|exchange| self.close(exchange));
+            }
+            DispatchInput::CancelEnded(cancel, answer) => {
+                let named = self.cancels.remove(&(to, *cancel)).unwrap_or_default();
+                for exchange in named {
+                    if answer.is_some() {
+                        self.close(exchange);
+                    }
+                }
+            }
+            DispatchInput::ChunkEnded(chunk, _) | DispatchInput::ChunkCancelEnded(chunk, _) => {
+                if let Some((tasks, true)) = self.chunks.remove(&(to, *chunk)) {
+                    self.entries[to.host].small_quota_used -= tasks;
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn act(&mut self, from: HostRef, output: DispatchOutput, reply: &Reply) {
+        match output {
+            DispatchOutput::AnswerAnnouncement(answer) => {
+                if let Reply::Server(server, incarnation, sent_ms) = reply {
+                    let delay = self.latency();
+                    let event = Event::AnnounceAnswered(*server, *incarnation, *sent_ms, answer);
+                    self.after(delay, event);
+                }
+            }
+            DispatchOutput::AnswerJob(job, answer) => {
+                self.history.push(Step::Answered { job, answer });
+            }
+            DispatchOutput::RecordClaim {
+                job_id, request_id, ..
+            } => self.record_claim(from, job_id, request_id),
+            DispatchOutput::SendBatch {
+                exchange,
+                server_id,
+                batch,
+                within,
+                ..
+            } => self.send_batch(from, exchange, &server_id, batch, within),
+            DispatchOutput::SendCancel {
+                cancel,
+                address,
+                request,
+                within,
+            } => self.send_cancel(from, cancel, &address, request, within),
+            DispatchOutput::SendChunk {
+                peer,
+                chunk,
+                within,
+            } => self.send_chunk(from, &peer, chunk, within),
+            DispatchOutput::SendChunkCancel {
+                peer,
+                chunk_id,
+                within,
+            } => self.send_chunk_cancel(from, &peer, chunk_id, within),
+            DispatchOutput::AnswerChunk {
+                peer,
+                chunk_id,
+                answer,
+            } => self.answer_chunk(from, &peer, chunk_id, answer),
+            DispatchOutput::AnswerChunkCancel(fates) => self.answer_chunk_cancel(fates, reply),
+            DispatchOutput::DropConnections(_)
+            | DispatchOutput::Log(..)
+            | DispatchOutput::Drained => {}
+        }
+    }
+
+    fn submit(&mut self, planned: &PlannedJob) {
+        let host = planned.host % self.entries.len();
+        self.submitted += 1;
+        let job = format!("j{}", self.submitted);
+        let mut request = request(&format!("r-{job}"), planned.tasks);
+        if let Some(once) = planned.once {
+            request.request_id = format!("once-{once}");
+            request.repeatable = false;
+            request.valid_until_unix_ms = Some(self.now_ms + 10_000);
+        }
+        if planned.small_quota {
+            request.team = "orders".into();
+        }
+        request.timeout_ms = planned.timeout_ms;
+        for task in &mut request.tasks {
+            task.run_ms = planned.run_ms;
+            task.cpu_milli = planned.cpu_milli;
+        }
+        self.history.push(Step::Submitted {
+            job: job.clone(),
+            request: request.request_id.clone(),
+            tasks: u32::try_from(planned.tasks).unwrap(),
+            repeatable: request.repeatable,
+        });
+        let small_quota = planned.small_quota;
+        self.entries[host].jobs.insert(job.clone(), small_quota);
+        let to = self.current(host);
+        if let Some(cancel_after_ms) = planned.cancel_after_ms {
+            let input = DispatchInput::CallerCancelled(job.clone());
+            self.input(cancel_after_ms + 1, to, input);
+        }
+        let input = DispatchInput::Submitted(job, Arc::new(request));
+        self.step(to, input, &Reply::Nobody);
+    }
+
+    fn record_claim(&mut self, from: HostRef, job: JobId, request: RequestId) {
+        let lost = self.faulty();
+        let recorded = !lost || self.chance(500);
+        let mut end = ClaimEnd::Unavailable;
+        if recorded {
+            let holder = self.claims.entry(request).or_insert_with(|| job.clone());
+            end = match *holder == job {
+                true => ClaimEnd::Recorded,
+                false => ClaimEnd::AlreadyClaimed,
+            };
+        }
+        if end == ClaimEnd::Recorded {
+            self.history.push(Step::Claimed { job: job.clone() });
+        }
+        let end = if lost { ClaimEnd::Unavailable } else { end };
+        let delay = self.rng.random_range(3..12);
+        self.input(delay, from, DispatchInput::ClaimEnded(job, end));
+    }
+
+    fn incident(&mut self, incident: Incident) {
+        let servers = self.backends.len();
+        let hosts = self.entries.len();
+        match incident {
+            Incident::Restart(server) => self.restart(server % servers),
+            Incident::Withdraw(server) => self.withdraw(server % servers),
+            Incident::Mute(server) => self.muted_until_ms[server % servers] = self.now_ms + MUTE_MS,
+            Incident::Isolate(host) => {
+                self.entries[host % hosts].isolated_until_ms = self.now_ms + ISOLATE_MS;
+            }
+            Incident::Crash(host) => self.crash(host % hosts),
+            Incident::Drain(host) => {
+                let to = self.current(host % hosts);
+                self.step(to, DispatchInput::DrainStarted, &Reply::Nobody);
+            }
+        }
+    }
+
+    fn crash(&mut self, host: usize) {
+        let lost = self.current(host);
+        let entry = self.entry(host, lost.epoch + 1, self.entries.len());
+        let before = std::mem::replace(&mut self.entries[host], entry);
+        for job in before.jobs.into_keys() {
+            self.history.push(Step::CallerLost { job });
+        }
+        self.open.retain(|exchange, _| exchange.from != lost);
+        self.server_load.retain(|(owner, _, _), _| *owner != lost);
+        let chunks: Vec<_> = self.chunks.keys().copied().collect();
+        for key in chunks.into_iter().filter(|(from, _)| *from == lost) {
+            self.chunks.remove(&key);
+        }
+    }
+
+    fn exchange_statuses(&mut self) {
+        self.after(STATUS_EVERY_MS, Event::Statuses);
+        let now = Duration::from_millis(self.now_ms);
+        for from in 0..self.entries.len() {
+            let mut status = self.entries[from].host.dispatcher.peer_status(now);
+            status.http_address = format!("e{from}");
+            for to in (0..self.entries.len()).filter(|to| *to != from) {
+                if self.connected(from, to) {
+                    let input = DispatchInput::PeerStatusReceived(status.clone());
+                    let (delay, to) = (self.latency(), self.current(to));
+                    self.input(delay, to, input);
+                }
+            }
+        }
+    }
+}
+
+#[path = "links.rs"]
+mod links;
+#[path = "servers.rs"]
+mod servers;
