--- /dev/null
+++ b/crates/control/src/claims.rs
@@ -0,0 +1,80 @@
+//! Claims of requests that are not repeatable.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use hornbeam_core::ids::{JobId, RequestId};
+use serde::{Deserialize, Serialize};
+
+use crate::command::{ClaimCommand, ClaimResult};
+
+/// Time for which a claim outlives the validity of its request, in ms. It
+/// covers the difference between the wall clocks of entry hosts and leaders.
+pub const CLAIM_MARGIN_MS: u64 = 30_000;
+
+/// `Claims` holds the claims that have not expired.
+///
+/// Expiry goes by the largest leader wall clock in the log, so all replicas
+/// decide alike and a leader whose clock lags cannot revive a claim.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+#[serde(deny_unknown_fields, rename_all = "snake_case")]
+pub(crate) struct Claims {
+    clock_unix_ms: u64,
+    by_request: BTreeMap<RequestId, Claim>,
+    by_validity: BTreeSet<(u64, RequestId)>,
+}
+
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(deny_unknown_fields, rename_all = "snake_case")]
+struct Claim {
+    token: JobId,
+    valid_until_unix_ms: u64,
+}
+
+impl Claims {
+    /// Gets the number of claims held.
+    pub(crate) fn len(&self) -> usize {
+        self.by_request.len()
+    }
+
+    /// Decides a claim.
+    pub(crate) fn apply(&mut self, command: &ClaimCommand) -> ClaimResult {
+        self.clock_unix_ms = self.clock_unix_ms.max(command.now_unix_ms);
+        self.remove_expired();
+        if command.valid_until_unix_ms <= self.clock_unix_ms {
+            return ClaimResult::Expired;
+        }
+        match self.by_request.get(&command.request_id) {
+            Some(held) if held.token != command.token => ClaimResult::AlreadyClaimed,
+            Some(held) => {
+                let held_until = held.valid_until_unix_ms;
+                self.hold(command, held_until)
+            }
+            None => self.hold(command, 0),
+        }
+    }
+
+    /// Records a claim until the later of the two validities.
+    fn hold(&mut self, command: &ClaimCommand, held_until_unix_ms: u64) -> ClaimResult {
+        let valid_until_unix_ms = command.valid_until_unix_ms.max(held_until_unix_ms);
+        let id = &command.request_id;
+        self.by_validity.remove(&(held_until_unix_ms, id.clone()));
+        self.by_validity.insert((valid_until_unix_ms, id.clone()));
+        let claim = Claim {
+            token: command.token.clone(),
+            valid_until_unix_ms,
+        };
+        self.by_request.insert(id.clone(), claim);
+        ClaimResult::Recorded
+    }
+
+    fn remove_expired(&mut self) {
+        while let Some((valid_until_unix_ms, _)) = self.by_validity.first() {
+            if valid_until_unix_ms.saturating_add(CLAIM_MARGIN_MS) > self.clock_unix_ms {
+                return;
+            }
+            if let Some((_, id)) = self.by_validity.pop_first() {
+                self.by_request.remove(&id);
+            }
+        }
+    }
+}
--- a/crates/control/src/disk.rs
+++ b/crates/control/src/disk.rs
@@ -1,10 +1,43 @@
 //! The files of a replica under its data folder.
+//!
+//! | file | content |
+//! |---|---|
+//! | `identity` | format and replica id, written once |
+//! | `hard_state` | term and vote, replaced |
+//! | `snapshot` | newest snapshot, replaced |
+//! | `log` | batches of entries after the snapshot, appended |
+//!
+//! A file is replaced by write, sync, rename and sync of the folder. The log
+//! is only appended to: a batch replaces all earlier entries from its first
+//! index on, so a replaced entry cannot reappear after a crash.
 
 use std::path::Path;
 
-use hornbeam_core::Result;
+use hornbeam_core::ids::ReplicaId;
+use hornbeam_core::{Error, Result};
+use serde::{Deserialize, Serialize};
 
+use crate::codec;
+use crate::files::{Files, FolderFiles, LOCK_FILE};
 use crate::io::{Entry, HardState, PersistRequest, SnapshotData};
+use crate::record;
+
+const IDENTITY_FILE: &str = "identity";
+const HARD_STATE_FILE: &str = "hard_state";
+const SNAPSHOT_FILE: &str = "snapshot";
+const LOG_FILE: &str = "log";
+
+/// Suffix of a file that is not renamed to its final name yet.
+const NEW_SUFFIX: &str = ".new";
+
+/// Version of the folder's format. It grows with every incompatible change.
+const FORMAT_VERSION: u32 = 1;
+
+/// Marks the folder as one of this program.
+const FORMAT_NAME: &str = "hornbeam control replica";
+
+/// Encoded bytes of entries in one log record, unless its only entry is larger.
+const MAX_BATCH_BYTES: u64 = 8 << 20;
 
 /// `Recovered` is what a data folder held when it was opened.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -22,37 +55,362 @@
 }
 
 /// `DiskLog` writes and syncs what a replica persists.
+///
+/// A damaged last record of the log cannot be told from one that a crash left
+/// incomplete, so it is cut; every other damage is reported by `open`.
 #[derive(Debug)]
-pub struct DiskLog {}
+pub struct DiskLog<F = FolderFiles> {
+    files: F,
+    last_index: u64,
+    sizes_bytes: Sizes,
+    syncs: u64,
+    failed: bool,
+}
+
+#[derive(Debug, Default)]
+struct Sizes {
+    identity: u64,
+    hard_state: u64,
+    snapshot: u64,
+    log: u64,
+}
+
+#[derive(Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields, rename_all = "snake_case")]
+struct Identity {
+    format_name: String,
+    format_version: u32,
+    replica_id: ReplicaId,
+}
 
 impl DiskLog {
-    /// Opens a data folder, creating it if missing.
+    /// Opens a data folder for a replica, creating it if missing.
     ///
     /// # Errors
-    /// `Io` if the folder cannot be used, `Corrupt` if a record before the
-    /// last one is damaged.
-    pub fn open(folder: &Path) -> Result<(Self, Recovered)> {
-        let _ = folder;
-        Ok((
-            Self {},
-            Recovered {
-                fresh: true,
-                ..Recovered::default()
-            },
-        ))
-    }
-
-    /// Writes and syncs one request. After an error the log must not be used.
+    /// `Io` if the folder cannot be used or is open elsewhere, `Corrupt` if a
+    /// record before the last one is damaged, `Refused` if the folder belongs
+    /// to another replica or holds foreign files.
+    pub fn open(folder: &Path, id: ReplicaId) -> Result<(Self, Recovered)> {
+        Self::open_with(FolderFiles::open(folder)?, id)
+    }
+
+    /// Gets the replica id of a folder that was used before.
     ///
     /// # Errors
-    /// `Io` if writing or syncing fails.
+    /// `Io` if the folder cannot be read, `Corrupt` if its identity is damaged.
+    pub fn identity(folder: &Path) -> Result<Option<ReplicaId>> {
+        if !folder.exists() {
+            return Ok(None);
+        }
+        let identity = read_identity(&mut FolderFiles::open(folder)?)?;
+        Ok(identity.map(|identity| identity.replica_id))
+    }
+}
+
+impl<F: Files> DiskLog<F> {
+    /// Opens a data folder by the given file operations.
+    ///
+    /// # Errors
+    /// As those of [`DiskLog::open`].
+    pub fn open_with(mut files: F, id: ReplicaId) -> Result<(Self, Recovered)> {
+        match read_identity(&mut files)? {
+            Some(identity) => check_identity(&identity, id)?,
+            None => check_unused(&files.list()?)?,
+        }
+        let mut log = Self {
+            files,
+            last_index: 0,
+            sizes_bytes: Sizes::default(),
+            syncs: 0,
+            failed: false,
+        };
+        log.initialise(id)?;
+        let recovered = log.recover()?;
+        log.syncs = 0;
+        Ok((log, recovered))
+    }
+
+    /// Writes and syncs one request. After an error the log must not be used;
+    /// it refuses every later request.
+    ///
+    /// # Errors
+    /// `Io` if writing or syncing fails, `Limit` if an entry or the snapshot is
+    /// too large.
     pub fn persist(&mut self, request: &PersistRequest) -> Result<()> {
-        let _ = request;
+        if self.failed {
+            return Err(Error::io(
+                "an earlier write or sync of the data folder failed",
+            ));
+        }
+        self.failed = true;
+        self.write(request)?;
+        self.failed = false;
         Ok(())
     }
 
     /// Gets the size of all files in bytes.
     pub fn size_bytes(&self) -> u64 {
-        0
+        let sizes = &self.sizes_bytes;
+        sizes.identity + sizes.hard_state + sizes.snapshot + sizes.log
+    }
+
+    /// Gets the number of syncs of files and of the folder since `open`.
+    pub fn syncs(&self) -> u64 {
+        self.syncs
+    }
+
+    // The order keeps every prefix consistent: terms in the snapshot and the
+    // entries do not exceed the term in the hard state.
+    fn write(&mut self, request: &PersistRequest) -> Result<()> {
+        if let Some(hard_state) = &request.hard_state {
+            self.sizes_bytes.hard_state = self.replace(HARD_STATE_FILE, hard_state)?;
+        }
+        if let Some(snapshot) = &request.snapshot {
+            self.sizes_bytes.snapshot = self.replace(SNAPSHOT_FILE, snapshot)?;
+            self.compact(snapshot)?;
+        }
+        self.append(&request.entries)
+    }
+
+    fn append(&mut self, entries: &[Entry]) -> Result<()> {
+        for batch in batches(entries) {
+            let record = record::frame(&codec::encode(&batch)?)?;
+            self.files.append(LOG_FILE, &record)?;
+            self.sync(LOG_FILE)?;
+            self.sizes_bytes.log += record.len() as u64;
+        }
+        if let Some(last) = entries.last() {
+            self.last_index = last.index;
+        }
+        Ok(())
+    }
+
+    /// Rewrites the log without the entries that a snapshot replaces.
+    fn compact(&mut self, snapshot: &SnapshotData) -> Result<()> {
+        let mut kept = Vec::new();
+        if self.last_index > snapshot.index {
+            let bytes = self.files.read(LOG_FILE)?.unwrap_or_default();
+            let scan = record::scan(LOG_FILE, &bytes)?;
+            kept = after_snapshot(join(&scan.payloads)?, Some(snapshot));
+        }
+        if self.sizes_bytes.log == 0 && kept.is_empty() {
+            return Ok(());
+        }
+        self.rewrite(&kept)
+    }
+
+    fn rewrite(&mut self, entries: &[Entry]) -> Result<()> {
+        let mut content = Vec::new();
+        for batch in batches(entries) {
+            content.extend(record::frame(&codec::encode(&batch)?)?);
+        }
+        self.replace_bytes(LOG_FILE, &content)?;
+        self.sizes_bytes.log = content.len() as u64;
+        self.last_index = entries.last().map_or(0, |last| last.index);
+        Ok(())
+    }
+
+    /// Creates the log and then the identity of a folder without identity.
+    fn initialise(&mut self, id: ReplicaId) -> Result<()> {
+        if self.files.read(IDENTITY_FILE)?.is_some() {
+            return Ok(());
+        }
+        self.replace_bytes(LOG_FILE, &[])?;
+        let identity = Identity {
+            format_name: FORMAT_NAME.into(),
+            format_version: FORMAT_VERSION,
+            replica_id: id,
+        };
+        self.replace(IDENTITY_FILE, &identity)?;
+        Ok(())
+    }
+
+    fn recover(&mut self) -> Result<Recovered> {
+        let hard_state = self.read_single::<HardState>(HARD_STATE_FILE)?;
+        let snapshot = self.read_single::<SnapshotData>(SNAPSHOT_FILE)?;
+        if snapshot.is_some() && hard_state.is_none() {
+            return Err(Error::corrupt("hard_state is missing beside a snapshot"));
+        }
+        let Some(bytes) = self.files.read(LOG_FILE)? else {
+            return Err(Error::corrupt("log is missing"));
+        };
+        let scan = record::scan(LOG_FILE, &bytes)?;
+        let stored = join(&scan.payloads)?;
+        let stored_len = stored.len();
+        let entries = after_snapshot(stored, snapshot.as_ref());
+        check_first(&entries, snapshot.as_ref())?;
+        let cut_bytes = (bytes.len() - scan.length_bytes) as u64;
+        self.last_index = entries.last().map_or(0, |last| last.index);
+        self.sizes_bytes.log = scan.length_bytes as u64;
+        if entries.len() < stored_len {
+            // A crash between snapshot and compaction left replaced entries,
+            // which the next batch need not follow.
+            self.rewrite(&entries)?;
+        } else if cut_bytes > 0 {
+            self.files.truncate(LOG_FILE, scan.length_bytes as u64)?;
+            self.sync(LOG_FILE)?;
+        }
+        self.sizes_bytes.identity = self.length(IDENTITY_FILE)?;
+        self.sizes_bytes.hard_state = self.length(HARD_STATE_FILE)?;
+        self.sizes_bytes.snapshot = self.length(SNAPSHOT_FILE)?;
+        Ok(Recovered {
+            fresh: hard_state.is_none() && snapshot.is_none() && entries.is_empty(),
+            hard_state: hard_state.unwrap_or_default(),
+            snapshot,
+            entries,
+            cut_bytes,
+        })
+    }
+
+    fn length(&mut self, file: &str) -> Result<u64> {
+        let bytes = self.files.read(file)?;
+        Ok(bytes.map_or(0, |bytes| bytes.len() as u64))
+    }
+
+    fn read_single<T: serde::de::DeserializeOwned>(&mut self, file: &str) -> Result<Option<T>> {
+        let Some(bytes) = self.files.read(file)? else {
+            return Ok(None);
+        };
+        codec::decode(record::single(file, &bytes)?).map(Some)
+    }
+
+    fn replace<T: Serialize>(&mut self, file: &str, value: &T) -> Result<u64> {
+        let record = record::frame(&codec::encode(value)?)?;
+        self.replace_bytes(file, &record)?;
+        Ok(record.len() as u64)
+    }
+
+    fn replace_bytes(&mut self, file: &str, bytes: &[u8]) -> Result<()> {
+        let new = format!("{file}{NEW_SUFFIX}");
+        self.files.create(&new)?;
+        self.files.append(&new, bytes)?;
+        self.sync(&new)?;
+        self.files.rename(&new, file)?;
+        self.files.sync_folder()?;
+        self.syncs += 1;
+        Ok(())
+    }
+
+    fn sync(&mut self, file: &str) -> Result<()> {
+        self.syncs += 1;
+        Ok(self.files.sync(file)?)
+    }
+}
+
+fn read_identity<F: Files>(files: &mut F) -> Result<Option<Identity>> {
+    let Some(bytes) = files.read(IDENTITY_FILE)? else {
+        return Ok(None);
+    };
+    codec::decode(record::single(IDENTITY_FILE, &bytes)?).map(Some)
+}
+
+fn check_identity(identity: &Identity, id: ReplicaId) -> Result<()> {
+    let Identity {
+        format_name,
+        format_version,
+        replica_id,
+    } = identity;
+    if format_name != FORMAT_NAME || *format_version != FORMAT_VERSION {
+        return Err(Error::refused(format!(
+            "the data folder has format {format_name} {format_version}"
+        )));
+    }
+    if *replica_id != id {
+        return Err(Error::refused(format!(
+            "the data folder belongs to replica {replica_id}, not {id}"
+        )));
+    }
+    Ok(())
+}
+
+/// Checks that a folder without identity holds nothing but what an interrupted
+/// first opening leaves.
+fn check_unused(names: &[String]) -> Result<()> {
+    let log_new = format!("{LOG_FILE}{NEW_SUFFIX}");
+    let identity_new = format!("{IDENTITY_FILE}{NEW_SUFFIX}");
+    let own = [LOCK_FILE, LOG_FILE, &log_new, &identity_new];
+    let foreign = names.iter().find(|name| !own.contains(&name.as_str()));
+    match foreign {
+        None => Ok(()),
+        Some(name) => Err(Error::refused(format!(
+            "the data folder has no identity but holds {name}"
+        ))),
+    }
+}
+
+/// Splits entries into batches of bounded size.
+fn batches(entries: &[Entry]) -> Vec<&[Entry]> {
+    let mut batches = Vec::new();
+    let mut start = 0;
+    let mut bytes = 0;
+    for (position, entry) in entries.iter().enumerate() {
+        let entry_bytes = codec::encoded_bytes(entry);
+        if position > start && bytes + entry_bytes > MAX_BATCH_BYTES {
+            batches.push(&entries[start..position]);
+            start = position;
+            bytes = 0;
+        }
+        bytes += entry_bytes;
+    }
+    if start < entries.len() {
+        batches.push(&entries[start..]);
+    }
+    batches
+}
+
+/// Joins batches; each replaces the entries from its first index on.
+fn join(payloads: &[&[u8]]) -> Result<Vec<Entry>> {
+    let mut joined: Vec<Entry> = Vec::new();
+    for payload in payloads {
+        let batch: Vec<Entry> = codec::decode(payload)?;
+        for entry in batch {
+            append_or_replace(&mut joined, entry)?;
+        }
+    }
+    Ok(joined)
+}
+
+fn append_or_replace(entries: &mut Vec<Entry>, entry: Entry) -> Result<()> {
+    if let Some(first) = entries.first() {
+        let position = entry.index.checked_sub(first.index);
+        let Some(position) = position.filter(|at| *at <= entries.len() as u64) else {
+            return Err(Error::corrupt(format!(
+                "log has a gap at index {}",
+                entry.index
+            )));
+        };
+        entries.truncate(position as usize);
+    }
+    entries.push(entry);
+    Ok(())
+}
+
+/// Gets the entries that follow a snapshot. There are none if the log does not
+/// hold the snapshot's last entry, as the snapshot then replaced all of it.
+fn after_snapshot(mut entries: Vec<Entry>, snapshot: Option<&SnapshotData>) -> Vec<Entry> {
+    let Some(snapshot) = snapshot else {
+        return entries;
+    };
+    let starts_before = entries
+        .first()
+        .is_some_and(|first| first.index <= snapshot.index);
+    let holds_last = entries
+        .iter()
+        .any(|entry| (entry.index, entry.term) == (snapshot.index, snapshot.term));
+    if starts_before && !holds_last {
+        return Vec::new();
+    }
+    entries.retain(|entry| entry.index > snapshot.index);
+    entries
+}
+
+fn check_first(entries: &[Entry], snapshot: Option<&SnapshotData>) -> Result<()> {
+    let expected = snapshot.map_or(1, |snapshot| snapshot.index + 1);
+    match entries.first() {
+        Some(first) if first.index != expected => Err(Error::corrupt(format!(
+            "log starts at index {}, expected {expected}",
+            first.index
+        ))),
+        _ => Ok(()),
     }
 }
--- a/crates/control/src/io.rs
+++ b/crates/control/src/io.rs
@@ -147,7 +147,8 @@
     },
     /// Answers a pre-vote.
     PreVoteAnswer {
-        /// Term asked about.
+        /// Term asked about if granted, else the term of the answering
+        /// replica, so that an asker that is behind catches up.
         term: u64,
         /// Whether the vote would be given.
         granted: bool,
@@ -183,7 +184,8 @@
         /// Round of heartbeats, to confirm reads.
         round: u64,
     },
-    /// Answers an append once its entries are synced.
+    /// Answers an append or a snapshot once its content is synced. A learner
+    /// that hears no leader sends it unasked to announce itself.
     AppendAnswer {
         /// Term of the answering replica.
         term: u64,
@@ -215,4 +217,21 @@
     NotLeader(Option<ReplicaId>),
     /// Leadership ended first; the command may or may not be recorded.
     Unknown,
+    /// The leader refused the command; it was not recorded.
+    Refused(Refusal),
+}
+
+/// `Refusal` is why a leader does not record a command.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Refusal {
+    /// An earlier change of members, or the first entry of the leader's term,
+    /// is not committed yet.
+    MembersPending,
+    /// The proposed members do not differ from the present ones by exactly one,
+    /// name a member twice, or leave the group empty.
+    NotOneMember,
+    /// The log of the member to add does not match the leader's last index yet.
+    NotCaughtUp,
+    /// The encoded command exceeds [`MAX_ENTRY_BYTES`](crate::MAX_ENTRY_BYTES).
+    TooLarge,
 }
--- /dev/null
+++ b/crates/control/src/replication.rs
@@ -0,0 +1,274 @@
+//! Replication: the leader's appends, the followers' answers and the commit.
+
+use hornbeam_core::ids::ReplicaId;
+
+use crate::io::{Entry, Message};
+use crate::progress::{InFlight, Progress};
+use crate::replica::{Replica, Role};
+
+/// Largest encoded size of the entries of one append in bytes, unless its
+/// first entry alone is larger.
+const MAX_BATCH_BYTES: u64 = 1 << 20;
+
+impl Replica {
+    /// Does what is due on a tick of a leader.
+    pub(crate) fn lead(&mut self) {
+        if !self.has_quorum_contact() {
+            return self.step_down("no quorum answered for an election timeout");
+        }
+        let Role::Leader(leadership) = &self.role else {
+            return;
+        };
+        if self.now >= leadership.heartbeat_at {
+            self.forget_learners();
+            self.start_round();
+        }
+    }
+
+    fn has_quorum_contact(&self) -> bool {
+        let Role::Leader(leadership) = &self.role else {
+            return false;
+        };
+        let horizon = self.quorum_horizon();
+        let is_heard = |id: &&ReplicaId| match leadership.progress.get(id) {
+            Some(progress) => progress.heard_at >= horizon,
+            None => **id == self.options.id,
+        };
+        self.log.voters().iter().filter(is_heard).count() >= self.quorum()
+    }
+
+    /// Starts a round of heartbeats. A replica whose turn it is gets entries
+    /// in place of an empty append.
+    pub(crate) fn start_round(&mut self) {
+        self.track_voters();
+        let now = self.now;
+        let heartbeat = self.options.heartbeat;
+        let Role::Leader(leadership) = &mut self.role else {
+            return;
+        };
+        leadership.round += 1;
+        leadership.heartbeat_at = now + heartbeat;
+        let ids: Vec<ReplicaId> = leadership.progress.keys().copied().collect();
+        for id in ids {
+            if !self.send_entries_to(id) {
+                self.send_heartbeat(id);
+            }
+        }
+        self.confirm_reads();
+        self.advance_commit();
+    }
+
+    /// Sends new entries to every replica that has no batch in flight.
+    pub(crate) fn send_entries(&mut self) {
+        self.track_voters();
+        let Role::Leader(leadership) = &self.role else {
+            return;
+        };
+        let ids: Vec<ReplicaId> = leadership.progress.keys().copied().collect();
+        for id in ids {
+            self.send_entries_to(id);
+        }
+    }
+
+    /// Sends the next batch to a replica; false if there is nothing to send or
+    /// an earlier batch is still in flight.
+    fn send_entries_to(&mut self, id: ReplicaId) -> bool {
+        let last_index = self.log.last_index();
+        let sent_at = self.now;
+        // A lost batch is sent again well before the follower campaigns.
+        let resend_after = self.options.election_timeout / 2;
+        let Role::Leader(leadership) = &mut self.role else {
+            return false;
+        };
+        let round = leadership.round;
+        let Some(progress) = leadership.progress.get_mut(&id) else {
+            return false;
+        };
+        let is_fresh = |batch: &InFlight| sent_at < batch.sent_at + resend_after;
+        if progress.in_flight.as_ref().is_some_and(is_fresh) || progress.next_index > last_index {
+            return false;
+        }
+        let previous_index = progress.next_index - 1;
+        let Some(previous_term) = self.log.term_at(previous_index) else {
+            let last_index = self.log.snapshot().index;
+            progress.in_flight = Some(InFlight {
+                last_index,
+                sent_at,
+            });
+            self.send_snapshot(id, round);
+            return true;
+        };
+        let entries = self.log.batch(previous_index + 1, MAX_BATCH_BYTES);
+        let last_index = previous_index + entries.len() as u64;
+        progress.in_flight = Some(InFlight {
+            last_index,
+            sent_at,
+        });
+        let message = Message::Append {
+            term: self.hard_state.term,
+            previous_index,
+            previous_term,
+            entries,
+            commit: self.commit_index,
+            round,
+        };
+        self.send(id, message);
+        true
+    }
+
+    /// Sends an empty append. It brings the commit index, and its answer shows
+    /// whether the next entry to send is the right one.
+    fn send_heartbeat(&mut self, id: ReplicaId) {
+        let Role::Leader(leadership) = &self.role else {
+            return;
+        };
+        let round = leadership.round;
+        let progress = leadership.progress.get(&id);
+        let before_next = progress.map_or(0, |progress| progress.next_index - 1);
+        let (previous_index, previous_term) = match self.log.term_at(before_next) {
+            Some(term) => (before_next, term),
+            None => (0, 0),
+        };
+        let message = Message::Append {
+            term: self.hard_state.term,
+            previous_index,
+            previous_term,
+            entries: Vec::new(),
+            commit: self.commit_index,
+            round,
+        };
+        self.send(id, message);
+    }
+
+    pub(crate) fn on_append(&mut self, from: ReplicaId, message: Message) {
+        let Message::Append {
+            term,
+            previous_index,
+            previous_term,
+            entries,
+            commit,
+            round,
+        } = message
+        else {
+            return;
+        };
+        if term < self.hard_state.term {
+            return self.answer_append(from, false, self.log.last_index() + 1, round);
+        }
+        self.follow(term, Some(from));
+        if let Some(hint) = self.mismatch(previous_index, previous_term) {
+            return self.answer_append(from, false, hint, round);
+        }
+        let last_index = previous_index + entries.len() as u64;
+        self.append_received(entries);
+        self.commit_to(commit.min(last_index));
+        self.answer_append(from, true, last_index, round);
+    }
+
+    /// Gets where the leader should try next if the log does not match. What
+    /// is before the log in memory is committed, so it matches.
+    fn mismatch(&self, previous_index: u64, previous_term: u64) -> Option<u64> {
+        if previous_index < self.log.base_index() {
+            return None;
+        }
+        match self.log.term_at(previous_index) {
+            Some(term) if term == previous_term => None,
+            Some(_) => Some(self.log.first_index_of_term(previous_index)),
+            None => Some(self.log.last_index() + 1),
+        }
+    }
+
+    /// Appends what is new. Entries that conflict were never committed and are
+    /// replaced.
+    fn append_received(&mut self, entries: Vec<Entry>) {
+        for entry in entries {
+            if entry.index <= self.commit_index || self.log.term_at(entry.index) == Some(entry.term)
+            {
+                continue;
+            }
+            if entry.index <= self.log.last_index() {
+                self.log.truncate_from(entry.index);
+                self.persist.truncate_from(entry.index);
+            }
+            self.log.append(entry);
+        }
+    }
+
+    /// Answers an append or a snapshot once its content is synced.
+    pub(crate) fn answer_append(&mut self, to: ReplicaId, success: bool, index: u64, round: u64) {
+        let answer = Message::AppendAnswer {
+            term: self.hard_state.term,
+            success,
+            index,
+            round,
+        };
+        self.send_synced(to, answer);
+    }
+
+    pub(crate) fn on_append_answer(&mut self, from: ReplicaId, message: Message) {
+        let Message::AppendAnswer {
+            term,
+            success,
+            index,
+            round,
+        } = message
+        else {
+            return;
+        };
+        if term > self.hard_state.term {
+            return self.follow(term, None);
+        }
+        // The answer of an older term may be an announcement of a learner.
+        let is_current = term == self.hard_state.term;
+        self.admit_learner(from, index);
+        let now = self.now;
+        let Role::Leader(leadership) = &mut self.role else {
+            return;
+        };
+        let Some(progress) = leadership.progress.get_mut(&from) else {
+            return;
+        };
+        if is_current {
+            note_answer(progress, success, index, round);
+            progress.heard_at = now;
+        }
+        self.send_entries_to(from);
+        self.advance_commit();
+        self.confirm_reads();
+    }
+
+    /// Commits what a quorum holds. Only an entry of the own term is committed
+    /// by counting; it commits the entries before it.
+    pub(crate) fn advance_commit(&mut self) {
+        let Role::Leader(leadership) = &self.role else {
+            return;
+        };
+        let index = self.quorum_value(|id| match leadership.progress.get(&id) {
+            Some(progress) => progress.match_index,
+            None if id == self.options.id => self.persist.durable_index(),
+            None => 0,
+        });
+        if index <= self.commit_index || self.log.term_at(index) != Some(self.hard_state.term) {
+            return;
+        }
+        self.commit_to(index);
+        self.confirm_reads();
+        self.step_down_if_removed();
+    }
+
+    /// Gets the largest value that a quorum of voters has reached.
+    pub(crate) fn quorum_value(&self, value: impl Fn(ReplicaId) -> u64) -> u64 {
+        let mut values: Vec<u64> = self.log.voters().iter().map(|id| value(*id)).collect();
+        values.sort_unstable_by(|a, b| b.cmp(a));
+        values.get(self.quorum() - 1).copied().unwrap_or_default()
+    }
+}
+
+fn note_answer(progress: &mut Progress, success: bool, index: u64, round: u64) {
+    progress.round = progress.round.max(round);
+    if success {
+        progress.matched(index);
+    } else {
+        progress.mismatched(index);
+    }
+}
--- /dev/null
+++ b/crates/control/src/snapshot.rs
@@ -0,0 +1,78 @@
+//! Snapshots: compaction of the own log and transfer to replicas that lag.
+
+use hornbeam_core::event::Event;
+use hornbeam_core::ids::ReplicaId;
+
+use crate::codec;
+use crate::io::{Message, SnapshotData};
+use crate::replica::Replica;
+use crate::state::ControlState;
+
+/// Encoded bytes of log entries after which a snapshot replaces them, however
+/// few they are. It bounds the memory that large configurations take.
+const SNAPSHOT_LOG_BYTES: u64 = 16 << 20;
+
+impl Replica {
+    /// Replaces applied entries by a snapshot once there are enough of them.
+    pub(crate) fn take_snapshot_if_due(&mut self) {
+        let applied = self.commit_index - self.log.snapshot().index;
+        let is_long = applied >= self.options.snapshot_entries.max(1);
+        let is_large = applied > 0 && self.log.bytes_after_snapshot() >= SNAPSHOT_LOG_BYTES;
+        if !is_long && !is_large {
+            return;
+        }
+        let Ok(state) = codec::encode(&self.state) else {
+            return;
+        };
+        let index = self.commit_index;
+        let snapshot = SnapshotData {
+            index,
+            term: self.log.term_at(index).unwrap_or_default(),
+            voters: self.log.voters_at(index),
+            state,
+        };
+        self.persist.put_snapshot(snapshot.clone());
+        self.log.compact(snapshot);
+        self.log_event(Event::SnapshotWritten, format!("snapshot at index {index}"));
+    }
+
+    pub(crate) fn on_snapshot(
+        &mut self,
+        from: ReplicaId,
+        term: u64,
+        snapshot: SnapshotData,
+        round: u64,
+    ) {
+        if term < self.hard_state.term {
+            return self.answer_append(from, false, self.log.last_index() + 1, round);
+        }
+        self.follow(term, Some(from));
+        if snapshot.index <= self.commit_index {
+            return self.answer_append(from, true, self.commit_index, round);
+        }
+        // A snapshot that cannot be decoded stays unanswered, so that the
+        // leader does not count it.
+        let Ok(state) = codec::decode::<ControlState>(&snapshot.state) else {
+            return;
+        };
+        let index = snapshot.index;
+        self.state = state;
+        self.commit_index = index;
+        self.persist.put_snapshot(snapshot.clone());
+        self.log.install(snapshot);
+        if self.log.last_index() == index {
+            self.persist.reset_to(index);
+        }
+        self.answer_append(from, true, index, round);
+    }
+
+    /// Sends the newest snapshot.
+    pub(crate) fn send_snapshot(&mut self, to: ReplicaId, round: u64) {
+        let message = Message::Snapshot {
+            term: self.hard_state.term,
+            snapshot: self.log.snapshot().clone(),
+            round,
+        };
+        self.send(to, message);
+    }
+}
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -1,17 +1,50 @@
 //! The state that the log builds.
 
+use std::collections::VecDeque;
+
+use hornbeam_core::Result;
 use hornbeam_core::api::operator::AuditEntry;
 use hornbeam_core::config::Configuration;
-use hornbeam_core::ids::ConfigVersion;
+use hornbeam_core::ids::{ChangeId, ConfigVersion, OperatorId, ReplicaId};
+use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
 
+use crate::claims::Claims;
+use crate::codec;
+use crate::command::{ChangeCommand, ChangeResult, Command, CommandResult};
+
+/// Earlier configurations that are kept for a rollback. A configuration of
+/// 720 teams has some 60 KB, so they take about 4 MB.
+pub const CONFIGURATIONS_KEPT: usize = 64;
+
+/// Most lines of the audit trail that are kept, two weeks of them at 1,200
+/// changes a day. The oldest quarter is dropped when it is full.
+pub const AUDIT_KEPT: usize = 16_384;
+
+/// Most results of changes that are kept for resends. The oldest quarter is
+/// dropped when it is full. A change that is resent after its result was
+/// dropped names an old version, so it gets a conflict and is not repeated.
+pub const RESULTS_KEPT: usize = 16_384;
+
 /// `ControlState` is the applied state of a replica.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 #[serde(deny_unknown_fields, rename_all = "snake_case")]
 pub struct ControlState {
     version: ConfigVersion,
     configuration: Configuration,
+    winner: Winner,
+    earlier: VecDeque<(ConfigVersion, Configuration)>,
     audit: Vec<AuditEntry>,
+    results: IndexMap<ChangeId, ChangeResult>,
+    claims: Claims,
+}
+
+/// `Winner` is the change that made the current version.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+#[serde(deny_unknown_fields, rename_all = "snake_case")]
+struct Winner {
+    change_id: ChangeId,
+    operator: OperatorId,
 }
 
 impl ControlState {
@@ -27,7 +60,11 @@
 
     /// Gets an earlier configuration, if it is still kept.
     pub fn configuration_at(&self, version: ConfigVersion) -> Option<&Configuration> {
-        (version == self.version).then_some(&self.configuration)
+        if version == self.version {
+            return Some(&self.configuration);
+        }
+        let kept = self.earlier.iter().find(|(at, _)| *at == version);
+        kept.map(|(_, configuration)| configuration)
     }
 
     /// Gets the audit trail, oldest first.
@@ -37,6 +74,115 @@
 
     /// Gets the number of claims held.
     pub fn claims(&self) -> usize {
-        0
+        self.claims.len()
+    }
+
+    /// Gets the first result of a change, if it is still kept.
+    pub fn result(&self, change_id: &str) -> Option<&ChangeResult> {
+        self.results.get(change_id)
+    }
+
+    /// Applies a committed command.
+    pub fn apply(&mut self, command: &Command) -> CommandResult {
+        match command {
+            Command::Noop => CommandResult::Noop,
+            Command::Change(change) => CommandResult::Change(self.apply_change(change)),
+            Command::Claim(claim) => CommandResult::Claim(self.claims.apply(claim)),
+            Command::Members(voters) => {
+                self.record(members_line(voters));
+                CommandResult::Members
+            }
+        }
+    }
+
+    /// Encodes the state for a snapshot.
+    ///
+    /// # Errors
+    /// `Codec` if the state cannot be encoded.
+    pub fn encode(&self) -> Result<Vec<u8>> {
+        codec::encode(self)
+    }
+
+    /// Decodes the state of a snapshot.
+    ///
+    /// # Errors
+    /// `Corrupt` if the bytes are no encoded state.
+    pub fn decode(bytes: &[u8]) -> Result<Self> {
+        codec::decode(bytes)
+    }
+
+    fn apply_change(&mut self, change: &ChangeCommand) -> ChangeResult {
+        if let Some(first) = self.results.get(&change.change_id) {
+            return first.clone();
+        }
+        let result = if change.expected_version == self.version {
+            self.accept(change)
+        } else {
+            self.conflict()
+        };
+        make_room(&mut self.results);
+        self.results
+            .insert(change.change_id.clone(), result.clone());
+        result
+    }
+
+    fn accept(&mut self, change: &ChangeCommand) -> ChangeResult {
+        let replaced = std::mem::replace(&mut self.configuration, change.configuration.clone());
+        if self.version > 0 {
+            self.earlier.push_back((self.version, replaced));
+        }
+        if self.earlier.len() > CONFIGURATIONS_KEPT {
+            self.earlier.pop_front();
+        }
+        self.version += 1;
+        self.winner = Winner {
+            change_id: change.change_id.clone(),
+            operator: change.operator.clone(),
+        };
+        self.record(change_line(self.version, change));
+        ChangeResult::Accepted(self.version)
+    }
+
+    fn conflict(&self) -> ChangeResult {
+        ChangeResult::Conflict {
+            current_version: self.version,
+            winner_change_id: self.winner.change_id.clone(),
+            winner_operator: self.winner.operator.clone(),
+        }
+    }
+
+    fn record(&mut self, line: AuditEntry) {
+        if self.audit.len() >= AUDIT_KEPT {
+            self.audit.drain(..AUDIT_KEPT / 4);
+        }
+        self.audit.push(line);
+    }
+}
+
+fn make_room(results: &mut IndexMap<ChangeId, ChangeResult>) {
+    if results.len() >= RESULTS_KEPT {
+        results.drain(..RESULTS_KEPT / 4);
+    }
+}
+
+fn change_line(version: ConfigVersion, change: &ChangeCommand) -> AuditEntry {
+    AuditEntry {
+        version,
+        change_id: change.change_id.clone(),
+        operator: change.operator.clone(),
+        reason: change.reason.clone(),
+        proposed_unix_ms: change.proposed_unix_ms,
+        action: change.action.clone(),
+    }
+}
+
+fn members_line(voters: &[ReplicaId]) -> AuditEntry {
+    AuditEntry {
+        version: 0,
+        change_id: ChangeId::new(),
+        operator: OperatorId::new(),
+        reason: String::new(),
+        proposed_unix_ms: 0,
+        action: format!("members {voters:?}"),
     }
 }
--- /dev/null
+++ b/crates/control/tests/consensus.rs
@@ -0,0 +1,331 @@
+//! Simulated groups under faults: safety at every step, progress afterwards.
+
+mod common;
+
+use std::time::Duration;
+
+use common::change_command;
+use common::clients::Clients;
+use common::cluster::{Answer, Cluster, Faults};
+use hornbeam_control::{ChangeResult, Command, CommandResult, ProposalEnd, Refusal, ReplicaInput};
+use hornbeam_core::ids::ReplicaId;
+use proptest::prelude::*;
+use rand::Rng;
+
+/// Step of the drivers of clients and faults.
+const STEP: Duration = Duration::from_millis(20);
+
+/// Time within which a healed group must accept a change.
+const RECOVERY: Duration = Duration::from_secs(8);
+
+const FAULTS: Faults = Faults {
+    loss: 0.05,
+    double: 0.05,
+    delay_ms: 15,
+    persist_crash: 0.01,
+};
+
+fn any_host(cluster: &mut Cluster) -> ReplicaId {
+    let ids: Vec<ReplicaId> = cluster.hosts.keys().copied().collect();
+    ids[cluster.random.random_range(0..ids.len())]
+}
+
+/// Injects one fault now and then.
+fn disturb(cluster: &mut Cluster) {
+    let host = any_host(cluster);
+    match cluster.random.random_range(0..120) {
+        0 => cluster.crash(host),
+        1 => {
+            let duration = Duration::from_millis(cluster.random.random_range(50..1_500));
+            cluster.freeze(host, duration);
+        }
+        2..5 => {
+            let other = any_host(cluster);
+            cluster.cuts.insert((host, other));
+        }
+        5 => cluster.cuts.clear(),
+        _ => {}
+    }
+}
+
+/// Replaces a member whose disk is lost, as an operator does it.
+#[derive(Debug)]
+struct Replacement {
+    lost: ReplicaId,
+    added: ReplicaId,
+    asked: u64,
+}
+
+impl Replacement {
+    fn start(cluster: &mut Cluster) -> Self {
+        let lost = any_host(cluster);
+        let added = 100 + lost;
+        let initial_voters = cluster.hosts.keys().copied().collect();
+        cluster.destroy(lost);
+        cluster.add_host(added, initial_voters);
+        Self {
+            lost,
+            added,
+            asked: 1 << 40,
+        }
+    }
+
+    /// Proposes the next change of members; true once both are done.
+    fn drive(&mut self, cluster: &mut Cluster) -> bool {
+        let Some(leader) = cluster.leader().filter(|id| cluster.is_awake(*id)) else {
+            return false;
+        };
+        let replica = cluster.replica(leader).expect("a leader runs");
+        let mut voters = replica.voters().to_vec();
+        if voters.contains(&self.lost) {
+            voters.retain(|id| *id != self.lost);
+        } else if !voters.contains(&self.added) {
+            voters.push(self.added);
+        } else {
+            return true;
+        }
+        self.asked += 1;
+        cluster.step(
+            leader,
+            ReplicaInput::Propose(self.asked, Command::Members(voters)),
+        );
+        false
+    }
+}
+
+/// Runs a group under faults, heals it and checks everything.
+fn check_group(seed: u64, size: u64, replaces: bool) {
+    let mut cluster = Cluster::new(size, seed, 25);
+    let mut clients = Clients::new(3);
+    cluster.faults = FAULTS;
+    let mut replacement = None;
+    for step in 0..250 {
+        cluster.run(STEP);
+        clients.drive(&mut cluster, 0.1);
+        clients.claim(&mut cluster);
+        disturb(&mut cluster);
+        if replaces && step == 100 {
+            replacement = Some(Replacement::start(&mut cluster));
+        }
+        if let Some(replacement) = &mut replacement {
+            replacement.drive(&mut cluster);
+        }
+    }
+    cluster.heal();
+    recover(&mut cluster, &mut clients, replacement.as_mut());
+    check_end(&cluster, &clients);
+}
+
+/// Checks that a healed group finishes a replacement and accepts a change.
+fn recover(
+    cluster: &mut Cluster,
+    clients: &mut Clients,
+    mut replacement: Option<&mut Replacement>,
+) {
+    let deadline = cluster.now + RECOVERY;
+    let mut is_replaced = replacement.is_none();
+    loop {
+        assert!(
+            cluster.now < deadline,
+            "no progress after the faults: {}",
+            cluster.summary()
+        );
+        cluster.run(STEP);
+        clients.drive(cluster, 0.0);
+        if let Some(replacement) = replacement.as_deref_mut() {
+            is_replaced = replacement.drive(cluster);
+        }
+        if is_replaced && all_agree(cluster) {
+            break;
+        }
+    }
+    accept_change(cluster, clients);
+}
+
+fn all_agree(cluster: &Cluster) -> bool {
+    let Some(leader) = cluster.leader() else {
+        return false;
+    };
+    let expected = cluster
+        .replica(leader)
+        .map(|replica| replica.commit_index());
+    let mut ids = cluster.hosts.keys();
+    ids.all(|id| cluster.replica(*id).map(|replica| replica.commit_index()) == expected)
+}
+
+fn accept_change(cluster: &mut Cluster, clients: &mut Clients) {
+    clients.drive(cluster, 0.0);
+    let leader = cluster.leader().expect("a healed group has a leader");
+    let version = cluster.replica(leader).expect("it runs").state().version();
+    let request = 1 << 50;
+    let command = change_command(version, "last", "op");
+    cluster.step(leader, ReplicaInput::Propose(request, command));
+    cluster.run(Duration::from_secs(1));
+    let is_accepted = cluster.answers.iter().any(|(_, answer)| {
+        let result = CommandResult::Change(ChangeResult::Accepted(version + 1));
+        *answer == Answer::Proposal(request, ProposalEnd::Applied(result))
+    });
+    let states: Vec<u64> = cluster
+        .hosts
+        .keys()
+        .map(|id| version_on(cluster, *id))
+        .collect();
+    assert!(
+        is_accepted || states.iter().all(|at| *at > version),
+        "no change after the faults"
+    );
+}
+
+fn version_on(cluster: &Cluster, id: ReplicaId) -> u64 {
+    cluster
+        .replica(id)
+        .map_or(0, |replica| replica.state().version())
+}
+
+/// Checks that every replica holds every answered change.
+fn check_end(cluster: &Cluster, clients: &Clients) {
+    for id in cluster.hosts.keys() {
+        let state = cluster.replica(*id).expect("a healed host runs").state();
+        for (change_id, result) in &clients.results {
+            assert_eq!(
+                state.result(change_id),
+                Some(result),
+                "replica {id} lost {change_id}"
+            );
+        }
+        let versions = state
+            .audit()
+            .iter()
+            .map(|line| line.version)
+            .filter(|at| *at > 0);
+        assert!(versions.eq(1..=state.version()), "the audit trail has gaps");
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 200, ..ProptestConfig::default() })]
+
+    /// Guards against two leaders in a term, changed or lost committed entries,
+    /// replicas that apply different sequences, lost answered changes, resends
+    /// with another answer, and groups that stay stuck after faults.
+    #[test]
+    fn group_of_three_survives_faults(seed: u64) {
+        check_group(seed, 3, false);
+    }
+
+    /// Guards against the same failures with quorums of three.
+    #[test]
+    fn group_of_five_survives_faults(seed: u64) {
+        check_group(seed, 5, false);
+    }
+
+    /// Guards against lost changes and stuck groups when a member with a lost
+    /// disk is replaced under faults.
+    #[test]
+    fn lost_member_is_replaced(seed: u64, size in prop_oneof![Just(3u64), Just(5)]) {
+        check_group(seed, size, true);
+    }
+}
+
+fn elected(size: u64, seed: u64) -> (Cluster, ReplicaId) {
+    let mut cluster = Cluster::new(size, seed, 4096);
+    cluster.run(Duration::from_secs(2));
+    let leader = cluster
+        .leader()
+        .expect("a group without faults elects a leader");
+    (cluster, leader)
+}
+
+/// Guards against needless elections by a replica that returns from a cut, and
+/// against a leader that goes on without a quorum.
+#[test]
+fn cut_replica_does_not_depose_the_leader() {
+    let (mut cluster, leader) = elected(3, 7);
+    let other = *cluster
+        .hosts
+        .keys()
+        .find(|id| **id != leader)
+        .expect("three hosts");
+    let term = cluster.replica(leader).expect("it leads").term();
+    for id in 1..=3 {
+        cluster.cuts.extend([(other, id), (id, other)]);
+    }
+    cluster.run(Duration::from_secs(20));
+    cluster.cuts.clear();
+    cluster.run(Duration::from_secs(5));
+    assert_eq!(cluster.leader(), Some(leader));
+    assert_eq!(cluster.replica(leader).expect("it leads").term(), term);
+    assert_eq!(cluster.elections, 1);
+
+    for id in 1..=3 {
+        cluster.cuts.extend([(leader, id), (id, leader)]);
+    }
+    cluster.run(Duration::from_secs(1));
+    assert!(!cluster.replica(leader).expect("it runs").is_leader());
+}
+
+/// Guards against a change of members by more than one, of a member that lags,
+/// or during another change; any of them could split the group.
+#[test]
+fn unsafe_changes_of_members_are_refused() {
+    let (mut cluster, leader) = elected(3, 11);
+    let proposals = [
+        (vec![1, 2, 3, 4], Refusal::NotCaughtUp),
+        (vec![1], Refusal::NotOneMember),
+        (vec![1, 2, 3], Refusal::NotOneMember),
+        (vec![1, 2, 2], Refusal::NotOneMember),
+        (vec![], Refusal::NotOneMember),
+    ];
+    for (voters, refusal) in proposals {
+        cluster.step(leader, ReplicaInput::Propose(9, Command::Members(voters)));
+        let end = Answer::Proposal(9, ProposalEnd::Refused(refusal));
+        assert_eq!(cluster.answers.pop(), Some((leader, end)));
+    }
+    let kept: Vec<ReplicaId> = (1..=3).filter(|id| *id != leader).collect();
+    cluster.step(
+        leader,
+        ReplicaInput::Propose(10, Command::Members(kept.clone())),
+    );
+    cluster.step(
+        leader,
+        ReplicaInput::Propose(11, Command::Members(vec![1, 2, 3])),
+    );
+    let end = Answer::Proposal(11, ProposalEnd::Refused(Refusal::MembersPending));
+    assert_eq!(cluster.answers.pop(), Some((leader, end)));
+
+    cluster.run(Duration::from_secs(3));
+    assert_eq!(
+        cluster.replica(leader).expect("it runs").role_name(),
+        "learner"
+    );
+    let next = cluster.leader().expect("the others elect a leader");
+    assert_eq!(cluster.replica(next).expect("it leads").voters(), kept);
+}
+
+/// Guards against a replica without memory that votes or campaigns, and
+/// against one that never learns of the leader.
+#[test]
+fn replica_with_an_empty_disk_only_learns() {
+    let (mut cluster, leader) = elected(3, 13);
+    cluster.add_host(4, vec![1, 2, 3]);
+    cluster.run(Duration::from_secs(2));
+    let learner = cluster.replica(4).expect("it runs");
+    assert_eq!(learner.role_name(), "learner");
+    assert_eq!(
+        learner.commit_index(),
+        cluster.replica(leader).expect("it leads").commit_index()
+    );
+    let follower = *cluster
+        .hosts
+        .keys()
+        .find(|id| **id != leader)
+        .expect("three hosts");
+    cluster.destroy(leader);
+    cluster.destroy(follower);
+    cluster.run(Duration::from_secs(5));
+    assert_eq!(
+        cluster.leader(),
+        None,
+        "a learner must not complete a quorum"
+    );
+}
