--- a/crates/control/src/log.rs
+++ b/crates/control/src/log.rs
@@ -12,10 +12,6 @@
 /// has some 60 KB.
 pub const MAX_ENTRY_BYTES: u64 = 4 << 20;
 
-/// Entries in memory that a snapshot does not remove, so that a follower that
-/// is a little behind does not need the snapshot.
-const TRAILING_ENTRIES: u64 = 256;
-
 /// `Log` is the newest snapshot, the entries after it and a few before it.
 #[derive(Debug)]
 pub(crate) struct Log {
@@ -169,9 +165,10 @@
         found.map_or_else(Vec::new, |members| members.voters.clone())
     }
 
-    /// Puts a snapshot of the own state in place and drops old entries.
-    pub(crate) fn compact(&mut self, snapshot: SnapshotData) {
-        let base_index = snapshot.index.saturating_sub(TRAILING_ENTRIES);
+    /// Puts a snapshot of the own state in place and drops the entries before
+    /// its last `trailing` ones.
+    pub(crate) fn compact(&mut self, snapshot: SnapshotData, trailing: u64) {
+        let base_index = snapshot.index.saturating_sub(trailing);
         while self.base_index < base_index {
             let Some(removed) = self.entries.pop_front() else {
                 break;
@@ -191,7 +188,7 @@
     pub(crate) fn install(&mut self, snapshot: SnapshotData) {
         let matches = self.term_at(snapshot.index) == Some(snapshot.term);
         if matches {
-            return self.compact(snapshot);
+            return self.compact(snapshot, 0);
         }
         *self = Self::new(snapshot, Vec::new());
     }
--- a/crates/control/src/snapshot.rs
+++ b/crates/control/src/snapshot.rs
@@ -12,6 +12,10 @@
 /// few they are. It bounds the memory that large configurations take.
 const SNAPSHOT_LOG_BYTES: u64 = 16 << 20;
 
+/// Part of the entries of a snapshot that stay in memory, so that a follower
+/// that is a little behind does not need the snapshot.
+const TRAILING_PART: u64 = 16;
+
 impl Replica {
     /// Replaces applied entries by a snapshot once there are enough of them.
     pub(crate) fn take_snapshot_if_due(&mut self) {
@@ -32,7 +36,8 @@
             state,
         };
         self.persist.put_snapshot(snapshot.clone());
-        self.log.compact(snapshot);
+        let trailing = self.options.snapshot_entries / TRAILING_PART;
+        self.log.compact(snapshot, trailing);
         self.log_event(Event::SnapshotWritten, format!("snapshot at index {index}"));
     }
 
--- a/crates/control/tests/common/mod.rs
+++ b/crates/control/tests/common/mod.rs
@@ -9,6 +9,23 @@
 
 use hornbeam_control::{ChangeCommand, Command};
 use hornbeam_core::config::Configuration;
+use proptest::test_runner::{Config, RngSeed};
+
+/// Gets a configuration with the same cases in every run. PROPTEST_CASES and
+/// PROPTEST_RNG_SEED choose others.
+pub fn fixed_cases(cases: u32) -> Config {
+    let default = Config::default();
+    let is_chosen = std::env::var_os("PROPTEST_CASES").is_some();
+    Config {
+        cases: if is_chosen { default.cases } else { cases },
+        rng_seed: match default.rng_seed {
+            RngSeed::Random => RngSeed::Fixed(1),
+            chosen => chosen,
+        },
+        failure_persistence: None,
+        ..default
+    }
+}
 
 /// Makes a change whose configuration names the change.
 pub fn change(expected_version: u64, change_id: &str, operator: &str) -> ChangeCommand {
--- /dev/null
+++ b/crates/control/tests/disk.rs
@@ -0,0 +1,290 @@
+//! The data folder: a failure or crash at every write and sync point.
+
+mod common;
+
+use common::memory_files::{MemoryFiles, Strike};
+use common::{change_command, fixed_cases};
+use hornbeam_control::{
+    Command, DiskLog, Entry, HardState, PersistRequest, Recovered, SnapshotData,
+};
+use hornbeam_core::Error;
+use proptest::prelude::*;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+const ID: u64 = 7;
+
+fn entry(index: u64, term: u64) -> Entry {
+    let command = change_command(index, &format!("{index} in term {term}"), "op");
+    Entry {
+        index,
+        term,
+        command,
+    }
+}
+
+/// What the folder must hold, kept in the plainest way.
+#[derive(Clone, Debug, Default, PartialEq)]
+struct Model {
+    hard_state: HardState,
+    snapshot: Option<SnapshotData>,
+    entries: Vec<Entry>,
+}
+
+impl Model {
+    fn of(recovered: Recovered) -> Self {
+        Self {
+            hard_state: recovered.hard_state,
+            snapshot: recovered.snapshot,
+            entries: recovered.entries,
+        }
+    }
+
+    fn last_index(&self) -> u64 {
+        let base = self.snapshot.as_ref().map_or(0, |snapshot| snapshot.index);
+        self.entries.last().map_or(base, |last| last.index)
+    }
+
+    /// Gets every state that a crash during a request may leave, in order. A
+    /// request changes the hard state, then the snapshot, then the entries.
+    fn stages(&self, request: &PersistRequest) -> Vec<Self> {
+        let mut stages = vec![self.clone()];
+        let mut model = self.clone();
+        if let Some(hard_state) = request.hard_state {
+            model.hard_state = hard_state;
+            stages.push(model.clone());
+        }
+        if let Some(snapshot) = &request.snapshot {
+            let key = (snapshot.index, snapshot.term);
+            let holds_last = model.entries.iter().any(|e| (e.index, e.term) == key);
+            model
+                .entries
+                .retain(|e| holds_last && e.index > snapshot.index);
+            model.snapshot = Some(snapshot.clone());
+            stages.push(model.clone());
+        }
+        if let Some(first) = request.entries.first() {
+            model.entries.retain(|e| e.index < first.index);
+            model.entries.extend(request.entries.iter().cloned());
+            stages.push(model);
+        }
+        stages
+    }
+}
+
+/// Steps of a replica that are persisted.
+#[derive(Clone, Debug)]
+enum Step {
+    Vote,
+    /// Replaces up to this many entries and appends this many.
+    Append(u64, u64),
+    Compact(u64),
+    Install(u64),
+}
+
+fn steps() -> impl Strategy<Value = Vec<Step>> {
+    let step = prop_oneof![
+        2 => Just(Step::Vote),
+        6 => (0..4u64, 1..5u64).prop_map(|(replaced, added)| Step::Append(replaced, added)),
+        1 => (0..4u64).prop_map(Step::Compact),
+        1 => (1..4u64).prop_map(Step::Install),
+    ];
+    prop::collection::vec(step, 1..12)
+}
+
+/// Makes the request of a step, as a replica in this state would.
+fn request(model: &Model, id: u64, step: &Step) -> PersistRequest {
+    let term = id;
+    let mut request = PersistRequest {
+        id,
+        ..PersistRequest::default()
+    };
+    request.hard_state = Some(HardState {
+        term,
+        voted_for: Some(ID),
+    });
+    let snapshot = |index, term| SnapshotData {
+        index,
+        term,
+        voters: vec![ID],
+        state: vec![1; 40],
+    };
+    match step {
+        Step::Vote => {}
+        Step::Append(replaced, added) => {
+            let replaced = (*replaced).min(model.entries.len() as u64);
+            let first = model.last_index() + 1 - replaced;
+            request.entries = (first..first + added)
+                .map(|index| entry(index, term))
+                .collect();
+        }
+        Step::Compact(kept) => {
+            let position = model.entries.len().saturating_sub(1 + *kept as usize);
+            let last = model.entries.get(position);
+            request.snapshot = last.map(|last| snapshot(last.index, last.term));
+        }
+        Step::Install(beyond) => request.snapshot = Some(snapshot(model.last_index() + beyond, 0)),
+    }
+    request
+}
+
+/// Carries out steps until an injected failure, crashes, and checks recovery.
+/// False if the failure was never reached.
+fn survives(steps: &[Step], operation: u64, strike: Strike, seed: u64) -> bool {
+    let mut random = ChaCha8Rng::seed_from_u64(seed);
+    let files = MemoryFiles::default();
+    files.strike(operation, strike);
+    let mut allowed = vec![Model::default()];
+    if let Ok((mut log, recovered)) = DiskLog::open_with(files.clone(), ID) {
+        assert!(recovered.fresh);
+        for (id, step) in (1..).zip(steps) {
+            let model = allowed.pop().expect("one state before each step");
+            let request = request(&model, id, step);
+            let stages = model.stages(&request);
+            if log.persist(&request).is_err() {
+                assert!(
+                    log.persist(&request).is_err(),
+                    "a failed log was used again"
+                );
+                allowed = stages;
+                break;
+            }
+            allowed.extend(stages.last().cloned());
+        }
+    }
+    let is_reached = files.operations() >= operation;
+    files.crash(&mut random);
+    check_recovery(&files, &allowed, &mut random);
+    is_reached
+}
+
+/// Opens the folder, crashes during the opening as well, and appends to it.
+fn check_recovery(files: &MemoryFiles, allowed: &[Model], random: &mut ChaCha8Rng) {
+    for point in 1..4 {
+        files.strike(files.operations() + point, Strike::After);
+        let _ = DiskLog::open_with(files.clone(), ID);
+        files.crash(random);
+    }
+    let (mut log, recovered) = DiskLog::open_with(files.clone(), ID).expect("a crash is no damage");
+    let model = Model::of(recovered);
+    assert!(
+        allowed.contains(&model),
+        "{model:#?}\nis none of\n{allowed:#?}"
+    );
+    let request = request(&model, 1_000, &Step::Append(2, 2));
+    log.persist(&request).expect("no failure is injected");
+    let expected = model.stages(&request).pop().expect("the request appends");
+    drop(log);
+    let (_, recovered) = DiskLog::open_with(files.clone(), ID).expect("nothing is damaged");
+    assert_eq!(Model::of(recovered), expected);
+}
+
+proptest! {
+    #![proptest_config(fixed_cases(40))]
+
+    /// Guards against persisted data that a crash at any write, sync or rename
+    /// loses, replaced entries that reappear, and a log that is used after a
+    /// failure.
+    #[test]
+    fn crash_at_every_point_keeps_what_is_persisted(steps in steps(), seed: u64) {
+        for strike in [Strike::Before, Strike::After] {
+            let mut operation = 1;
+            while survives(&steps, operation, strike, seed) {
+                operation += 1;
+            }
+        }
+    }
+
+    /// Guards against damage before the last record that is taken for a torn
+    /// tail, which would silently drop persisted entries.
+    #[test]
+    fn flipped_bit_is_reported(flipped: prop::sample::Index, batches in 2..6u64) {
+        let files = MemoryFiles::default();
+        let (mut log, _) = DiskLog::open_with(files.clone(), ID).expect("the folder is new");
+        let mut end_of_last_but_one = 0;
+        for id in 1..=batches {
+            end_of_last_but_one = files.length("log");
+            let entries = vec![entry(2 * id - 1, 1), entry(2 * id, 1)];
+            let request = PersistRequest { id, entries, ..PersistRequest::default() };
+            log.persist(&request).expect("no failure is injected");
+        }
+        files.flip("log", flipped.index(8 * end_of_last_but_one));
+        let opened = DiskLog::open_with(files, ID);
+        prop_assert!(matches!(opened, Err(Error::Corrupt(_))), "{opened:?}");
+    }
+
+    /// Guards against a damaged vote, snapshot or identity that is used.
+    #[test]
+    fn flipped_bit_in_a_replaced_file_is_reported(
+        flipped: prop::sample::Index,
+        name in prop::sample::select(vec!["hard_state", "snapshot", "identity"]),
+    ) {
+        let files = MemoryFiles::default();
+        let (mut log, _) = DiskLog::open_with(files.clone(), ID).expect("the folder is new");
+        let request = request(&Model::default(), 1, &Step::Install(5));
+        log.persist(&request).expect("no failure is injected");
+        files.flip(name, flipped.index(8 * files.length(name)));
+        let opened = DiskLog::open_with(files, ID);
+        prop_assert!(matches!(opened, Err(Error::Corrupt(_))), "{opened:?}");
+    }
+}
+
+/// Guards against a folder of another replica or program that is taken over,
+/// and against two processes on one folder.
+#[test]
+fn foreign_or_open_folder_is_refused() {
+    let folder = tempfile::tempdir().expect("a folder for the test");
+    let path = folder.path().join("data");
+    assert_eq!(DiskLog::identity(&path), Ok(None));
+    let (mut log, recovered) = DiskLog::open(&path, ID).expect("the folder is new");
+    assert!(recovered.fresh);
+    let entries = vec![entry(1, 1)];
+    let request = PersistRequest {
+        id: 1,
+        entries,
+        ..PersistRequest::default()
+    };
+    log.persist(&request).expect("the disk works");
+    assert!(matches!(DiskLog::open(&path, ID), Err(Error::Io(_))));
+    drop(log);
+
+    assert_eq!(DiskLog::identity(&path), Ok(Some(ID)));
+    assert!(matches!(
+        DiskLog::open(&path, ID + 1),
+        Err(Error::Refused(_))
+    ));
+    let (log, recovered) = DiskLog::open(&path, ID).expect("it is the own folder");
+    assert_eq!(recovered.entries, vec![entry(1, 1)]);
+    assert!(log.size_bytes() > 0);
+
+    std::fs::write(folder.path().join("photo.jpg"), "").expect("the disk works");
+    assert!(matches!(
+        DiskLog::open(folder.path(), ID),
+        Err(Error::Refused(_))
+    ));
+}
+
+/// Guards against a replica that cannot start after a crash during a write.
+#[test]
+fn torn_tail_is_cut_and_reported() {
+    let files = MemoryFiles::default();
+    let (mut log, _) = DiskLog::open_with(files.clone(), ID).expect("the folder is new");
+    for index in 1..=2 {
+        let entries = vec![Entry {
+            index,
+            term: 1,
+            command: Command::Noop,
+        }];
+        let request = PersistRequest {
+            id: index,
+            entries,
+            ..PersistRequest::default()
+        };
+        log.persist(&request).expect("no failure is injected");
+    }
+    let last_bit = 8 * files.length("log") - 1;
+    files.flip("log", last_bit);
+    let (_, recovered) = DiskLog::open_with(files, ID).expect("a torn tail is no damage");
+    assert_eq!(recovered.entries.len(), 1);
+    assert!(recovered.cut_bytes > 0);
+}
