--- /dev/null
+++ b/crates/node/src/config_watch.rs
@@ -0,0 +1,60 @@
+//! The configuration in force on a host, and the wait for a newer one.
+
+use std::sync::Arc;
+
+use hornbeam_core::config::Configuration;
+use hornbeam_core::ids::ConfigVersion;
+use tokio::sync::watch;
+
+/// `InForce` is a version with its configuration.
+pub(crate) type InForce = (ConfigVersion, Arc<Configuration>);
+
+/// `ConfigWatch` tells the configuration in force on this host.
+#[derive(Clone, Debug)]
+pub(crate) struct ConfigWatch {
+    current: Arc<watch::Sender<Option<InForce>>>,
+}
+
+impl ConfigWatch {
+    /// Creates a watch without configuration.
+    pub(crate) fn new() -> Self {
+        Self {
+            current: Arc::new(watch::Sender::new(None)),
+        }
+    }
+
+    /// Gets the version in force, 0 if none.
+    pub(crate) fn version(&self) -> ConfigVersion {
+        self.current
+            .borrow()
+            .as_ref()
+            .map_or(0, |(version, _)| *version)
+    }
+
+    /// Puts a version in force unless an equal or newer one is.
+    pub(crate) fn publish(
+        &self,
+        version: ConfigVersion,
+        configuration: Arc<Configuration>,
+    ) -> bool {
+        self.current.send_if_modified(|current| {
+            let newer = current.as_ref().is_none_or(|(old, _)| version > *old);
+            if newer {
+                *current = Some((version, configuration));
+            }
+            newer
+        })
+    }
+
+    /// Waits for a version above the given one.
+    pub(crate) async fn newer_than(&self, version: ConfigVersion) -> Option<InForce> {
+        let mut changes = self.current.subscribe();
+        let newer = |current: &Option<InForce>| {
+            current
+                .as_ref()
+                .is_some_and(|(current, _)| *current > version)
+        };
+        let current = changes.wait_for(newer).await.ok()?;
+        current.clone()
+    }
+}
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -1,24 +1,62 @@
 //! The entry host: HTTP routes, backend exchanges and peers around the
 //! dispatcher.
 
-use std::net::SocketAddr;
+mod claims;
+mod exchange;
+mod follower;
+mod input;
+mod job_ids;
+mod links;
+mod metrics;
+mod peers;
+mod routes;
+mod shell;
+mod submission;
 
-use eyre::Result;
-use hornbeam_core::ids::ReplicaId;
-use hornbeam_dispatch::DispatchOptions;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::Arc;
+
+use eyre::{Result, WrapErr};
+use hornbeam_core::ids::{HostId, ReplicaId};
+use hornbeam_dispatch::{DispatchOptions, Dispatcher};
+use hornbeam_http::{ClientOptions, HttpClient, HttpServer, HttpServerOptions};
+use hornbeam_timer::TimerService;
+use hornbeam_transport::{Link, LinkOptions, ServerOptions};
+use tokio::net::TcpListener;
+use tokio::sync::oneshot;
+use tokio::task::JoinSet;
+
+use self::claims::ClaimCaller;
+use self::exchange::Exchanges;
+use self::follower::Follower;
+use self::input::ShellHandle;
+use self::job_ids::JobIds;
+use self::links::EntryLinks;
+use self::metrics::EntryMetrics;
+use self::peers::{Addresses, PeerTable, StatusSender};
+use self::routes::Routes;
+use self::shell::Shell;
+use crate::config_watch::ConfigWatch;
+use crate::drain;
+use crate::lifecycle::{LifeEvent, Lifecycle};
+use crate::link_server;
+
+/// Connections that a backend server accepts in all.
+const SERVER_CONNECTIONS: usize = 64;
 
 /// `EntryOptions` are the settings of an entry host.
 #[derive(Clone, Debug, PartialEq)]
 pub struct EntryOptions {
     /// Options of the dispatcher: host id, failure domain, policy, seed.
     pub dispatch: DispatchOptions,
-    /// Address for HTTP; port 0 chooses one.
+    /// Address for HTTP; port 0 chooses one; default `127.0.0.1:0`.
     pub http_listen: SocketAddr,
-    /// Address for links of the system's own processes.
+    /// Address for links of the system's own processes; default
+    /// `127.0.0.1:0`.
     pub link_listen: SocketAddr,
-    /// Link addresses of other entry hosts.
+    /// Link addresses of other entry hosts; default none.
     pub peers: Vec<SocketAddr>,
-    /// Link addresses of the control hosts.
+    /// Link addresses of the control hosts; default none.
     pub control_hosts: Vec<(ReplicaId, SocketAddr)>,
     /// Shared secret of links; default none.
     pub link_credential: Option<String>,
@@ -26,15 +64,36 @@
     pub operator_credential: Option<String>,
     /// Largest body of a job in bytes; default 40 MiB.
     pub max_body_bytes: usize,
-    /// Extra connections to one server besides its slots, for cancels.
+    /// Connections to one server that are kept back for cancels; default 16.
     pub max_connections_per_server: usize,
 }
 
+impl Default for EntryOptions {
+    fn default() -> Self {
+        let any_port = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+        Self {
+            dispatch: DispatchOptions::default(),
+            http_listen: any_port,
+            link_listen: any_port,
+            peers: Vec::new(),
+            control_hosts: Vec::new(),
+            link_credential: None,
+            operator_credential: None,
+            max_body_bytes: 40 << 20,
+            max_connections_per_server: 16,
+        }
+    }
+}
+
 /// `EntryHost` is a running entry host.
 #[derive(Debug)]
 pub struct EntryHost {
-    http_address: SocketAddr,
-    link_address: SocketAddr,
+    addresses: Addresses,
+    life: Arc<Lifecycle>,
+    shell: ShellHandle,
+    http: HttpServer,
+    end_links: oneshot::Sender<()>,
+    tasks: JoinSet<()>,
 }
 
 impl EntryHost {
@@ -43,32 +102,217 @@
     /// # Errors
     /// If an address cannot be bound or a state chart is invalid.
     pub async fn start(options: EntryOptions) -> Result<Self> {
+        let parts = Parts::new(&options)?;
+        let listener = TcpListener::bind(options.link_listen)
+            .await
+            .wrap_err_with(|| format!("cannot bind {}", options.link_listen))?;
+        let link = listener.local_addr()?;
+        let (shell, receiver) = input::channel();
+        let routes = Arc::new(parts.routes(&options, &shell));
+        let router = routes::router(&routes);
+        let server = HttpServer::start(options.http_listen, router, HttpServerOptions::default());
+        let http = server
+            .await
+            .wrap_err_with(|| format!("cannot bind {}", options.http_listen))?;
+        let addresses = Addresses {
+            http: http.address(),
+            link,
+        };
+        let mut tasks = JoinSet::new();
+        tasks.spawn(parts.shell(&options)?.run(receiver));
+        tasks.spawn(parts.status_sender(&options, &shell, addresses).run());
+        tasks.spawn(parts.follower(&options, &shell).run());
+        let (end_links, links_end) = oneshot::channel();
+        let service = parts.links(&shell);
+        let server_options = server_options(&options);
+        tasks.spawn(link_server::run(
+            listener,
+            service,
+            server_options,
+            links_end,
+        ));
+        parts.life.on(LifeEvent::Listening);
         Ok(Self {
-            http_address: options.http_listen,
-            link_address: options.link_listen,
+            addresses,
+            life: parts.life,
+            shell,
+            http,
+            end_links,
+            tasks,
         })
     }
 
     /// Gets the bound HTTP address.
     pub fn http_address(&self) -> SocketAddr {
-        self.http_address
+        self.addresses.http
     }
 
     /// Gets the bound link address.
     pub fn link_address(&self) -> SocketAddr {
-        self.link_address
+        self.addresses.link
     }
 
     /// Starts to drain; new work is refused.
-    pub fn start_drain(&self) {}
+    pub fn start_drain(&self) {
+        drain::start(&self.life);
+    }
 
     /// Waits until a drain is complete. It may have been started by
     /// [`EntryHost::start_drain`] or by an operator's request.
-    pub async fn drained(&self) {}
+    pub async fn drained(&self) {
+        self.life.stopped().await;
+    }
 
     /// Drains, stops and joins everything.
-    pub async fn stop(self) {}
+    pub async fn stop(mut self) {
+        self.start_drain();
+        self.drained().await;
+        // Answers that the shell loop has given are still being written.
+        self.http.stop().await;
+        // Fails only if the link server has ended already.
+        let _ = self.end_links.send(());
+        self.shell.stop().await;
+        while self.tasks.join_next().await.is_some() {}
+    }
 
     /// Stops at once, as a crash would.
-    pub fn abort(self) {}
+    pub fn abort(mut self) {
+        self.http.abort();
+        self.tasks.abort_all();
+    }
+}
+
+/// `Parts` are what the tasks of an entry host share.
+#[derive(Debug)]
+struct Parts {
+    host_id: HostId,
+    timer: TimerService,
+    life: Arc<Lifecycle>,
+    metrics: Arc<EntryMetrics>,
+    config: ConfigWatch,
+    peers: Arc<PeerTable>,
+    link_options: LinkOptions,
+}
+
+impl Parts {
+    fn new(options: &EntryOptions) -> Result<Self> {
+        let link_options = LinkOptions {
+            credential: options.link_credential.clone(),
+            ..LinkOptions::default()
+        };
+        Ok(Self {
+            host_id: options.dispatch.host_id.clone(),
+            timer: TimerService::default(),
+            life: Arc::new(Lifecycle::new()?),
+            metrics: Arc::new(EntryMetrics::new()),
+            config: ConfigWatch::new(),
+            peers: Arc::new(PeerTable::new(link_options.clone())),
+            link_options,
+        })
+    }
+
+    fn link(&self, address: SocketAddr) -> Link {
+        Link::new(address, self.link_options.clone())
+    }
+
+    /// Gets links to the control hosts. Entry hosts start with different ones,
+    /// so that they share the load.
+    fn control_links(&self, options: &EntryOptions) -> Vec<Link> {
+        let hosts = &options.control_hosts;
+        let mut links: Vec<Link> = hosts.iter().map(|(_, at)| self.link(*at)).collect();
+        let sum: usize = self.host_id.bytes().map(usize::from).sum();
+        let first = sum.checked_rem(links.len()).unwrap_or(0);
+        links.rotate_left(first);
+        links
+    }
+
+    fn shell(&self, options: &EntryOptions) -> Result<Shell> {
+        let dispatcher = Dispatcher::new(options.dispatch.clone())?;
+        let exchanges = self.exchanges(options)?;
+        let timer = self.timer.clone();
+        let life = Arc::clone(&self.life);
+        let peers = Arc::clone(&self.peers);
+        Ok(Shell::new(dispatcher, timer, life, peers, exchanges))
+    }
+
+    fn exchanges(&self, options: &EntryOptions) -> Result<Exchanges> {
+        let kept_back = options.max_connections_per_server;
+        let tasks = ClientOptions {
+            max_connections_per_address: SERVER_CONNECTIONS.saturating_sub(kept_back).max(1),
+            ..ClientOptions::default()
+        };
+        let cancels = ClientOptions {
+            max_connections_per_address: kept_back.max(1),
+            // A cancel is sent because a connection may be silent, so it must
+            // not use one that was opened before.
+            idle_timeout: std::time::Duration::ZERO,
+            ..ClientOptions::default()
+        };
+        let metrics = Arc::clone(&self.metrics);
+        let claims = ClaimCaller::new(self.control_links(options), self.timer.clone(), metrics);
+        Ok(Exchanges {
+            host_id: self.host_id.clone(),
+            tasks: HttpClient::new(tasks)?,
+            cancels: HttpClient::new(cancels)?,
+            peers: Arc::clone(&self.peers),
+            claims,
+            metrics: Arc::clone(&self.metrics),
+        })
+    }
+
+    fn routes(&self, options: &EntryOptions, shell: &ShellHandle) -> Routes {
+        Routes {
+            shell: shell.clone(),
+            config: self.config.clone(),
+            life: Arc::clone(&self.life),
+            metrics: Arc::clone(&self.metrics),
+            timer: self.timer.clone(),
+            job_ids: JobIds::new(self.host_id.clone(), self.timer.unix_ms()),
+            operator_credential: options.operator_credential.clone(),
+            max_body_bytes: options.max_body_bytes,
+        }
+    }
+
+    fn status_sender(
+        &self,
+        options: &EntryOptions,
+        shell: &ShellHandle,
+        addresses: Addresses,
+    ) -> StatusSender {
+        StatusSender {
+            shell: shell.clone(),
+            addresses,
+            links: options.peers.iter().map(|at| self.link(*at)).collect(),
+            timer: self.timer.clone(),
+            metrics: Arc::clone(&self.metrics),
+            life: Arc::clone(&self.life),
+        }
+    }
+
+    fn follower(&self, options: &EntryOptions, shell: &ShellHandle) -> Follower {
+        Follower {
+            shell: shell.clone(),
+            config: self.config.clone(),
+            control_hosts: self.control_links(options),
+            peers: Arc::clone(&self.peers),
+            timer: self.timer.clone(),
+            life: Arc::clone(&self.life),
+        }
+    }
+
+    fn links(&self, shell: &ShellHandle) -> EntryLinks {
+        EntryLinks {
+            shell: shell.clone(),
+            config: self.config.clone(),
+            timer: self.timer.clone(),
+            life: Arc::clone(&self.life),
+        }
+    }
+}
+
+fn server_options(options: &EntryOptions) -> ServerOptions {
+    ServerOptions {
+        credential: options.link_credential.clone(),
+        ..ServerOptions::default()
+    }
 }
--- /dev/null
+++ b/crates/node/src/entry/exchange.rs
@@ -0,0 +1,190 @@
+//! Requests that the dispatcher wants sent, each a task that ends with the
+//! dispatcher's next input.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use hornbeam_core::api::backend::{CancelAnswer, CancelRequest, TaskBatch, TaskBatchAnswer};
+use hornbeam_core::event::Event;
+use hornbeam_core::ids::{ChunkId, HostId};
+use hornbeam_core::{Error, Result, log_event};
+use hornbeam_dispatch::{Chunk, ChunkEnd, ChunkFate, DispatchInput, DispatchOutput, ExchangeEnd};
+use hornbeam_http::{HttpClient, Reply};
+use hornbeam_transport::Link;
+use tokio::task::JoinSet;
+
+use super::claims::ClaimCaller;
+use super::metrics::EntryMetrics;
+use super::peers::PeerTable;
+use crate::metrics::MessageKind;
+use crate::wire::{Request, RequestAnswer};
+
+const TASKS_PATH: &str = "/v1/tasks";
+const CANCEL_PATH: &str = "/v1/tasks/cancel";
+
+/// `Exchanges` starts the requests of one entry host.
+#[derive(Clone, Debug)]
+pub(crate) struct Exchanges {
+    /// This host, for requests that name their sender.
+    pub(crate) host_id: HostId,
+    /// Pooled connections to backend servers.
+    pub(crate) tasks: HttpClient,
+    /// Connections for cancels, each used once.
+    pub(crate) cancels: HttpClient,
+    /// Links to peers.
+    pub(crate) peers: Arc<PeerTable>,
+    /// Calls for claims.
+    pub(crate) claims: ClaimCaller,
+    /// Metrics.
+    pub(crate) metrics: Arc<EntryMetrics>,
+}
+
+impl Exchanges {
+    /// Starts what an output asks for. Outputs that are answers to callers
+    /// are handled by the shell loop and ignored here.
+    pub(crate) fn start(&self, output: DispatchOutput, running: &mut JoinSet<DispatchInput>) {
+        let this = self.clone();
+        match output {
+            DispatchOutput::SendBatch {
+                exchange,
+                address,
+                batch,
+                within,
+                ..
+            } => {
+                running.spawn(async move {
+                    let end = this.send_batch(&address, &batch, within).await;
+                    DispatchInput::ExchangeEnded(exchange, end)
+                });
+            }
+            DispatchOutput::SendCancel {
+                cancel,
+                address,
+                request,
+                within,
+            } => {
+                running.spawn(async move {
+                    let answer = this.send_cancel(&address, &request, within).await;
+                    DispatchInput::CancelEnded(cancel, answer)
+                });
+            }
+            DispatchOutput::SendChunk {
+                peer,
+                chunk,
+                within,
+            } => {
+                running.spawn(async move {
+                    let chunk_id = chunk.chunk_id;
+                    let end = this.send_chunk(&peer, chunk, within).await;
+                    DispatchInput::ChunkEnded(chunk_id, end)
+                });
+            }
+            DispatchOutput::SendChunkCancel {
+                peer,
+                chunk_id,
+                within,
+            } => {
+                running.spawn(async move {
+                    let fates = this.send_chunk_cancel(&peer, chunk_id, within).await;
+                    DispatchInput::ChunkCancelEnded(chunk_id, fates)
+                });
+            }
+            DispatchOutput::RecordClaim {
+                job_id,
+                request_id,
+                valid_until_unix_ms,
+                within,
+            } => {
+                running.spawn(async move {
+                    let claims = &this.claims;
+                    let recording =
+                        claims.record(request_id, job_id.clone(), valid_until_unix_ms, within);
+                    let end = recording.await;
+                    DispatchInput::ClaimEnded(job_id, end)
+                });
+            }
+            DispatchOutput::DropConnections(address) => self.drop_connections(&address),
+            _ => {}
+        }
+    }
+
+    async fn send_batch(&self, address: &str, batch: &TaskBatch, within: Duration) -> ExchangeEnd {
+        self.metrics.messages.request(MessageKind::Task);
+        let reply: Result<Reply<TaskBatchAnswer>> = match parse(address) {
+            Ok(address) => self.tasks.post(address, TASKS_PATH, batch, within).await,
+            Err(cause) => Err(cause),
+        };
+        match reply {
+            Ok(reply) => {
+                self.metrics.messages.answer(MessageKind::Task);
+                self.metrics.batch_answered(&reply.body);
+                ExchangeEnd::Answered(reply.body)
+            }
+            Err(Error::NotSent(cause)) => ExchangeEnd::NotSent(cause),
+            Err(cause) => ExchangeEnd::Unanswered(cause.to_string()),
+        }
+    }
+
+    async fn send_cancel(
+        &self,
+        address: &str,
+        request: &CancelRequest,
+        within: Duration,
+    ) -> Option<CancelAnswer> {
+        self.metrics.messages.request(MessageKind::Cancel);
+        let address = parse(address).ok()?;
+        let sending = self.cancels.post(address, CANCEL_PATH, request, within);
+        let reply: Reply<CancelAnswer> = sending.await.ok()?;
+        self.metrics.messages.answer(MessageKind::Cancel);
+        Some(reply.body)
+    }
+
+    async fn send_chunk(&self, peer: &HostId, chunk: Chunk, within: Duration) -> ChunkEnd {
+        let Some(link) = self.peers.link(peer) else {
+            return ChunkEnd::NotSent(format!("peer {peer} has no known address"));
+        };
+        self.metrics.messages.request(MessageKind::Chunk);
+        let answer = link.call(&Request::RunChunk(chunk), within).await;
+        match answer {
+            Ok(RequestAnswer::Chunk(answer)) => {
+                self.metrics.messages.answer(MessageKind::Chunk);
+                ChunkEnd::Answered(answer)
+            }
+            Ok(other) => ChunkEnd::Unanswered(format!("wrong kind of answer: {other:?}")),
+            Err(Error::NotSent(cause) | Error::Refused(cause)) => ChunkEnd::NotSent(cause),
+            Err(cause) => ChunkEnd::Unanswered(cause.to_string()),
+        }
+    }
+
+    async fn send_chunk_cancel(
+        &self,
+        peer: &HostId,
+        chunk_id: ChunkId,
+        within: Duration,
+    ) -> Option<Vec<ChunkFate>> {
+        let link: Link = self.peers.link(peer)?;
+        self.metrics.messages.request(MessageKind::Cancel);
+        let request = Request::CancelChunk(self.host_id.clone(), chunk_id);
+        let answer = link.call_on_new_connection(&request, within).await;
+        match answer {
+            Ok(RequestAnswer::ChunkCancelled(fates)) => {
+                self.metrics.messages.answer(MessageKind::Cancel);
+                Some(fates)
+            }
+            _ => None,
+        }
+    }
+
+    fn drop_connections(&self, address: &str) {
+        match parse(address) {
+            Ok(address) => self.tasks.drop_connections(address),
+            Err(cause) => log_event!(Event::ExchangeUnanswered; "{cause}"),
+        }
+    }
+}
+
+fn parse(address: &str) -> Result<SocketAddr> {
+    let parsed = address.parse();
+    parsed.map_err(|_| Error::not_sent(format!("`{address}` is no address of the form ip:port")))
+}
--- /dev/null
+++ b/crates/node/src/entry/links.rs
@@ -0,0 +1,87 @@
+//! Answers to the links of the system's own processes at an entry host.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use hornbeam_core::api::caller::Reason;
+use hornbeam_core::{Error, Result};
+use hornbeam_dispatch::{ChunkAnswer, DispatchInput};
+use hornbeam_timer::TimerService;
+use hornbeam_transport::Service;
+
+use super::input::{ShellHandle, ShellInput};
+use crate::config_watch::ConfigWatch;
+use crate::lifecycle::Lifecycle;
+use crate::wire::{Request, RequestAnswer};
+
+/// Longest wait of a long poll.
+const MAX_FOLLOW_WAIT: Duration = Duration::from_secs(10);
+
+/// `EntryLinks` answers the links of an entry host.
+#[derive(Debug)]
+pub(crate) struct EntryLinks {
+    /// The shell loop.
+    pub(crate) shell: ShellHandle,
+    /// What is in force here.
+    pub(crate) config: ConfigWatch,
+    /// The time.
+    pub(crate) timer: TimerService,
+    /// Ends long polls when the process leaves.
+    pub(crate) life: Arc<Lifecycle>,
+}
+
+impl Service for EntryLinks {
+    type Request = Request;
+    type Answer = RequestAnswer;
+
+    async fn handle(&self, request: Request) -> Result<RequestAnswer> {
+        match request {
+            Request::Ping => Ok(RequestAnswer::Done),
+            Request::Status(status) => {
+                let input = DispatchInput::PeerStatusReceived(status);
+                self.shell.send(input).await?;
+                Ok(RequestAnswer::Done)
+            }
+            Request::RunChunk(chunk) => {
+                let run = |answer| ShellInput::Chunk(chunk, answer);
+                chunk_answer(self.shell.ask(run).await)
+            }
+            Request::CancelChunk(peer, chunk_id) => {
+                let cancel = |answer| ShellInput::ChunkCancel(peer, chunk_id, answer);
+                let fates = self.shell.ask(cancel).await?;
+                Ok(RequestAnswer::ChunkCancelled(fates))
+            }
+            Request::Follow {
+                have_version,
+                wait_ms,
+            } => Ok(self.follow(have_version, wait_ms).await),
+            _ => Err(Error::refused("an entry host does not answer this request")),
+        }
+    }
+}
+
+impl EntryLinks {
+    async fn follow(&self, have_version: u64, wait_ms: u64) -> RequestAnswer {
+        let wait = Duration::from_millis(wait_ms).min(MAX_FOLLOW_WAIT);
+        let newer = tokio::select! {
+            biased;
+            newer = self.config.newer_than(have_version) => newer,
+            () = self.timer.sleep(wait) => None,
+            () = self.life.leaving() => None,
+        };
+        let owned = newer.map(|(version, config)| Box::new((version, (*config).clone())));
+        RequestAnswer::Configuration(owned)
+    }
+}
+
+/// Turns the shell's answer into the answer on the link. An error on a link
+/// says that the chunk had no effect, which a lost answer does not prove.
+fn chunk_answer(answer: Result<ChunkAnswer>) -> Result<RequestAnswer> {
+    match answer {
+        Err(Error::Unknown(cause)) => {
+            let answer = ChunkAnswer::Failed(Reason::OutcomeUnknown, cause);
+            Ok(RequestAnswer::Chunk(answer))
+        }
+        answer => answer.map(RequestAnswer::Chunk),
+    }
+}
--- /dev/null
+++ b/crates/node/src/entry/submission.rs
@@ -0,0 +1,182 @@
+//! Reading of a submitted job: the request or all findings about it.
+
+use std::fmt;
+
+use hornbeam_core::api::caller::{Outcome, Reason, SubmitAnswer, SubmitRequest, TaskSpec};
+use hornbeam_core::ids::RequestId;
+use hornbeam_core::{Finding, Findings, Place};
+use serde::Deserializer;
+use serde::de::{DeserializeOwned, IgnoredAny, MapAccess, Visitor};
+use serde_json::{Map, Value};
+
+/// Longest request id, in characters.
+const MAX_REQUEST_ID_CHARS: usize = 64;
+/// Fields of a job; others are findings.
+const FIELDS: &[&str] = &[
+    "institution",
+    "repeatable",
+    "request_id",
+    "service",
+    "tasks",
+    "team",
+    "timeout_ms",
+    "valid_until_unix_ms",
+];
+
+/// Reads a job from the body of a request.
+///
+/// # Errors
+/// The refusal to answer with. It has the request id if that could be read.
+pub(crate) fn read(body: &[u8]) -> Result<SubmitRequest, Box<SubmitAnswer>> {
+    let findings = match serde_json::from_slice::<SubmitRequest>(body) {
+        Ok(request) => {
+            let findings = check(&request);
+            if findings.is_empty() {
+                return Ok(request);
+            }
+            findings
+        }
+        Err(cause) => explain(body, &cause),
+    };
+    let message = "The body has findings.";
+    let mut refusal = refusal(request_id(body), Reason::BadRequest, message);
+    refusal.findings = findings;
+    Err(Box::new(refusal))
+}
+
+/// Builds a refusal; nothing of the request has run.
+pub(crate) fn refusal(request_id: RequestId, reason: Reason, message: &str) -> SubmitAnswer {
+    SubmitAnswer {
+        request_id,
+        job_id: None,
+        outcome: Outcome::Refused,
+        reason: Some(reason),
+        message: message.to_owned(),
+        findings: Findings::new(),
+        results: Vec::new(),
+        elapsed_ms: 0,
+    }
+}
+
+/// Gets the request id from a body that may be incomplete or malformed after
+/// it; empty if there is none.
+pub(crate) fn request_id(body: &[u8]) -> RequestId {
+    let mut found = RequestId::new();
+    let mut reader = serde_json::Deserializer::from_slice(body);
+    // An error after the id does not matter here.
+    let _ = reader.deserialize_map(RequestIdVisitor { found: &mut found });
+    found
+}
+
+/// `RequestIdVisitor` stores the request id as soon as it has been read.
+struct RequestIdVisitor<'a> {
+    found: &'a mut RequestId,
+}
+
+impl<'de> Visitor<'de> for RequestIdVisitor<'_> {
+    type Value = ();
+
+    fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("an object")
+    }
+
+    fn visit_map<A: MapAccess<'de>>(self, mut fields: A) -> Result<(), A::Error> {
+        while let Some(key) = fields.next_key::<String>()? {
+            if key == "request_id" {
+                *self.found = fields.next_value()?;
+            } else {
+                fields.next_value::<IgnoredAny>()?;
+            }
+        }
+        Ok(())
+    }
+}
+
+/// Checks what needs no configuration.
+fn check(request: &SubmitRequest) -> Findings {
+    let mut findings = Findings::new();
+    let mut report = |path: &str, message: &str| {
+        findings.push(Finding::new(Place::body(path), message));
+    };
+    if !is_request_id(&request.request_id) {
+        let message = "It must have 1 to 64 characters of A-Z, a-z, 0-9, `.`, `_` and `-`.";
+        report("request_id", message);
+    }
+    if request.timeout_ms == 0 {
+        report("timeout_ms", "It must be at least 1.");
+    }
+    if request.tasks.is_empty() {
+        report("tasks", "A job needs at least one task.");
+    }
+    if !request.repeatable && request.valid_until_unix_ms.is_none() {
+        let message = "It is required when `repeatable` is false.";
+        report("valid_until_unix_ms", message);
+    }
+    findings
+}
+
+fn is_request_id(id: &str) -> bool {
+    let allowed = |c: char| c.is_ascii_alphanumeric() || matches!(c, '.' | '_' | '-');
+    (1..=MAX_REQUEST_ID_CHARS).contains(&id.len()) && id.chars().all(allowed)
+}
+
+/// Finds every problem of a body that does not decode.
+fn explain(body: &[u8], cause: &serde_json::Error) -> Findings {
+    let findings = match serde_json::from_slice::<Value>(body) {
+        Ok(Value::Object(fields)) => explain_fields(&fields),
+        _ => Findings::new(),
+    };
+    if findings.is_empty() {
+        return vec![decoder_finding(cause)];
+    }
+    findings
+}
+
+fn decoder_finding(cause: &serde_json::Error) -> Finding {
+    let place = Place {
+        line: u32::try_from(cause.line()).unwrap_or(u32::MAX),
+        column: u32::try_from(cause.column()).unwrap_or(u32::MAX),
+        ..Place::body("")
+    };
+    Finding::new(place, cause.to_string())
+}
+
+fn explain_fields(fields: &Map<String, Value>) -> Findings {
+    let mut findings = Findings::new();
+    for name in fields
+        .keys()
+        .filter(|name| !FIELDS.contains(&name.as_str()))
+    {
+        let message = format!("Unknown field; allowed are {}.", FIELDS.join(", "));
+        findings.push(Finding::new(Place::body(name), message));
+    }
+    for name in ["request_id", "institution", "team", "service"] {
+        expect::<String>(&mut findings, name, fields.get(name));
+    }
+    expect::<bool>(&mut findings, "repeatable", fields.get("repeatable"));
+    expect::<u64>(&mut findings, "timeout_ms", fields.get("timeout_ms"));
+    if let Some(valid_until) = fields.get("valid_until_unix_ms") {
+        expect::<Option<u64>>(&mut findings, "valid_until_unix_ms", Some(valid_until));
+    }
+    match fields.get("tasks") {
+        Some(Value::Array(tasks)) => {
+            for (index, task) in tasks.iter().enumerate() {
+                expect::<TaskSpec>(&mut findings, &format!("tasks[{index}]"), Some(task));
+            }
+        }
+        tasks => expect::<Vec<TaskSpec>>(&mut findings, "tasks", tasks),
+    }
+    findings
+}
+
+/// Reports a field that is missing or does not decode as `T`.
+fn expect<T: DeserializeOwned>(findings: &mut Findings, path: &str, value: Option<&Value>) {
+    let message = match value {
+        None => "The field is missing.".to_owned(),
+        Some(value) => match T::deserialize(value) {
+            Ok(_) => return,
+            Err(cause) => cause.to_string(),
+        },
+    };
+    findings.push(Finding::new(Place::body(path), message));
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -6,8 +6,15 @@
 
 #![forbid(unsafe_code)]
 
+mod config_watch;
 pub mod control;
+mod credential;
+mod drain;
 pub mod entry;
+mod lifecycle;
+mod link_server;
+mod metrics;
+mod reply;
 mod wire;
 
 pub use control::{ControlHost, ControlOptions};
--- /dev/null
+++ b/crates/node/src/lifecycle.rs
@@ -0,0 +1,112 @@
+//! The life cycle of a daemon, interpreted from `charts/daemon.toml`.
+
+use std::sync::atomic::{AtomicBool, Ordering};
+
+use hornbeam_chart::{ChartDomain, Machine};
+use hornbeam_core::Result;
+use tokio::sync::watch;
+
+/// `LifeState` is a state of the daemon's chart.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum LifeState {
+    Starting,
+    Ready,
+    Draining,
+    Stopped,
+}
+
+/// `LifeEvent` is an event of the daemon's chart.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum LifeEvent {
+    Listening,
+    Drain,
+    Drained,
+    Failed,
+}
+
+/// `DaemonChart` binds the chart file to its enums.
+#[derive(Clone, Copy, Debug)]
+struct DaemonChart;
+
+impl ChartDomain for DaemonChart {
+    type State = LifeState;
+    type Event = LifeEvent;
+
+    const STATES: &'static [(&'static str, LifeState)] = &[
+        ("starting", LifeState::Starting),
+        ("ready", LifeState::Ready),
+        ("draining", LifeState::Draining),
+        ("stopped", LifeState::Stopped),
+    ];
+    const EVENTS: &'static [(&'static str, LifeEvent)] = &[
+        ("listening", LifeEvent::Listening),
+        ("drain", LifeEvent::Drain),
+        ("drained", LifeEvent::Drained),
+        ("failed", LifeEvent::Failed),
+    ];
+}
+
+/// `Lifecycle` holds the state of one process and wakes those who wait for it.
+#[derive(Debug)]
+pub(crate) struct Lifecycle {
+    machine: Machine<DaemonChart>,
+    state: watch::Sender<LifeState>,
+    failed: AtomicBool,
+}
+
+impl Lifecycle {
+    /// Reads the chart.
+    ///
+    /// # Errors
+    /// The findings of an invalid chart.
+    pub(crate) fn new() -> Result<Self> {
+        let machine = Machine::parse("daemon.toml", include_str!("../charts/daemon.toml"))?;
+        let state = watch::Sender::new(machine.initial());
+        Ok(Self {
+            machine,
+            state,
+            failed: AtomicBool::new(false),
+        })
+    }
+
+    /// Reacts to an event; returns whether the state changed.
+    pub(crate) fn on(&self, event: LifeEvent) -> bool {
+        if event == LifeEvent::Failed {
+            self.failed.store(true, Ordering::Relaxed);
+        }
+        self.state.send_if_modified(|state| {
+            let next = self.machine.next(*state, event);
+            if let Some(next) = next {
+                *state = next;
+            }
+            next.is_some()
+        })
+    }
+
+    /// Gets the state.
+    pub(crate) fn state(&self) -> LifeState {
+        *self.state.borrow()
+    }
+
+    /// Whether the process ended, or ends, because of an error.
+    pub(crate) fn has_failed(&self) -> bool {
+        self.failed.load(Ordering::Relaxed)
+    }
+
+    /// Waits until new work is refused for good.
+    pub(crate) async fn leaving(&self) {
+        let leaving = |state: &LifeState| matches!(state, LifeState::Draining | LifeState::Stopped);
+        self.wait_for(leaving).await;
+    }
+
+    /// Waits until the process has nothing left to do.
+    pub(crate) async fn stopped(&self) {
+        self.wait_for(|state| self.machine.is_final(*state)).await;
+    }
+
+    async fn wait_for(&self, condition: impl FnMut(&LifeState) -> bool) {
+        let mut changes = self.state.subscribe();
+        // The sender lives in `self`, so waiting cannot fail.
+        let _ = changes.wait_for(condition).await;
+    }
+}
--- a/crates/node/src/wire.rs
+++ b/crates/node/src/wire.rs
@@ -31,6 +31,10 @@
     /// Entry host to control host: record a claim. Control hosts that do not
     /// lead forward it to the leader once.
     Claim(ClaimCommand),
+    /// Control host to the leader: a claim that an entry host sent to a
+    /// control host that does not lead. It is not forwarded again, so two
+    /// hosts that each take the other for the leader cannot form a loop.
+    ForwardedClaim(ClaimCommand),
     /// Control host to the leader: a change that an operator sent.
     Apply(Box<ChangeCommand>),
     /// Control host to the leader: confirm that the leader leads and get the
