--- a/crates/node/src/config_watch.rs
+++ b/crates/node/src/config_watch.rs
@@ -1,9 +1,11 @@
 //! The configuration in force on a host, and the wait for a newer one.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use hornbeam_core::config::Configuration;
 use hornbeam_core::ids::ConfigVersion;
+use hornbeam_timer::TimerService;
 use tokio::sync::watch;
 
 /// `InForce` is a version with its configuration.
@@ -58,3 +60,19 @@
         current.clone()
     }
 }
+
+/// Longest wait of a long poll.
+const MAX_WAIT: Duration = Duration::from_secs(10);
+
+/// Answers a long poll: the configuration once it is newer than
+/// `have_version`, or `None` after `wait`.
+pub(crate) async fn long_poll(
+    config: &ConfigWatch,
+    have_version: ConfigVersion,
+    wait: Duration,
+    timer: &TimerService,
+) -> Option<Box<(ConfigVersion, Configuration)>> {
+    let newer = config.newer_than(have_version);
+    let newer = timer.timeout(wait.min(MAX_WAIT), newer).await.flatten();
+    newer.map(|(version, configuration)| Box::new((version, (*configuration).clone())))
+}
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -1,11 +1,42 @@
 //! The control host: disk, links and operators' HTTP routes around a replica.
 
+mod changes;
+mod disk;
+mod input;
+mod leader;
+mod links;
+mod metrics;
+mod outbox;
+mod routes;
+mod shell;
+
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::path::PathBuf;
+use std::sync::{Arc, mpsc as std_mpsc};
 
-use eyre::Result;
-use hornbeam_control::ReplicaOptions;
+use eyre::{Result, WrapErr};
+use hornbeam_control::{DiskLog, Recovered, Replica, ReplicaOptions};
+use hornbeam_core::event::Event;
 use hornbeam_core::ids::{HostId, ReplicaId};
+use hornbeam_core::log_event;
+use hornbeam_http::{HttpServer, HttpServerOptions};
+use hornbeam_timer::TimerService;
+use hornbeam_transport::{Link, LinkOptions, ServerOptions};
+use tokio::net::TcpListener;
+use tokio::sync::{mpsc, oneshot};
+use tokio::task::JoinSet;
+
+use self::input::{ControlHandle, ControlInput};
+use self::leader::LeaderCalls;
+use self::links::ControlLinks;
+use self::metrics::ControlMetrics;
+use self::outbox::Outbox;
+use self::routes::Routes;
+use self::shell::{ControlShell, Waiting};
+use crate::config_watch::ConfigWatch;
+use crate::lifecycle::{LifeEvent, Lifecycle};
+use crate::{drain, link_server};
 
 /// `ControlOptions` are the settings of a control host.
 #[derive(Clone, Debug, PartialEq)]
@@ -33,6 +64,11 @@
 pub struct ControlHost {
     http_address: SocketAddr,
     link_address: SocketAddr,
+    life: Arc<Lifecycle>,
+    shell: ControlHandle,
+    http: HttpServer,
+    end_links: oneshot::Sender<()>,
+    tasks: JoinSet<()>,
 }
 
 impl ControlHost {
@@ -41,9 +77,61 @@
     /// # Errors
     /// If the folder is damaged or an address cannot be bound.
     pub async fn start(options: ControlOptions) -> Result<Self> {
+        let (disk, recovered) = open_disk(&options).await?;
+        let listener = TcpListener::bind(options.link_listen)
+            .await
+            .wrap_err_with(|| format!("cannot bind {}", options.link_listen))?;
+        let link_address = listener.local_addr()?;
+        let parts = Parts::new(&options)?;
+        let (shell, inputs) = input::channel();
+        let leader = parts.leader_calls(&options, &shell);
+        let router = routes::router(&Arc::new(parts.routes(&options, &leader)));
+        let server = HttpServer::start(options.http_listen, router, HttpServerOptions::default());
+        let http = server
+            .await
+            .wrap_err_with(|| format!("cannot bind {}", options.http_listen))?;
+        let mut tasks = JoinSet::new();
+        let (requests, disk_requests) = std_mpsc::channel();
+        // Not bounded, so that the disk thread never waits for the loop.
+        // There is at most one event per request in flight.
+        let (events, disk_events) = mpsc::unbounded_channel();
+        let disk_bytes = disk.size_bytes();
+        let now = parts.timer.now();
+        let control_shell = ControlShell {
+            host_id: options.host_id.clone(),
+            replica_id: options.replica.id,
+            replica: Replica::new(options.replica.clone(), recovered, now)?,
+            timer: parts.timer.clone(),
+            life: Arc::clone(&parts.life),
+            config: parts.config.clone(),
+            outboxes: parts.start_senders(&options, &mut tasks),
+            disk: requests,
+            disk_bytes,
+            waiting: Waiting::default(),
+        };
+        tasks.spawn_blocking(move || disk::run(disk, &disk_requests, &events));
+        tasks.spawn(control_shell.run(inputs, disk_events));
+        let (end_links, links_end) = oneshot::channel();
+        let service = parts.links(leader);
+        let server_options = ServerOptions {
+            credential: options.link_credential.clone(),
+            ..ServerOptions::default()
+        };
+        tasks.spawn(link_server::run(
+            listener,
+            service,
+            server_options,
+            links_end,
+        ));
+        parts.life.on(LifeEvent::Listening);
         Ok(Self {
-            http_address: options.http_listen,
-            link_address: options.link_listen,
+            http_address: http.address(),
+            link_address,
+            life: parts.life,
+            shell,
+            http,
+            end_links,
+            tasks,
         })
     }
 
@@ -57,15 +145,127 @@
         self.link_address
     }
 
+    /// Starts to drain; new changes and claims are refused.
+    pub fn start_drain(&self) {
+        drain::start(&self.life);
+    }
+
     /// Waits until the host has stopped by itself, for example because its
     /// disk failed or an operator drained it.
     pub async fn stopped(&self) {
-        std::future::pending().await
+        self.life.stopped().await;
+    }
+
+    /// Whether the host stopped because of an error.
+    pub fn has_failed(&self) -> bool {
+        self.life.has_failed()
     }
 
     /// Stops and joins everything.
-    pub async fn stop(self) {}
+    pub async fn stop(mut self) {
+        self.start_drain();
+        self.stopped().await;
+        // Answers that the loop has given are still being written.
+        self.http.stop().await;
+        // Both fail only if the receiving task has ended already.
+        let _ = self.end_links.send(());
+        let _ = self.shell.send(ControlInput::Stop).await;
+        while self.tasks.join_next().await.is_some() {}
+    }
 
     /// Stops at once, as a crash would.
-    pub fn abort(self) {}
+    pub fn abort(mut self) {
+        self.http.abort();
+        self.tasks.abort_all();
+    }
+}
+
+/// Opens the data folder on a blocking thread.
+async fn open_disk(options: &ControlOptions) -> Result<(DiskLog, Recovered)> {
+    let folder = options.data_folder.clone();
+    let opening = tokio::task::spawn_blocking(move || DiskLog::open(&folder));
+    let (disk, recovered) = opening
+        .await?
+        .wrap_err_with(|| format!("cannot open {}", options.data_folder.display()))?;
+    if recovered.cut_bytes > 0 {
+        log_event!(
+            Event::LogTailCut, host = options.host_id;
+            "{} bytes of an incomplete record were cut", recovered.cut_bytes
+        );
+    }
+    Ok((disk, recovered))
+}
+
+/// `Parts` are what the tasks of a control host share.
+#[derive(Debug)]
+struct Parts {
+    timer: TimerService,
+    life: Arc<Lifecycle>,
+    config: ConfigWatch,
+    links: HashMap<ReplicaId, Link>,
+}
+
+impl Parts {
+    fn new(options: &ControlOptions) -> Result<Self> {
+        let link_options = LinkOptions {
+            credential: options.link_credential.clone(),
+            ..LinkOptions::default()
+        };
+        let link = |(id, at): &(ReplicaId, SocketAddr)| (*id, Link::new(*at, link_options.clone()));
+        Ok(Self {
+            timer: TimerService::default(),
+            life: Arc::new(Lifecycle::new()?),
+            config: ConfigWatch::new(),
+            links: options.peers.iter().map(link).collect(),
+        })
+    }
+
+    fn start_senders(
+        &self,
+        options: &ControlOptions,
+        tasks: &mut JoinSet<()>,
+    ) -> HashMap<ReplicaId, Arc<Outbox>> {
+        let mut outboxes = HashMap::new();
+        for (id, link) in &self.links {
+            let outbox = Arc::new(Outbox::default());
+            outboxes.insert(*id, Arc::clone(&outbox));
+            let life = Arc::clone(&self.life);
+            tasks.spawn(outbox::send_all(
+                outbox,
+                options.replica.id,
+                link.clone(),
+                life,
+            ));
+        }
+        outboxes
+    }
+
+    fn leader_calls(&self, options: &ControlOptions, shell: &ControlHandle) -> LeaderCalls {
+        let mut links = self.links.clone();
+        links.remove(&options.replica.id);
+        LeaderCalls {
+            shell: shell.clone(),
+            links,
+            timer: self.timer.clone(),
+        }
+    }
+
+    fn routes(&self, options: &ControlOptions, leader: &LeaderCalls) -> Routes {
+        Routes {
+            leader: leader.clone(),
+            life: Arc::clone(&self.life),
+            metrics: ControlMetrics::new(),
+            timer: self.timer.clone(),
+            operator_credential: options.operator_credential.clone(),
+        }
+    }
+
+    fn links(&self, leader: LeaderCalls) -> ControlLinks {
+        ControlLinks {
+            leader,
+            config: self.config.clone(),
+            timer: self.timer.clone(),
+            life: Arc::clone(&self.life),
+        }
+    }
 }
--- /dev/null
+++ b/crates/node/src/control/leader.rs
@@ -0,0 +1,171 @@
+//! Changes, claims and reads, taken to the leader if another host leads.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use hornbeam_control::{
+    ChangeCommand, ClaimCommand, ClaimResult, Command, CommandResult, ProposalEnd,
+};
+use hornbeam_core::Error;
+use hornbeam_core::ids::ReplicaId;
+use hornbeam_dispatch::ClaimEnd;
+use hornbeam_timer::TimerService;
+use hornbeam_transport::Link;
+
+use super::input::{ControlHandle, ControlInput};
+use crate::wire::{ApplyAnswer, Request, RequestAnswer};
+
+/// Longest wait for a leader that is not known yet. An election takes up to
+/// about a second.
+const LEADER_WAIT: Duration = Duration::from_secs(2);
+/// Pause before the leader is looked up again.
+const LEADER_PAUSE: Duration = Duration::from_millis(50);
+/// Longest wait for the end of a proposal. A leader without a quorum steps
+/// down long before.
+const PROPOSAL_TIMEOUT: Duration = Duration::from_secs(5);
+/// Longest wait for the leader's answer to a forwarded request; above the
+/// time that the leader itself takes to give up.
+const FORWARD_TIMEOUT: Duration = Duration::from_secs(6);
+
+/// `LeaderCalls` brings requests to the leader.
+#[derive(Clone, Debug)]
+pub(crate) struct LeaderCalls {
+    /// The loop that owns this host's replica.
+    pub(crate) shell: ControlHandle,
+    /// Links to the other control hosts.
+    pub(crate) links: HashMap<ReplicaId, Link>,
+    /// The time.
+    pub(crate) timer: TimerService,
+}
+
+impl LeaderCalls {
+    /// Applies a change at this host or at the leader. `NotLeader` means that
+    /// the change was recorded nowhere.
+    pub(crate) async fn change(&self, command: &ChangeCommand) -> ApplyAnswer {
+        let give_up = self.timer.now() + LEADER_WAIT;
+        loop {
+            let answer = match self.change_here(command.clone()).await {
+                ApplyAnswer::NotLeader(Some(leader)) => self.forward_change(leader, command).await,
+                answer => answer,
+            };
+            if !matches!(answer, ApplyAnswer::NotLeader(_)) || self.timer.now() >= give_up {
+                return answer;
+            }
+            self.timer.sleep(LEADER_PAUSE).await;
+        }
+    }
+
+    /// Applies a change only if this host leads.
+    pub(crate) async fn change_here(&self, command: ChangeCommand) -> ApplyAnswer {
+        match self.propose(Command::Change(Box::new(command))).await {
+            ProposalEnd::Applied(CommandResult::Change(result)) => ApplyAnswer::Decided(result),
+            ProposalEnd::NotLeader(leader) => ApplyAnswer::NotLeader(leader),
+            ProposalEnd::Applied(_) | ProposalEnd::Unknown => ApplyAnswer::Unknown,
+        }
+    }
+
+    /// Records a claim at this host or at the leader.
+    pub(crate) async fn claim(&self, command: &ClaimCommand) -> ClaimEnd {
+        match self.propose(Command::Claim(command.clone())).await {
+            ProposalEnd::NotLeader(Some(leader)) => {
+                let request = Request::ForwardedClaim(command.clone());
+                match self.forward(leader, &request).await {
+                    Ok(RequestAnswer::Claim(end)) => end,
+                    _ => ClaimEnd::Unavailable,
+                }
+            }
+            end => claim_end(&end),
+        }
+    }
+
+    /// Records a claim only if this host leads.
+    pub(crate) async fn claim_here(&self, command: ClaimCommand) -> ClaimEnd {
+        claim_end(&self.propose(Command::Claim(command)).await)
+    }
+
+    /// Waits until this host's state is as new as the leader's now. Returns
+    /// false if no leader confirmed by a quorum was found.
+    pub(crate) async fn confirm_read(&self) -> bool {
+        let give_up = self.timer.now() + LEADER_WAIT;
+        loop {
+            if self.try_confirm_read().await {
+                return true;
+            }
+            if self.timer.now() >= give_up {
+                return false;
+            }
+            self.timer.sleep(LEADER_PAUSE).await;
+        }
+    }
+
+    /// Asks a quorum whether this host leads; gets the index to read at.
+    pub(crate) async fn read_here(&self) -> Option<u64> {
+        let asking = self.shell.ask(ControlInput::ConfirmRead);
+        let answer = self.timer.timeout(PROPOSAL_TIMEOUT, asking).await;
+        answer.and_then(Result::ok).flatten()
+    }
+
+    async fn try_confirm_read(&self) -> bool {
+        if self.read_here().await.is_some() {
+            return true;
+        }
+        let Some(leader) = self.known_leader().await else {
+            return false;
+        };
+        let index = match self.forward(leader, &Request::Read).await {
+            Ok(RequestAnswer::ReadAt(Some(index))) => index,
+            _ => return false,
+        };
+        let applying = self
+            .shell
+            .ask(|waiter| ControlInput::WaitApplied(index, waiter));
+        let applied = self.timer.timeout(PROPOSAL_TIMEOUT, applying).await;
+        matches!(applied, Some(Ok(())))
+    }
+
+    async fn known_leader(&self) -> Option<ReplicaId> {
+        let status = self.shell.ask(ControlInput::Status).await.ok()?;
+        status.leader
+    }
+
+    async fn propose(&self, command: Command) -> ProposalEnd {
+        let asking = self
+            .shell
+            .ask(|waiter| ControlInput::Propose(command, waiter));
+        match self.timer.timeout(PROPOSAL_TIMEOUT, asking).await {
+            Some(Ok(end)) => end,
+            Some(Err(Error::Refused(_))) => ProposalEnd::NotLeader(None),
+            Some(Err(_)) | None => ProposalEnd::Unknown,
+        }
+    }
+
+    async fn forward_change(&self, leader: ReplicaId, command: &ChangeCommand) -> ApplyAnswer {
+        let request = Request::Apply(Box::new(command.clone()));
+        match self.forward(leader, &request).await {
+            Ok(RequestAnswer::Change(answer)) => answer,
+            Err(Error::NotSent(_) | Error::Refused(_)) => ApplyAnswer::NotLeader(None),
+            Ok(_) | Err(_) => ApplyAnswer::Unknown,
+        }
+    }
+
+    async fn forward(
+        &self,
+        leader: ReplicaId,
+        request: &Request,
+    ) -> hornbeam_core::Result<RequestAnswer> {
+        let link = self.links.get(&leader);
+        let link = link.ok_or_else(|| Error::not_sent("the leader's address is not known"))?;
+        link.call(request, FORWARD_TIMEOUT).await
+    }
+}
+
+fn claim_end(end: &ProposalEnd) -> ClaimEnd {
+    match end {
+        ProposalEnd::Applied(CommandResult::Claim(ClaimResult::Recorded)) => ClaimEnd::Recorded,
+        ProposalEnd::Applied(CommandResult::Claim(ClaimResult::AlreadyClaimed)) => {
+            ClaimEnd::AlreadyClaimed
+        }
+        ProposalEnd::Applied(CommandResult::Claim(ClaimResult::Expired)) => ClaimEnd::Expired,
+        _ => ClaimEnd::Unavailable,
+    }
+}
--- a/crates/node/src/entry/links.rs
+++ b/crates/node/src/entry/links.rs
@@ -10,13 +10,10 @@
 use hornbeam_transport::Service;
 
 use super::input::{ShellHandle, ShellInput};
-use crate::config_watch::ConfigWatch;
+use crate::config_watch::{self, ConfigWatch};
 use crate::lifecycle::Lifecycle;
 use crate::wire::{Request, RequestAnswer};
 
-/// Longest wait of a long poll.
-const MAX_FOLLOW_WAIT: Duration = Duration::from_secs(10);
-
 /// `EntryLinks` answers the links of an entry host.
 #[derive(Debug)]
 pub(crate) struct EntryLinks {
@@ -54,26 +51,21 @@
             Request::Follow {
                 have_version,
                 wait_ms,
-            } => Ok(self.follow(have_version, wait_ms).await),
+            } => {
+                let wait = Duration::from_millis(wait_ms);
+                let poll = config_watch::long_poll(&self.config, have_version, wait, &self.timer);
+                let newer = tokio::select! {
+                    biased;
+                    newer = poll => newer,
+                    () = self.life.leaving() => None,
+                };
+                Ok(RequestAnswer::Configuration(newer))
+            }
             _ => Err(Error::refused("an entry host does not answer this request")),
         }
     }
 }
 
-impl EntryLinks {
-    async fn follow(&self, have_version: u64, wait_ms: u64) -> RequestAnswer {
-        let wait = Duration::from_millis(wait_ms).min(MAX_FOLLOW_WAIT);
-        let newer = tokio::select! {
-            biased;
-            newer = self.config.newer_than(have_version) => newer,
-            () = self.timer.sleep(wait) => None,
-            () = self.life.leaving() => None,
-        };
-        let owned = newer.map(|(version, config)| Box::new((version, (*config).clone())));
-        RequestAnswer::Configuration(owned)
-    }
-}
-
 /// Turns the shell's answer into the answer on the link. An error on a link
 /// says that the chunk had no effect, which a lost answer does not prove.
 fn chunk_answer(answer: Result<ChunkAnswer>) -> Result<RequestAnswer> {
