--- /dev/null
+++ b/crates/daemon/src/settings.rs
@@ -0,0 +1,204 @@
+//! Checked settings of the process, or all findings about them.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+use hornbeam_control::ReplicaOptions;
+use hornbeam_core::Findings;
+use hornbeam_core::ids::ReplicaId;
+use hornbeam_dispatch::{DispatchOptions, PlacementPolicy};
+use hornbeam_node::{ControlOptions, EntryOptions};
+use log::LevelFilter;
+
+use crate::flags::{Flags, Setting, names};
+use crate::reader::Reader;
+
+/// `LogFormat` is the format of log lines.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub(crate) enum LogFormat {
+    /// Lines for people.
+    #[default]
+    Text,
+    /// One JSON object a line.
+    Json,
+}
+
+/// `Settings` are the checked settings of the process.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) struct Settings {
+    /// Format of log lines; default text.
+    pub(crate) log_format: LogFormat,
+    /// Lowest level that is logged; default info.
+    pub(crate) log_level: LevelFilter,
+    /// Settings of the role.
+    pub(crate) role: RoleSettings,
+}
+
+/// `RoleSettings` are the settings of one role.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) enum RoleSettings {
+    /// Of an entry host.
+    Entry(Box<EntryOptions>),
+    /// Of a control host.
+    Control(Box<ControlOptions>),
+}
+
+/// `Role` is what the process does.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Role {
+    Entry,
+    Control,
+}
+
+const ROLES: &[(&str, Role)] = &[("entry", Role::Entry), ("control", Role::Control)];
+const LOG_FORMATS: &[(&str, LogFormat)] = &[("text", LogFormat::Text), ("json", LogFormat::Json)];
+const LOG_LEVELS: &[(&str, LevelFilter)] = &[
+    ("error", LevelFilter::Error),
+    ("warn", LevelFilter::Warn),
+    ("info", LevelFilter::Info),
+    ("debug", LevelFilter::Debug),
+    ("trace", LevelFilter::Trace),
+];
+const PLACEMENTS: &[(&str, PlacementPolicy)] = &[
+    ("leased", PlacementPolicy::Leased),
+    ("random", PlacementPolicy::Random),
+    ("two-choices", PlacementPolicy::TwoChoices),
+];
+
+/// `Common` are the settings that both roles have.
+#[derive(Clone, Debug)]
+struct Common {
+    host_id: String,
+    http_listen: SocketAddr,
+    link_listen: SocketAddr,
+    control_hosts: Vec<(ReplicaId, SocketAddr)>,
+    link_credential: Option<String>,
+    operator_credential: Option<String>,
+    seed: u64,
+}
+
+/// Checks the texts of all settings.
+///
+/// # Errors
+/// All findings, each with its flag or variable as place.
+pub(crate) fn check(flags: &Flags) -> Result<Settings, Findings> {
+    let mut reader = Reader::default();
+    let log_format = reader.choice(names::log_format, &flags.log_format, LOG_FORMATS);
+    let log_level = reader.choice(names::log_level, &flags.log_level, LOG_LEVELS);
+    let role = reader.required(names::role, &flags.role);
+    let role = reader.choice(names::role, &role, ROLES);
+    let common = read_common(&mut reader, flags);
+    let role = match role {
+        Some(Role::Entry) => read_entry(&mut reader, flags, common),
+        Some(Role::Control) => read_control(&mut reader, flags, common),
+        None => None,
+    };
+    let findings = reader.into_findings();
+    match role {
+        Some(role) if findings.is_empty() => Ok(Settings {
+            log_format: log_format.unwrap_or_default(),
+            log_level: log_level.unwrap_or(LevelFilter::Info),
+            role,
+        }),
+        _ => Err(findings),
+    }
+}
+
+fn read_common(reader: &mut Reader, flags: &Flags) -> Option<Common> {
+    let host_id = reader.required(names::host_id, &flags.host_id);
+    let http_listen = listen(reader, names::http_listen, &flags.http_listen);
+    let link_listen = listen(reader, names::link_listen, &flags.link_listen);
+    let control_hosts = reader.hosts(names::control_hosts, &flags.control_hosts);
+    let link_credential =
+        reader.secret_file(names::link_credential_file, &flags.link_credential_file);
+    let operator_credential = reader.secret_file(
+        names::operator_credential_file,
+        &flags.operator_credential_file,
+    );
+    let seed = reader.number(names::seed, &flags.seed);
+    Some(Common {
+        host_id: host_id?,
+        http_listen: http_listen?,
+        link_listen: link_listen?,
+        control_hosts,
+        link_credential,
+        operator_credential,
+        seed: seed.unwrap_or(0),
+    })
+}
+
+/// Reads an address to listen on. Other processes are told this address, so
+/// it must be one that they can reach.
+fn listen(reader: &mut Reader, name: Setting, text: &Option<String>) -> Option<SocketAddr> {
+    let text = reader.required(name, text)?;
+    let address = reader.address(name, &text)?;
+    if address.ip().is_unspecified() {
+        let message = "Other processes are told this address, so it must be one of the host's.";
+        reader.report(name, message);
+        return None;
+    }
+    Some(address)
+}
+
+fn read_entry(reader: &mut Reader, flags: &Flags, common: Option<Common>) -> Option<RoleSettings> {
+    let failure_domain = reader.required(names::failure_domain, &flags.failure_domain);
+    let placement = reader.choice(names::placement, &flags.placement, PLACEMENTS);
+    let peers = reader.addresses(names::peers, &flags.peers);
+    let common = common?;
+    let dispatch = DispatchOptions {
+        host_id: common.host_id,
+        failure_domain: failure_domain?,
+        placement: placement.unwrap_or_default(),
+        seed: common.seed,
+        ..DispatchOptions::default()
+    };
+    let own_address = common.link_listen;
+    Some(RoleSettings::Entry(Box::new(EntryOptions {
+        dispatch,
+        http_listen: common.http_listen,
+        link_listen: common.link_listen,
+        // All entry hosts may be given the same list.
+        peers: peers
+            .into_iter()
+            .filter(|peer| *peer != own_address)
+            .collect(),
+        control_hosts: common.control_hosts,
+        link_credential: common.link_credential,
+        operator_credential: common.operator_credential,
+        ..EntryOptions::default()
+    })))
+}
+
+fn read_control(
+    reader: &mut Reader,
+    flags: &Flags,
+    common: Option<Common>,
+) -> Option<RoleSettings> {
+    let replica_id = reader.required(names::replica_id, &flags.replica_id);
+    let replica_id = reader.number(names::replica_id, &replica_id);
+    let data_folder = reader.required(names::data_folder, &flags.data_folder);
+    let common = common?;
+    let replica_id = replica_id?;
+    let members: Vec<ReplicaId> = common.control_hosts.iter().map(|(id, _)| *id).collect();
+    if !members.contains(&replica_id) {
+        let message = format!("It must list all control hosts, this one ({replica_id}) included.");
+        reader.report(names::control_hosts, message);
+    }
+    let replica = ReplicaOptions {
+        id: replica_id,
+        initial_voters: members,
+        seed: common.seed,
+        ..ReplicaOptions::default()
+    };
+    let others = common.control_hosts.into_iter();
+    Some(RoleSettings::Control(Box::new(ControlOptions {
+        host_id: common.host_id,
+        replica,
+        data_folder: PathBuf::from(data_folder?),
+        http_listen: common.http_listen,
+        link_listen: common.link_listen,
+        peers: others.filter(|(id, _)| *id != replica_id).collect(),
+        link_credential: common.link_credential,
+        operator_credential: common.operator_credential,
+    })))
+}
