--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -255,7 +255,6 @@
             leader: leader.clone(),
             life: Arc::clone(&self.life),
             metrics: ControlMetrics::new(),
-            timer: self.timer.clone(),
             operator_credential: options.operator_credential.clone(),
         }
     }
--- a/crates/node/src/control/routes.rs
+++ b/crates/node/src/control/routes.rs
@@ -4,7 +4,6 @@
 
 use hornbeam_core::api::operator::{ChangeRequest, CheckAnswer, CheckRequest, ControlStatus};
 use hornbeam_core::{Error, Findings};
-use hornbeam_timer::TimerService;
 use volo_http::request::Request;
 use volo_http::response::Response;
 use volo_http::server::Router;
@@ -30,8 +29,6 @@
     pub(crate) life: Arc<Lifecycle>,
     /// Metrics.
     pub(crate) metrics: ControlMetrics,
-    /// The time.
-    pub(crate) timer: TimerService,
     /// Credential of operators.
     pub(crate) operator_credential: Option<String>,
 }
@@ -84,10 +81,9 @@
     }
 
     async fn check(&self, request: Request) -> Response {
-        let files: CheckRequest = match reply::read_json(&self.timer, request, MAX_BODY_BYTES).await
-        {
+        let files: CheckRequest = match reply::read_json(request, MAX_BODY_BYTES).await {
             Ok(files) => files,
-            Err(response) => return response,
+            Err(response) => return *response,
         };
         let findings = match hornbeam_config::load(&files) {
             Ok(_) => Findings::new(),
@@ -98,11 +94,10 @@
     }
 
     async fn change(&self, request: Request) -> Response {
-        let change: ChangeRequest =
-            match reply::read_json(&self.timer, request, MAX_BODY_BYTES).await {
-                Ok(change) => change,
-                Err(response) => return response,
-            };
+        let change: ChangeRequest = match reply::read_json(request, MAX_BODY_BYTES).await {
+            Ok(change) => change,
+            Err(response) => return *response,
+        };
         let outcome = if self.life.state() == LifeState::Ready {
             changes::apply(&self.leader, change).await
         } else {
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -243,9 +243,6 @@
         };
         let cancels = ClientOptions {
             max_connections_per_address: kept_back.max(1),
-            // A cancel is sent because a connection may be silent, so it must
-            // not use one that was opened before.
-            idle_timeout: std::time::Duration::ZERO,
             ..ClientOptions::default()
         };
         let metrics = Arc::clone(&self.metrics);
--- a/crates/node/src/entry/exchange.rs
+++ b/crates/node/src/entry/exchange.rs
@@ -134,6 +134,9 @@
     ) -> Option<CancelAnswer> {
         self.metrics.messages.request(MessageKind::Cancel);
         let address = parse(address).ok()?;
+        // A cancel is often sent because a connection fell silent, so it must
+        // not use one that was opened before.
+        self.cancels.drop_connections(address);
         let sending = self.cancels.post(address, CANCEL_PATH, request, within);
         let reply: Reply<CancelAnswer> = sending.await.ok()?;
         self.metrics.messages.answer(MessageKind::Cancel);
--- a/crates/node/src/entry/routes.rs
+++ b/crates/node/src/entry/routes.rs
@@ -117,9 +117,9 @@
     async fn announce(&self, request: Request) -> Response {
         self.metrics.messages.request(MessageKind::Announce);
         let announcement: Announcement =
-            match reply::read_json(&self.timer, request, MAX_BACKEND_BODY_BYTES).await {
+            match reply::read_json(request, MAX_BACKEND_BODY_BYTES).await {
                 Ok(announcement) => announcement,
-                Err(response) => return response,
+                Err(response) => return *response,
             };
         if announcement
             .address
@@ -139,11 +139,10 @@
     }
 
     async fn withdraw(&self, request: Request) -> Response {
-        let withdrawal: Withdrawal =
-            match reply::read_json(&self.timer, request, MAX_BACKEND_BODY_BYTES).await {
-                Ok(withdrawal) => withdrawal,
-                Err(response) => return response,
-            };
+        let withdrawal: Withdrawal = match reply::read_json(request, MAX_BACKEND_BODY_BYTES).await {
+            Ok(withdrawal) => withdrawal,
+            Err(response) => return *response,
+        };
         match self.shell.send(DispatchInput::Withdrawn(withdrawal)).await {
             Ok(()) => reply::json(OK, &serde_json::json!({})),
             Err(cause) => reply::text(503, cause.to_string()),
--- a/crates/node/src/reply.rs
+++ b/crates/node/src/reply.rs
@@ -2,12 +2,13 @@
 
 use std::time::Duration;
 
+use hornbeam_core::api::operator::CheckAnswer;
+use hornbeam_http::{BodyLimits, BodyRejection};
 use hornbeam_timer::TimerService;
 use http_body_util::{BodyExt, Limited};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use volo_http::body::Body;
-use volo_http::http::{HeaderValue, StatusCode, header};
 use volo_http::request::Request;
 use volo_http::response::Response;
 
@@ -61,45 +62,30 @@
 /// Reads and decodes a JSON body.
 ///
 /// # Errors
-/// The answer to send instead.
+/// The answer to send instead, with all findings.
 pub(crate) async fn read_json<T: DeserializeOwned>(
-    timer: &TimerService,
     request: Request,
     max_bytes: usize,
-) -> Result<T, Response> {
-    let bytes = match read_body(timer, request, max_bytes).await {
-        Ok(bytes) => bytes,
-        Err(BodyError::TooLarge(_)) => return Err(text(413, "The body is too large.")),
-        Err(BodyError::Late) => return Err(text(408, "The body did not arrive in time.")),
-        Err(BodyError::Broken(cause)) => return Err(text(400, cause)),
+) -> Result<T, Box<Response>> {
+    let limits = BodyLimits {
+        max_bytes,
+        within: BODY_TIMEOUT,
+    };
+    let rejected = |rejection: BodyRejection| {
+        let findings = rejection.findings;
+        Box::new(json(rejection.status, &CheckAnswer { findings }))
     };
-    serde_json::from_slice(&bytes).map_err(|cause| text(400, format!("The body: {cause}")))
+    hornbeam_http::read_json(request, &limits)
+        .await
+        .map_err(rejected)
 }
 
 /// Builds an answer with a JSON body.
 pub(crate) fn json<T: Serialize>(status: u16, body: &T) -> Response {
-    match serde_json::to_vec(body) {
-        Ok(bytes) => respond(status, "application/json", bytes),
-        Err(cause) => text(500, format!("The answer cannot be encoded: {cause}")),
-    }
+    hornbeam_http::json_answer(status, body)
 }
 
 /// Builds an answer with a text body.
 pub(crate) fn text(status: u16, body: impl Into<String>) -> Response {
-    respond(
-        status,
-        "text/plain; charset=utf-8",
-        body.into().into_bytes(),
-    )
-}
-
-fn respond(status: u16, content_type: &'static str, body: Vec<u8>) -> Response {
-    let mut response = Response::new(Body::from(body));
-    *response.status_mut() =
-        StatusCode::from_u16(status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
-    let content_type = HeaderValue::from_static(content_type);
-    response
-        .headers_mut()
-        .insert(header::CONTENT_TYPE, content_type);
-    response
+    hornbeam_http::text_answer(status, body.into())
 }
