--- a/crates/node/src/entry/submission.rs
+++ b/crates/node/src/entry/submission.rs
@@ -36,7 +36,7 @@
             }
             findings
         }
-        Err(cause) => explain(body, &cause),
+        Err(_) => explain(body),
     };
     let message = "The body has findings.";
     let mut refusal = refusal(request_id(body), Reason::BadRequest, message);
@@ -121,24 +121,18 @@
 }
 
 /// Finds every problem of a body that does not decode.
-fn explain(body: &[u8], cause: &serde_json::Error) -> Findings {
+fn explain(body: &[u8]) -> Findings {
     let findings = match serde_json::from_slice::<Value>(body) {
         Ok(Value::Object(fields)) => explain_fields(&fields),
         _ => Findings::new(),
     };
-    if findings.is_empty() {
-        return vec![decoder_finding(cause)];
+    if !findings.is_empty() {
+        return findings;
     }
-    findings
-}
-
-fn decoder_finding(cause: &serde_json::Error) -> Finding {
-    let place = Place {
-        line: u32::try_from(cause.line()).unwrap_or(u32::MAX),
-        column: u32::try_from(cause.column()).unwrap_or(u32::MAX),
-        ..Place::body("")
-    };
-    Finding::new(place, cause.to_string())
+    let rejection = hornbeam_http::parse_json::<SubmitRequest>(body).err();
+    rejection
+        .map(|rejection| rejection.findings)
+        .unwrap_or_default()
 }
 
 fn explain_fields(fields: &Map<String, Value>) -> Findings {
