--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -6,8 +6,11 @@
 
 #![forbid(unsafe_code)]
 
+mod connection;
 mod link;
+mod message;
 mod server;
+mod stream;
 
 pub use link::{Link, LinkOptions};
 pub use server::{ServerOptions, Service, serve};
--- a/crates/transport/src/link.rs
+++ b/crates/transport/src/link.rs
@@ -1,11 +1,28 @@
 //! The calling side.
 
+use std::fmt;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use hornbeam_core::{Error, Result};
+use http::HeaderValue;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
+use tokio::sync::{Mutex, Semaphore};
+use tokio::time::{Instant, timeout_at};
+
+use crate::connection::Connection;
+use crate::message::{decode, encode};
+
+/// Most concurrent calls of one link; more wait. It equals the default limit
+/// of the server, so that the library queues no request out of sight.
+const MAX_CONCURRENT_CALLS: usize = 1024;
+
+/// Attempts to open a stream. The second one covers a connection that ended
+/// right after it was found usable.
+const MAX_ATTEMPTS: u32 = 2;
 
 /// `LinkOptions` are the settings of a [`Link`].
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -38,21 +55,33 @@
 /// `Link` calls one process at one address. It connects on first use, shares
 /// one connection among concurrent calls and replaces it when it fails or
 /// falls silent. Clones share the connection.
-#[derive(Clone, Debug)]
+#[derive(Clone)]
 pub struct Link {
+    shared: Arc<Shared>,
+}
+
+struct Shared {
     address: SocketAddr,
+    options: LinkOptions,
+    permits: Semaphore,
+    current: Mutex<Option<Arc<Connection>>>,
 }
 
 impl Link {
     /// Creates a link; no connection is made yet.
     pub fn new(address: SocketAddr, options: LinkOptions) -> Self {
-        let _ = options;
-        Self { address }
+        let shared = Arc::new(Shared {
+            address,
+            options,
+            permits: Semaphore::new(MAX_CONCURRENT_CALLS),
+            current: Mutex::new(None),
+        });
+        Self { shared }
     }
 
     /// Gets the address.
     pub fn address(&self) -> SocketAddr {
-        self.address
+        self.shared.address
     }
 
     /// Sends a request and waits for its answer.
@@ -66,8 +95,21 @@
         Q: Serialize + Sync,
         A: DeserializeOwned,
     {
-        let _ = (request, within);
-        Err(Error::not_sent("not connected"))
+        let deadline = Instant::now() + within;
+        let request = self.shared.encode(request)?;
+        let _permit = timeout_at(deadline, self.shared.permits.acquire())
+            .await
+            .map_err(|_| Error::not_sent("too many calls until the time limit"))?
+            .map_err(Error::not_sent)?;
+        let mut attempt = 1;
+        loop {
+            let connection = self.shared.usable_until(deadline).await?;
+            let answer = self.shared.exchange(&connection, &request, deadline).await;
+            match answer {
+                Err(Error::NotSent(_)) if attempt < MAX_ATTEMPTS => attempt += 1,
+                answer => return decode(&answer?),
+            }
+        }
     }
 
     /// Like [`Link::call`], on a new connection that is closed afterwards.
@@ -79,6 +121,86 @@
         Q: Serialize + Sync,
         A: DeserializeOwned,
     {
-        self.call(request, within).await
+        let deadline = Instant::now() + within;
+        let request = self.shared.encode(request)?;
+        let connection = timeout_at(deadline, self.shared.open())
+            .await
+            .unwrap_or_else(|_| Err(no_connection()))?;
+        let answer = self.shared.exchange(&connection, &request, deadline).await;
+        decode(&answer?)
+    }
+}
+
+impl fmt::Debug for Link {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        // The options hold the credential, which is not to be logged.
+        f.debug_struct("Link")
+            .field("address", &self.shared.address)
+            .finish_non_exhaustive()
+    }
+}
+
+impl Shared {
+    fn encode<Q: Serialize>(&self, request: &Q) -> Result<Bytes> {
+        encode(request, self.options.max_message_bytes).map_err(Error::not_sent)
+    }
+
+    async fn usable_until(&self, deadline: Instant) -> Result<Arc<Connection>> {
+        timeout_at(deadline, self.usable())
+            .await
+            .unwrap_or_else(|_| Err(no_connection()))
     }
+
+    async fn exchange(
+        &self,
+        connection: &Connection,
+        request: &Bytes,
+        deadline: Instant,
+    ) -> Result<Bytes> {
+        let exchange = connection.exchange(request.clone(), self.options.max_message_bytes);
+        let answer = timeout_at(deadline, exchange).await;
+        answer.unwrap_or_else(|_| {
+            connection.suspect();
+            Err(Error::unknown("no answer within the time limit"))
+        })
+    }
+
+    /// Gets the shared connection, or a new one if it has ended or does not
+    /// answer a ping. Calls that run on the old one are not affected.
+    async fn usable(&self) -> Result<Arc<Connection>> {
+        let mut current = self.current.lock().await;
+        if let Some(connection) = current.as_ref()
+            && self.is_usable(connection).await
+        {
+            return Ok(connection.clone());
+        }
+        *current = None;
+        let connection = Arc::new(self.open().await?);
+        *current = Some(connection.clone());
+        Ok(connection)
+    }
+
+    async fn is_usable(&self, connection: &Connection) -> bool {
+        if connection.has_ended() {
+            return false;
+        }
+        connection.heard_within(self.options.probe_after)
+            || connection.ping(self.options.probe_timeout).await
+    }
+
+    async fn open(&self) -> Result<Connection> {
+        let authorization = self.options.credential.as_deref().map(bearer).transpose()?;
+        Connection::open(self.address, authorization, &self.options).await
+    }
+}
+
+fn no_connection() -> Error {
+    Error::not_sent("no usable connection within the time limit")
+}
+
+fn bearer(credential: &str) -> Result<HeaderValue> {
+    let mut value =
+        HeaderValue::from_str(&format!("Bearer {credential}")).map_err(Error::not_sent)?;
+    value.set_sensitive(true);
+    Ok(value)
 }
--- /dev/null
+++ b/crates/transport/src/message.rs
@@ -0,0 +1,90 @@
+//! Encoding, decoding and reading of messages, and what both sides agree on.
+
+use bincode::config::{Configuration, Limit, LittleEndian, Varint};
+use bytes::{Bytes, BytesMut};
+use h2::RecvStream;
+use hornbeam_core::{Error, Result};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+/// Path of requests.
+pub(crate) const CALL_PATH: &str = "/call";
+/// Path of pings.
+pub(crate) const PING_PATH: &str = "/ping";
+
+/// Most bytes that the decoder reads or reserves for one message. It keeps a
+/// message from claiming more memory than any allowed message needs.
+const DECODE_LIMIT_BYTES: usize = 64 << 20;
+
+/// Largest list of headers of a request or an answer in bytes.
+pub(crate) const MAX_HEADER_LIST_BYTES: u32 = 8 << 10;
+/// Flow control window of one stream in bytes; lets a chunk of a usual size
+/// pass without waiting for the receiver.
+pub(crate) const STREAM_WINDOW_BYTES: u32 = 1 << 20;
+/// Flow control window of a connection in bytes.
+pub(crate) const CONNECTION_WINDOW_BYTES: u32 = 8 << 20;
+
+type CodecConfiguration = Configuration<LittleEndian, Varint, Limit<DECODE_LIMIT_BYTES>>;
+
+const CODEC: CodecConfiguration = bincode::config::standard().with_limit::<DECODE_LIMIT_BYTES>();
+
+/// Encodes a message.
+///
+/// # Errors
+/// `Codec` if it cannot be encoded, `Limit` if it is larger than `max_bytes`.
+pub(crate) fn encode<M: Serialize>(message: &M, max_bytes: usize) -> Result<Bytes> {
+    let encoded = bincode::serde::encode_to_vec(message, CODEC).map_err(Error::codec)?;
+    if encoded.len() > max_bytes {
+        let bytes = encoded.len();
+        let cause = format!("the message has {bytes} bytes of at most {max_bytes}");
+        return Err(Error::limit(cause));
+    }
+    Ok(encoded.into())
+}
+
+/// Decodes a message.
+///
+/// # Errors
+/// `Codec` if it is malformed or followed by further bytes.
+pub(crate) fn decode<M: DeserializeOwned>(encoded: &[u8]) -> Result<M> {
+    let (message, read_bytes) =
+        bincode::serde::decode_from_slice(encoded, CODEC).map_err(Error::codec)?;
+    if read_bytes != encoded.len() {
+        return Err(Error::codec("the message is followed by further bytes"));
+    }
+    Ok(message)
+}
+
+/// `ReadError` says why a body could not be read.
+#[derive(Debug)]
+pub(crate) enum ReadError {
+    /// The stream ended before the body did.
+    Cut(h2::Error),
+    /// The body is larger than allowed.
+    TooLarge,
+    /// The receiver has no memory for it now.
+    NoMemory,
+}
+
+/// Reads a whole body. `take` is asked for the memory of each part first.
+pub(crate) async fn read_body(
+    body: &mut RecvStream,
+    max_bytes: usize,
+    mut take: impl FnMut(usize) -> bool,
+) -> std::result::Result<Bytes, ReadError> {
+    let mut whole = BytesMut::new();
+    while let Some(part) = body.data().await {
+        let part = part.map_err(ReadError::Cut)?;
+        if whole.len() + part.len() > max_bytes {
+            return Err(ReadError::TooLarge);
+        }
+        if !take(part.len()) {
+            return Err(ReadError::NoMemory);
+        }
+        whole.extend_from_slice(&part);
+        body.flow_control()
+            .release_capacity(part.len())
+            .map_err(ReadError::Cut)?;
+    }
+    Ok(whole.freeze())
+}
