--- a/crates/daemon/src/flags.rs
+++ b/crates/daemon/src/flags.rs
@@ -63,6 +63,8 @@
     control_hosts = "control-hosts", "HORNBEAM_CONTROL_HOSTS";
     /// Id of a control host's replica; one of those in --control-hosts.
     replica_id = "replica-id", "HORNBEAM_REPLICA_ID";
+    /// Whether the control group is being formed: yes or no; default no. Without it, a control host with an empty data folder joins without a vote.
+    new_group = "new-group", "HORNBEAM_NEW_GROUP";
     /// Data folder of a control host.
     data_folder = "data-folder", "HORNBEAM_DATA_FOLDER";
     /// File with the shared secret of the system's own processes.
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -59,6 +59,7 @@
     ("debug", LevelFilter::Debug),
     ("trace", LevelFilter::Trace),
 ];
+const YES_NO: &[(&str, bool)] = &[("yes", true), ("no", false)];
 const PLACEMENTS: &[(&str, PlacementPolicy)] = &[
     ("leased", PlacementPolicy::Leased),
     ("random", PlacementPolicy::Random),
@@ -176,6 +177,7 @@
 ) -> Option<RoleSettings> {
     let replica_id = reader.required(names::replica_id, &flags.replica_id);
     let replica_id = reader.number(names::replica_id, &replica_id);
+    let new_group = reader.choice(names::new_group, &flags.new_group, YES_NO);
     let data_folder = reader.required(names::data_folder, &flags.data_folder);
     let common = common?;
     let replica_id = replica_id?;
@@ -194,6 +196,7 @@
     Some(RoleSettings::Control(Box::new(ControlOptions {
         host_id: common.host_id,
         replica,
+        new_group: new_group.unwrap_or(false),
         data_folder: PathBuf::from(data_folder?),
         http_listen: common.http_listen,
         link_listen: common.link_listen,
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -7,10 +7,11 @@
 mod links;
 mod metrics;
 mod outbox;
+mod outboxes;
+mod replicas;
 mod routes;
 mod shell;
 
-use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::{Arc, mpsc as std_mpsc};
@@ -22,7 +23,7 @@
 use hornbeam_core::log_event;
 use hornbeam_http::{HttpServer, HttpServerOptions};
 use hornbeam_timer::TimerService;
-use hornbeam_transport::{Link, LinkOptions, ServerOptions};
+use hornbeam_transport::{LinkOptions, ServerOptions};
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::JoinSet;
@@ -31,12 +32,13 @@
 use self::leader::LeaderCalls;
 use self::links::ControlLinks;
 use self::metrics::ControlMetrics;
-use self::outbox::Outbox;
+use self::outboxes::Outboxes;
+use self::replicas::ReplicaTable;
 use self::routes::Routes;
 use self::shell::{ControlShell, Waiting};
 use crate::config_watch::ConfigWatch;
 use crate::lifecycle::{LifeEvent, Lifecycle};
-use crate::{drain, link_server};
+use crate::link_server;
 
 /// `ControlOptions` are the settings of a control host.
 #[derive(Clone, Debug, PartialEq)]
@@ -45,6 +47,10 @@
     pub host_id: HostId,
     /// Options of the replica.
     pub replica: ReplicaOptions,
+    /// Whether the group is being formed, so that an empty data folder gets
+    /// the id in `replica` and may vote. Otherwise a host with an empty folder
+    /// joins under a new random id without a vote; default false.
+    pub new_group: bool,
     /// Data folder.
     pub data_folder: PathBuf,
     /// Address for operators' HTTP.
@@ -77,14 +83,14 @@
     /// # Errors
     /// If the folder is damaged or an address cannot be bound.
     pub async fn start(options: ControlOptions) -> Result<Self> {
-        let (disk, recovered) = open_disk(&options).await?;
+        let (replica_id, disk, recovered) = open_disk(&options).await?;
         let listener = TcpListener::bind(options.link_listen)
             .await
             .wrap_err_with(|| format!("cannot bind {}", options.link_listen))?;
         let link_address = listener.local_addr()?;
         let parts = Parts::new(&options)?;
         let (shell, inputs) = input::channel();
-        let leader = parts.leader_calls(&options, &shell);
+        let leader = parts.leader_calls(&shell);
         let router = routes::router(&Arc::new(parts.routes(&options, &leader)));
         let server = HttpServer::start(options.http_listen, router, HttpServerOptions::default());
         let http = server
@@ -97,14 +103,18 @@
         let (events, disk_events) = mpsc::unbounded_channel();
         let disk_bytes = disk.size_bytes();
         let now = parts.timer.now();
+        let replica_options = ReplicaOptions {
+            id: replica_id,
+            ..options.replica.clone()
+        };
         let control_shell = ControlShell {
             host_id: options.host_id.clone(),
-            replica_id: options.replica.id,
-            replica: Replica::new(options.replica.clone(), recovered, now)?,
+            replica_id,
+            replica: Replica::new(replica_options, recovered, now)?,
             timer: parts.timer.clone(),
             life: Arc::clone(&parts.life),
             config: parts.config.clone(),
-            outboxes: parts.start_senders(&options, &mut tasks),
+            outboxes: Outboxes::new(replica_id, link_address, Arc::clone(&parts.replicas)),
             disk: requests,
             disk_bytes,
             waiting: Waiting::default(),
@@ -147,7 +157,7 @@
 
     /// Starts to drain; new changes and claims are refused.
     pub fn start_drain(&self) {
-        drain::start(&self.life);
+        self.life.on(LifeEvent::Drain);
     }
 
     /// Waits until the host has stopped by itself, for example because its
@@ -180,11 +190,16 @@
     }
 }
 
-/// Opens the data folder on a blocking thread.
-async fn open_disk(options: &ControlOptions) -> Result<(DiskLog, Recovered)> {
+/// Opens the data folder on a blocking thread and chooses the replica's id.
+async fn open_disk(options: &ControlOptions) -> Result<(ReplicaId, DiskLog, Recovered)> {
     let folder = options.data_folder.clone();
-    let opening = tokio::task::spawn_blocking(move || DiskLog::open(&folder));
-    let (disk, recovered) = opening
+    let configured_id = options.new_group.then_some(options.replica.id);
+    let opening = tokio::task::spawn_blocking(move || {
+        let id = replica_id(DiskLog::identity(&folder)?, configured_id);
+        let (disk, recovered) = DiskLog::open(&folder, id)?;
+        hornbeam_core::Result::Ok((id, disk, recovered))
+    });
+    let (id, disk, recovered) = opening
         .await?
         .wrap_err_with(|| format!("cannot open {}", options.data_folder.display()))?;
     if recovered.cut_bytes > 0 {
@@ -193,7 +208,14 @@
             "{} bytes of an incomplete record were cut", recovered.cut_bytes
         );
     }
-    Ok((disk, recovered))
+    Ok((id, disk, recovered))
+}
+
+/// Chooses the id of a replica. A folder keeps its id. An empty folder gets
+/// the configured one only when the group is formed; else the replica may have
+/// lost its disk, and under its old id it could vote on state it has lost.
+fn replica_id(stored: Option<ReplicaId>, configured: Option<ReplicaId>) -> ReplicaId {
+    stored.or(configured).unwrap_or_else(rand::random)
 }
 
 /// `Parts` are what the tasks of a control host share.
@@ -202,7 +224,7 @@
     timer: TimerService,
     life: Arc<Lifecycle>,
     config: ConfigWatch,
-    links: HashMap<ReplicaId, Link>,
+    replicas: Arc<ReplicaTable>,
 }
 
 impl Parts {
@@ -211,41 +233,18 @@
             credential: options.link_credential.clone(),
             ..LinkOptions::default()
         };
-        let link = |(id, at): &(ReplicaId, SocketAddr)| (*id, Link::new(*at, link_options.clone()));
         Ok(Self {
             timer: TimerService::default(),
             life: Arc::new(Lifecycle::new()?),
             config: ConfigWatch::new(),
-            links: options.peers.iter().map(link).collect(),
+            replicas: Arc::new(ReplicaTable::new(link_options, &options.peers)),
         })
     }
 
-    fn start_senders(
-        &self,
-        options: &ControlOptions,
-        tasks: &mut JoinSet<()>,
-    ) -> HashMap<ReplicaId, Arc<Outbox>> {
-        let mut outboxes = HashMap::new();
-        for (id, link) in &self.links {
-            let outbox = Arc::new(Outbox::default());
-            outboxes.insert(*id, Arc::clone(&outbox));
-            let life = Arc::clone(&self.life);
-            tasks.spawn(outbox::send_all(
-                outbox,
-                options.replica.id,
-                link.clone(),
-                life,
-            ));
-        }
-        outboxes
-    }
-
-    fn leader_calls(&self, options: &ControlOptions, shell: &ControlHandle) -> LeaderCalls {
-        let mut links = self.links.clone();
-        links.remove(&options.replica.id);
+    fn leader_calls(&self, shell: &ControlHandle) -> LeaderCalls {
         LeaderCalls {
             shell: shell.clone(),
-            links,
+            replicas: Arc::clone(&self.replicas),
             timer: self.timer.clone(),
         }
     }
--- a/crates/node/src/control/changes.rs
+++ b/crates/node/src/control/changes.rs
@@ -116,6 +116,9 @@
             winner_change_id,
             winner_operator,
         },
+        ApplyAnswer::Refused(cause) => ChangeOutcome::Invalid {
+            findings: vec![Finding::new(Place::body("content"), cause)],
+        },
         ApplyAnswer::NotLeader(_) => unavailable("No leader can be reached."),
         ApplyAnswer::Unknown => ChangeOutcome::Unknown {
             message: "The leader was lost; send the change again with its change id.".to_owned(),
--- a/crates/node/src/control/disk.rs
+++ b/crates/node/src/control/disk.rs
@@ -6,9 +6,6 @@
 use hornbeam_core::Error;
 use tokio::sync::mpsc::UnboundedSender;
 
-/// Most requests that are written and synced together.
-const MAX_GROUP: usize = 256;
-
 /// `DiskEvent` is what the thread reports.
 #[derive(Debug)]
 pub(crate) enum DiskEvent {
@@ -19,56 +16,21 @@
     Failed(Error),
 }
 
-/// Carries out requests in order until their sender is gone or one fails.
+/// Carries out requests in order until their sender is gone or one fails. The
+/// replica gathers what arrives during one sync into the next request.
 pub(crate) fn run(
     mut disk: DiskLog,
     requests: &Receiver<PersistRequest>,
     events: &UnboundedSender<DiskEvent>,
 ) {
-    let mut next = requests.recv().ok();
-    while let Some(first) = next.take() {
-        let (group, rest) = collect_group(first, requests);
-        let event = match disk.persist(&group) {
-            Ok(()) => DiskEvent::Persisted(group.id, disk.size_bytes()),
+    for request in requests {
+        let event = match disk.persist(&request) {
+            Ok(()) => DiskEvent::Persisted(request.id, disk.size_bytes()),
             Err(cause) => DiskEvent::Failed(cause),
         };
         let failed = matches!(event, DiskEvent::Failed(_));
         if events.send(event).is_err() || failed {
             return;
         }
-        next = rest.or_else(|| requests.recv().ok());
     }
 }
-
-/// Joins a request with those that wait behind it, so that one sync serves all
-/// of them. Returns the group and the first request that does not fit.
-fn collect_group(
-    first: PersistRequest,
-    requests: &Receiver<PersistRequest>,
-) -> (PersistRequest, Option<PersistRequest>) {
-    let mut group = first;
-    for _ in 1..MAX_GROUP {
-        let Ok(request) = requests.try_recv() else {
-            break;
-        };
-        if !follows(&group, &request) {
-            return (group, Some(request));
-        }
-        group.id = request.id;
-        group.hard_state = request.hard_state.or(group.hard_state);
-        group.entries.extend(request.entries);
-    }
-    (group, None)
-}
-
-/// Whether a request only appends to what the group writes. One that replaces
-/// entries or brings a snapshot must be carried out by itself.
-fn follows(group: &PersistRequest, request: &PersistRequest) -> bool {
-    let last = group.entries.last().map(|entry| entry.index);
-    let first = request.entries.first().map(|entry| entry.index);
-    let appends = match (last, first) {
-        (Some(last), Some(first)) => first == last + 1,
-        _ => true,
-    };
-    appends && request.snapshot.is_none()
-}
--- a/crates/node/src/control/leader.rs
+++ b/crates/node/src/control/leader.rs
@@ -1,6 +1,6 @@
 //! Changes, claims and reads, taken to the leader if another host leads.
 
-use std::collections::HashMap;
+use std::sync::Arc;
 use std::time::Duration;
 
 use hornbeam_control::{
@@ -10,9 +10,9 @@
 use hornbeam_core::ids::ReplicaId;
 use hornbeam_dispatch::ClaimEnd;
 use hornbeam_timer::TimerService;
-use hornbeam_transport::Link;
 
 use super::input::{ControlHandle, ControlInput};
+use super::replicas::ReplicaTable;
 use crate::wire::{ApplyAnswer, Request, RequestAnswer};
 
 /// Longest wait for a leader that is not known yet. An election takes up to
@@ -33,7 +33,7 @@
     /// The loop that owns this host's replica.
     pub(crate) shell: ControlHandle,
     /// Links to the other control hosts.
-    pub(crate) links: HashMap<ReplicaId, Link>,
+    pub(crate) replicas: Arc<ReplicaTable>,
     /// The time.
     pub(crate) timer: TimerService,
 }
@@ -60,6 +60,9 @@
         match self.propose(Command::Change(Box::new(command))).await {
             ProposalEnd::Applied(CommandResult::Change(result)) => ApplyAnswer::Decided(result),
             ProposalEnd::NotLeader(leader) => ApplyAnswer::NotLeader(leader),
+            ProposalEnd::Refused(cause) => {
+                ApplyAnswer::Refused(format!("The change is refused: {cause:?}."))
+            }
             ProposalEnd::Applied(_) | ProposalEnd::Unknown => ApplyAnswer::Unknown,
         }
     }
@@ -153,7 +156,7 @@
         leader: ReplicaId,
         request: &Request,
     ) -> hornbeam_core::Result<RequestAnswer> {
-        let link = self.links.get(&leader);
+        let link = self.replicas.link(leader);
         let link = link.ok_or_else(|| Error::not_sent("the leader's address is not known"))?;
         link.call(request, FORWARD_TIMEOUT).await
     }
--- a/crates/node/src/control/links.rs
+++ b/crates/node/src/control/links.rs
@@ -33,7 +33,12 @@
     async fn handle(&self, request: Request) -> Result<RequestAnswer> {
         match request {
             Request::Ping => Ok(RequestAnswer::Done),
-            Request::Replica(from, message) => {
+            Request::Replica {
+                from,
+                address,
+                message,
+            } => {
+                self.leader.replicas.learn(from, address);
                 let input = ControlInput::Received(from, message);
                 self.leader.shell.send(input).await?;
                 Ok(RequestAnswer::Done)
--- a/crates/node/src/control/outbox.rs
+++ b/crates/node/src/control/outbox.rs
@@ -1,14 +1,15 @@
 //! Messages to one other replica.
 
 use std::collections::VecDeque;
+use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use hornbeam_control::Message;
 use hornbeam_core::ids::ReplicaId;
-use hornbeam_transport::Link;
 use tokio::sync::Notify;
 
+use super::replicas::ReplicaTable;
 use crate::lifecycle::Lifecycle;
 use crate::wire::{Request, RequestAnswer};
 
@@ -53,23 +54,45 @@
     }
 }
 
-/// Sends the messages of an outbox in order until the process has nothing left
-/// to do. A message that fails is dropped.
-pub(crate) async fn send_all(
-    outbox: Arc<Outbox>,
-    own_id: ReplicaId,
-    link: Link,
-    life: Arc<Lifecycle>,
-) {
-    let sending = async {
+/// `Sender` sends the messages of one outbox.
+#[derive(Debug)]
+pub(crate) struct Sender {
+    /// Messages to send.
+    pub(crate) outbox: Arc<Outbox>,
+    /// Replica that sends.
+    pub(crate) from: ReplicaId,
+    /// Link address of that replica.
+    pub(crate) address: SocketAddr,
+    /// Replica that receives.
+    pub(crate) to: ReplicaId,
+    /// Links by replica.
+    pub(crate) replicas: Arc<ReplicaTable>,
+    /// Ends the task.
+    pub(crate) life: Arc<Lifecycle>,
+}
+
+impl Sender {
+    /// Sends messages in order until the process has nothing left to do. A
+    /// message that fails is dropped.
+    pub(crate) async fn run(self) {
+        tokio::select! {
+            () = self.send_all() => {}
+            () = self.life.stopped() => {}
+        }
+    }
+
+    async fn send_all(&self) {
         loop {
-            let message = Box::new(outbox.next().await);
-            let request = Request::Replica(own_id, message);
+            let message = Box::new(self.outbox.next().await);
+            let Some(link) = self.replicas.link(self.to) else {
+                continue;
+            };
+            let request = Request::Replica {
+                from: self.from,
+                address: self.address,
+                message,
+            };
             let _: hornbeam_core::Result<RequestAnswer> = link.call(&request, SEND_TIMEOUT).await;
         }
-    };
-    tokio::select! {
-        () = sending => {}
-        () = life.stopped() => {}
     }
 }
--- /dev/null
+++ b/crates/node/src/control/outboxes.rs
@@ -0,0 +1,62 @@
+//! Messages to all other replicas, each with an outbox and a sender.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use hornbeam_control::Message;
+use hornbeam_core::ids::ReplicaId;
+use tokio::task::JoinSet;
+
+use super::outbox::{Outbox, Sender};
+use super::replicas::ReplicaTable;
+use crate::lifecycle::Lifecycle;
+
+/// `Outboxes` owns the outboxes and their senders.
+#[derive(Debug)]
+pub(crate) struct Outboxes {
+    from: ReplicaId,
+    address: SocketAddr,
+    replicas: Arc<ReplicaTable>,
+    outboxes: HashMap<ReplicaId, Arc<Outbox>>,
+    senders: JoinSet<()>,
+}
+
+impl Outboxes {
+    /// Creates outboxes of a replica at a link address.
+    pub(crate) fn new(from: ReplicaId, address: SocketAddr, replicas: Arc<ReplicaTable>) -> Self {
+        Self {
+            from,
+            address,
+            replicas,
+            outboxes: HashMap::new(),
+            senders: JoinSet::new(),
+        }
+    }
+
+    /// Adds a message; starts a sender for a replica that has none.
+    pub(crate) fn push(&mut self, to: ReplicaId, message: Message, life: &Arc<Lifecycle>) {
+        if self.replicas.link(to).is_none() {
+            return;
+        }
+        let outbox = self.outboxes.entry(to).or_insert_with(|| {
+            let outbox = Arc::new(Outbox::default());
+            let sender = Sender {
+                outbox: Arc::clone(&outbox),
+                from: self.from,
+                address: self.address,
+                to,
+                replicas: Arc::clone(&self.replicas),
+                life: Arc::clone(life),
+            };
+            self.senders.spawn(sender.run());
+            outbox
+        });
+        outbox.push(message);
+    }
+
+    /// Ends and joins the senders.
+    pub(crate) async fn stop(&mut self) {
+        self.senders.shutdown().await;
+    }
+}
--- a/crates/node/src/control/routes.rs
+++ b/crates/node/src/control/routes.rs
@@ -13,8 +13,8 @@
 use super::input::{ControlInput, HistoryFilter};
 use super::leader::LeaderCalls;
 use super::metrics::ControlMetrics;
-use crate::lifecycle::{LifeState, Lifecycle};
-use crate::{credential, drain, reply};
+use crate::lifecycle::{LifeEvent, LifeState, Lifecycle};
+use crate::{credential, reply};
 
 /// Largest body of an operator's request, in bytes.
 const MAX_BODY_BYTES: usize = 8 << 20;
@@ -150,7 +150,7 @@
     }
 
     async fn drain(&self, _request: Request) -> Response {
-        drain::start(&self.life);
+        self.life.on(LifeEvent::Drain);
         reply::json(OK, &serde_json::json!({}))
     }
 
--- a/crates/node/src/control/shell.rs
+++ b/crates/node/src/control/shell.rs
@@ -15,7 +15,7 @@
 
 use super::disk::DiskEvent;
 use super::input::ControlInput;
-use super::outbox::Outbox;
+use super::outboxes::Outboxes;
 use crate::config_watch::ConfigWatch;
 use crate::lifecycle::{LifeEvent, Lifecycle};
 
@@ -35,7 +35,7 @@
     /// Configuration applied here.
     pub(crate) config: ConfigWatch,
     /// Messages to other replicas.
-    pub(crate) outboxes: HashMap<ReplicaId, Arc<Outbox>>,
+    pub(crate) outboxes: Outboxes,
     /// Requests to the disk thread.
     pub(crate) disk: std_mpsc::Sender<PersistRequest>,
     /// Size of the data folder in bytes.
@@ -106,7 +106,10 @@
                         break;
                     }
                 },
-                () = &mut leaving, if !draining => draining = true,
+                () = &mut leaving, if !draining => {
+                    draining = true;
+                    log_event!(Event::DrainStarted, host = self.host_id; "new work is refused");
+                }
                 () = self.timer.sleep_until(wakeup) => self.step(ReplicaInput::Tick),
             }
             if draining && self.waiting.is_idle() && self.life.on(LifeEvent::Drained) {
@@ -114,6 +117,7 @@
             }
         }
         self.waiting.fail_all();
+        self.outboxes.stop().await;
     }
 
     /// Stops the replica for good. What it had proposed may be recorded
@@ -172,9 +176,7 @@
     fn carry_out(&mut self, output: ReplicaOutput) {
         match output {
             ReplicaOutput::Send(to, message) => {
-                if let Some(outbox) = self.outboxes.get(&to) {
-                    outbox.push(message);
-                }
+                self.outboxes.push(to, message, &self.life);
             }
             ReplicaOutput::Persist(request) => {
                 // Fails only if the disk thread has ended; its last event
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -37,13 +37,17 @@
 use self::routes::Routes;
 use self::shell::Shell;
 use crate::config_watch::ConfigWatch;
-use crate::drain;
 use crate::lifecycle::{LifeEvent, Lifecycle};
 use crate::link_server;
 
 /// Connections that a backend server accepts in all.
 const SERVER_CONNECTIONS: usize = 64;
 
+/// Largest message between entry hosts, in bytes. A chunk can hold all tasks
+/// of a job, so this is above the largest body of a job; answers can be larger
+/// than requests.
+const MAX_CHUNK_BYTES: usize = 64 << 20;
+
 /// `EntryOptions` are the settings of an entry host.
 #[derive(Clone, Debug, PartialEq)]
 pub struct EntryOptions {
@@ -154,7 +158,7 @@
 
     /// Starts to drain; new work is refused.
     pub fn start_drain(&self) {
-        drain::start(&self.life);
+        self.life.on(LifeEvent::Drain);
     }
 
     /// Waits until a drain is complete. It may have been started by
@@ -198,6 +202,7 @@
     fn new(options: &EntryOptions) -> Result<Self> {
         let link_options = LinkOptions {
             credential: options.link_credential.clone(),
+            max_message_bytes: MAX_CHUNK_BYTES,
             ..LinkOptions::default()
         };
         Ok(Self {
@@ -310,6 +315,7 @@
 fn server_options(options: &EntryOptions) -> ServerOptions {
     ServerOptions {
         credential: options.link_credential.clone(),
+        max_message_bytes: MAX_CHUNK_BYTES,
         ..ServerOptions::default()
     }
 }
--- a/crates/node/src/entry/routes.rs
+++ b/crates/node/src/entry/routes.rs
@@ -19,8 +19,7 @@
 use super::submission;
 use crate::config_watch::ConfigWatch;
 use crate::credential;
-use crate::drain;
-use crate::lifecycle::{LifeState, Lifecycle};
+use crate::lifecycle::{LifeEvent, LifeState, Lifecycle};
 use crate::metrics::MessageKind;
 use crate::reply::{self, BodyError};
 
@@ -161,7 +160,7 @@
         if let Some(refused) = credential::refusal(request.headers(), expected, "/v1/drain") {
             return refused;
         }
-        drain::start(&self.life);
+        self.life.on(LifeEvent::Drain);
         reply::json(OK, &serde_json::json!({}))
     }
 
--- a/crates/node/src/entry/shell.rs
+++ b/crates/node/src/entry/shell.rs
@@ -188,9 +188,7 @@
             }
             DispatchOutput::Log(event, message) => self.log(event, &message),
             DispatchOutput::Drained => {
-                if self.life.on(LifeEvent::Drained) {
-                    log_event!(Event::DrainFinished; "nothing is in flight any more");
-                }
+                self.life.on(LifeEvent::Drained);
             }
             output => self.exchanges.start(output, &mut self.running),
         }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -9,7 +9,6 @@
 mod config_watch;
 pub mod control;
 mod credential;
-mod drain;
 pub mod entry;
 mod lifecycle;
 mod link_server;
--- a/crates/node/src/wire.rs
+++ b/crates/node/src/wire.rs
@@ -1,5 +1,7 @@
 //! Messages between the system's own processes.
 
+use std::net::SocketAddr;
+
 use hornbeam_control::{ChangeCommand, ChangeResult, ClaimCommand, Message};
 use hornbeam_core::config::Configuration;
 use hornbeam_core::ids::{ChunkId, ConfigVersion, HostId, ReplicaId};
@@ -27,7 +29,15 @@
         wait_ms: u64,
     },
     /// Control host to control host: a consensus message, answered by `Done`.
-    Replica(ReplicaId, Box<Message>),
+    Replica {
+        /// Replica that sends it.
+        from: ReplicaId,
+        /// Link address at which that replica is reached. A replica with a new
+        /// id, because it lost its disk, is in nobody's settings.
+        address: SocketAddr,
+        /// The message.
+        message: Box<Message>,
+    },
     /// Entry host to control host: record a claim. Control hosts that do not
     /// lead forward it to the leader once.
     Claim(ClaimCommand),
@@ -72,6 +82,8 @@
     Decided(ChangeResult),
     /// Not recorded: the asked host does not lead.
     NotLeader(Option<ReplicaId>),
+    /// Not recorded: the leader refused the change for this reason.
+    Refused(String),
     /// It may or may not be recorded.
     Unknown,
 }
