--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -1,11 +1,44 @@
 //! The control host: disk, links and operators' HTTP routes around a replica.
 
+mod changes;
+mod disk;
+mod input;
+mod leader;
+mod links;
+mod metrics;
+mod outbox;
+mod outboxes;
+mod replicas;
+mod routes;
+mod shell;
+
 use std::net::SocketAddr;
 use std::path::PathBuf;
+use std::sync::{Arc, mpsc as std_mpsc};
 
-use eyre::Result;
-use hornbeam_control::ReplicaOptions;
+use eyre::{Result, WrapErr};
+use hornbeam_control::{DiskLog, Recovered, Replica, ReplicaOptions};
+use hornbeam_core::event::Event;
 use hornbeam_core::ids::{HostId, ReplicaId};
+use hornbeam_core::log_event;
+use hornbeam_http::{HttpServer, HttpServerOptions};
+use hornbeam_timer::TimerService;
+use hornbeam_transport::{LinkOptions, ServerOptions};
+use tokio::net::TcpListener;
+use tokio::sync::{mpsc, oneshot};
+use tokio::task::JoinSet;
+
+use self::input::{ControlHandle, ControlInput};
+use self::leader::LeaderCalls;
+use self::links::ControlLinks;
+use self::metrics::ControlMetrics;
+use self::outboxes::Outboxes;
+use self::replicas::ReplicaTable;
+use self::routes::Routes;
+use self::shell::{ControlShell, Waiting};
+use crate::config_watch::ConfigWatch;
+use crate::lifecycle::{LifeEvent, Lifecycle};
+use crate::link_server;
 
 /// `ControlOptions` are the settings of a control host.
 #[derive(Clone, Debug, PartialEq)]
@@ -14,6 +47,10 @@
     pub host_id: HostId,
     /// Options of the replica.
     pub replica: ReplicaOptions,
+    /// Whether the group is being formed, so that an empty data folder gets
+    /// the id in `replica` and may vote. Otherwise a host with an empty folder
+    /// joins under a new random id without a vote; default false.
+    pub new_group: bool,
     /// Data folder.
     pub data_folder: PathBuf,
     /// Address for operators' HTTP.
@@ -33,6 +70,11 @@
 pub struct ControlHost {
     http_address: SocketAddr,
     link_address: SocketAddr,
+    life: Arc<Lifecycle>,
+    shell: ControlHandle,
+    http: HttpServer,
+    end_links: oneshot::Sender<()>,
+    tasks: JoinSet<()>,
 }
 
 impl ControlHost {
@@ -41,9 +83,65 @@
     /// # Errors
     /// If the folder is damaged or an address cannot be bound.
     pub async fn start(options: ControlOptions) -> Result<Self> {
+        let (replica_id, disk, recovered) = open_disk(&options).await?;
+        let listener = TcpListener::bind(options.link_listen)
+            .await
+            .wrap_err_with(|| format!("cannot bind {}", options.link_listen))?;
+        let link_address = listener.local_addr()?;
+        let parts = Parts::new(&options)?;
+        let (shell, inputs) = input::channel();
+        let leader = parts.leader_calls(&shell);
+        let router = routes::router(&Arc::new(parts.routes(&options, &leader)));
+        let server = HttpServer::start(options.http_listen, router, HttpServerOptions::default());
+        let http = server
+            .await
+            .wrap_err_with(|| format!("cannot bind {}", options.http_listen))?;
+        let mut tasks = JoinSet::new();
+        let (requests, disk_requests) = std_mpsc::channel();
+        // Not bounded, so that the disk thread never waits for the loop.
+        // There is at most one event per request in flight.
+        let (events, disk_events) = mpsc::unbounded_channel();
+        let disk_bytes = disk.size_bytes();
+        let now = parts.timer.now();
+        let replica_options = ReplicaOptions {
+            id: replica_id,
+            ..options.replica.clone()
+        };
+        let control_shell = ControlShell {
+            host_id: options.host_id.clone(),
+            replica_id,
+            replica: Replica::new(replica_options, recovered, now)?,
+            timer: parts.timer.clone(),
+            life: Arc::clone(&parts.life),
+            config: parts.config.clone(),
+            outboxes: Outboxes::new(replica_id, link_address, Arc::clone(&parts.replicas)),
+            disk: requests,
+            disk_bytes,
+            waiting: Waiting::default(),
+        };
+        tasks.spawn_blocking(move || disk::run(disk, &disk_requests, &events));
+        tasks.spawn(control_shell.run(inputs, disk_events));
+        let (end_links, links_end) = oneshot::channel();
+        let service = parts.links(leader);
+        let server_options = ServerOptions {
+            credential: options.link_credential.clone(),
+            ..ServerOptions::default()
+        };
+        tasks.spawn(link_server::run(
+            listener,
+            service,
+            server_options,
+            links_end,
+        ));
+        parts.life.on(LifeEvent::Listening);
         Ok(Self {
-            http_address: options.http_listen,
-            link_address: options.link_listen,
+            http_address: http.address(),
+            link_address,
+            life: parts.life,
+            shell,
+            http,
+            end_links,
+            tasks,
         })
     }
 
@@ -57,15 +155,115 @@
         self.link_address
     }
 
+    /// Starts to drain; new changes and claims are refused.
+    pub fn start_drain(&self) {
+        self.life.on(LifeEvent::Drain);
+    }
+
     /// Waits until the host has stopped by itself, for example because its
     /// disk failed or an operator drained it.
     pub async fn stopped(&self) {
-        std::future::pending().await
+        self.life.stopped().await;
+    }
+
+    /// Whether the host stopped because of an error.
+    pub fn has_failed(&self) -> bool {
+        self.life.has_failed()
     }
 
     /// Stops and joins everything.
-    pub async fn stop(self) {}
+    pub async fn stop(mut self) {
+        self.start_drain();
+        self.stopped().await;
+        // Answers that the loop has given are still being written.
+        self.http.stop().await;
+        // Both fail only if the receiving task has ended already.
+        let _ = self.end_links.send(());
+        let _ = self.shell.send(ControlInput::Stop).await;
+        while self.tasks.join_next().await.is_some() {}
+    }
 
     /// Stops at once, as a crash would.
-    pub fn abort(self) {}
+    pub fn abort(mut self) {
+        self.http.abort();
+        self.tasks.abort_all();
+    }
+}
+
+/// Opens the data folder on a blocking thread and chooses the replica's id.
+async fn open_disk(options: &ControlOptions) -> Result<(ReplicaId, DiskLog, Recovered)> {
+    let folder = options.data_folder.clone();
+    let configured_id = options.new_group.then_some(options.replica.id);
+    let opening = tokio::task::spawn_blocking(move || {
+        let id = replica_id(DiskLog::identity(&folder)?, configured_id);
+        let (disk, recovered) = DiskLog::open(&folder, id)?;
+        hornbeam_core::Result::Ok((id, disk, recovered))
+    });
+    let (id, disk, recovered) = opening
+        .await?
+        .wrap_err_with(|| format!("cannot open {}", options.data_folder.display()))?;
+    if recovered.cut_bytes > 0 {
+        log_event!(
+            Event::LogTailCut, host = options.host_id;
+            "{} bytes of an incomplete record were cut", recovered.cut_bytes
+        );
+    }
+    Ok((id, disk, recovered))
+}
+
+/// Chooses the id of a replica. A folder keeps its id. An empty folder gets
+/// the configured one only when the group is formed; else the replica may have
+/// lost its disk, and under its old id it could vote on state it has lost.
+fn replica_id(stored: Option<ReplicaId>, configured: Option<ReplicaId>) -> ReplicaId {
+    stored.or(configured).unwrap_or_else(rand::random)
+}
+
+/// `Parts` are what the tasks of a control host share.
+#[derive(Debug)]
+struct Parts {
+    timer: TimerService,
+    life: Arc<Lifecycle>,
+    config: ConfigWatch,
+    replicas: Arc<ReplicaTable>,
+}
+
+impl Parts {
+    fn new(options: &ControlOptions) -> Result<Self> {
+        let link_options = LinkOptions {
+            credential: options.link_credential.clone(),
+            ..LinkOptions::default()
+        };
+        Ok(Self {
+            timer: TimerService::default(),
+            life: Arc::new(Lifecycle::new()?),
+            config: ConfigWatch::new(),
+            replicas: Arc::new(ReplicaTable::new(link_options, &options.peers)),
+        })
+    }
+
+    fn leader_calls(&self, shell: &ControlHandle) -> LeaderCalls {
+        LeaderCalls {
+            shell: shell.clone(),
+            replicas: Arc::clone(&self.replicas),
+            timer: self.timer.clone(),
+        }
+    }
+
+    fn routes(&self, options: &ControlOptions, leader: &LeaderCalls) -> Routes {
+        Routes {
+            leader: leader.clone(),
+            life: Arc::clone(&self.life),
+            metrics: ControlMetrics::new(),
+            operator_credential: options.operator_credential.clone(),
+        }
+    }
+
+    fn links(&self, leader: LeaderCalls) -> ControlLinks {
+        ControlLinks {
+            leader,
+            config: self.config.clone(),
+            timer: self.timer.clone(),
+            life: Arc::clone(&self.life),
+        }
+    }
 }
--- /dev/null
+++ b/crates/node/src/control/disk.rs
@@ -0,0 +1,36 @@
+//! The thread that writes and syncs, so that the loop never waits for a disk.
+
+use std::sync::mpsc::Receiver;
+
+use hornbeam_control::{DiskLog, PersistId, PersistRequest};
+use hornbeam_core::Error;
+use tokio::sync::mpsc::UnboundedSender;
+
+/// `DiskEvent` is what the thread reports.
+#[derive(Debug)]
+pub(crate) enum DiskEvent {
+    /// A request and all before it are synced; the size of all files follows,
+    /// in bytes.
+    Persisted(PersistId, u64),
+    /// The disk failed; the thread has ended.
+    Failed(Error),
+}
+
+/// Carries out requests in order until their sender is gone or one fails. The
+/// replica gathers what arrives during one sync into the next request.
+pub(crate) fn run(
+    mut disk: DiskLog,
+    requests: &Receiver<PersistRequest>,
+    events: &UnboundedSender<DiskEvent>,
+) {
+    for request in requests {
+        let event = match disk.persist(&request) {
+            Ok(()) => DiskEvent::Persisted(request.id, disk.size_bytes()),
+            Err(cause) => DiskEvent::Failed(cause),
+        };
+        let failed = matches!(event, DiskEvent::Failed(_));
+        if events.send(event).is_err() || failed {
+            return;
+        }
+    }
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -6,8 +6,14 @@
 
 #![forbid(unsafe_code)]
 
+mod config_watch;
 pub mod control;
+mod credential;
 pub mod entry;
+mod lifecycle;
+mod link_server;
+mod metrics;
+mod reply;
 mod wire;
 
 pub use control::{ControlHost, ControlOptions};
