--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -17,4 +17,4 @@
 pub use body::{BodyLimits, BodyRejection, json_answer, parse_json, read_json, text_answer};
 pub use client::{ClientOptions, HttpClient, Reply};
 pub use credential::is_authorized;
-pub use server::{HttpServer, HttpServerOptions};
+pub use server::{HttpServer, HttpServerOptions, close_without_answer};
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -5,7 +5,7 @@
 //! function reacts to signals, cuts connections 30 s later, does not tell when
 //! a connection ends, and offers no limit on the size and time of heads.
 
-use std::convert::Infallible;
+use std::fmt;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -80,6 +80,18 @@
         options: HttpServerOptions,
     ) -> Result<Self> {
         let listener = TcpListener::bind(address).await.map_err(Error::io)?;
+        Self::start_on(listener, router, options)
+    }
+
+    /// Like [`HttpServer::start`], on an address that is bound already.
+    ///
+    /// # Errors
+    /// `Io` if the listener does not tell its address.
+    pub fn start_on(
+        listener: TcpListener,
+        router: Router,
+        options: HttpServerOptions,
+    ) -> Result<Self> {
         let address = listener.local_addr().map_err(Error::io)?;
         let (stopping, stopped) = watch::channel(false);
         let acceptor = Acceptor {
@@ -236,9 +248,32 @@
     router: Arc<Router>,
     peer: SocketAddr,
     request: http::Request<hyper::body::Incoming>,
-) -> std::result::Result<Response, Infallible> {
+) -> std::result::Result<Response, Cut> {
     let mut context = ServerContext::new(Address::from(peer));
     let request = request.map(Body::from_incoming);
-    let response = router.call(&mut context, request).await;
-    Ok(response.into_response())
+    let response = router.call(&mut context, request).await.into_response();
+    match response.extensions().get::<Cut>() {
+        Some(cut) => Err(*cut),
+        None => Ok(response),
+    }
+}
+
+/// `Cut` marks a response in whose place the connection is closed.
+#[derive(Clone, Copy, Debug)]
+struct Cut;
+
+impl fmt::Display for Cut {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("the handler closes the connection without an answer")
+    }
+}
+
+impl std::error::Error for Cut {}
+
+/// Gets a response for which the server closes the connection without an
+/// answer. Stand-ins use it to show how callers deal with lost connections.
+pub fn close_without_answer() -> Response {
+    let mut response = Response::new(Body::empty());
+    response.extensions_mut().insert(Cut);
+    response
 }
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -5,6 +5,12 @@
 
 #![forbid(unsafe_code)]
 
+mod announce;
+mod board;
+mod chance;
+mod exchange;
+mod options;
 mod server;
 
-pub use server::{FaultPlan, StandinOptions, StandinServer, StartRecord};
+pub use options::{FaultPlan, StandinOptions, StartRecord};
+pub use server::StandinServer;
--- a/crates/standin/src/server.rs
+++ b/crates/standin/src/server.rs
@@ -1,67 +1,46 @@
 //! The stand-in.
 
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::sync::Arc;
 
 use hornbeam_core::Result;
-use hornbeam_core::api::backend::Announcement;
-use hornbeam_core::ids::TaskId;
+use hornbeam_http::{ClientOptions, HttpClient, HttpServer, HttpServerOptions};
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+use volo_http::request::Request;
+use volo_http::server::Router;
+use volo_http::server::route::post;
 
-/// `FaultPlan` says how often a stand-in misbehaves, each as a probability
-/// from 0 to 1 per task or exchange; default none.
-#[derive(Clone, Debug, Default, PartialEq)]
-pub struct FaultPlan {
-    /// A task ends with an error after it started.
-    pub fail: f64,
-    /// A task runs ten times its length.
-    pub straggle: f64,
-    /// An exchange gets no answer although its tasks run.
-    pub silent: f64,
-    /// An exchange's connection is closed before its tasks start.
-    pub close_before_start: f64,
-    /// An exchange's connection is closed after its tasks ran.
-    pub close_after_run: f64,
-    /// An exchange is answered for another job.
-    pub wrong_answer: f64,
-    /// A task is stopped by the worker after it started.
-    pub stop: f64,
-}
-
-/// `StandinOptions` are the settings of a [`StandinServer`].
-#[derive(Clone, Debug, PartialEq)]
-pub struct StandinOptions {
-    /// What the stand-in announces; `address` is filled in when it listens.
-    pub announcement: Announcement,
-    /// Address to listen on; default `127.0.0.1:0`.
-    pub listen: SocketAddr,
-    /// HTTP addresses of entry hosts to announce to, tried in turn from a
-    /// random one; stands for the platform's load balancer. If the
-    /// announcement is `shared`, all of them at once; default none.
-    pub entry_hosts: Vec<SocketAddr>,
-    /// Delay added to each direction of every exchange; default zero.
-    pub latency: Duration,
-    /// Misbehaviour; default none.
-    pub faults: FaultPlan,
-    /// Seed of every random choice; default 0.
-    pub seed: u64,
-}
-
-/// `StartRecord` is one start of a task.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct StartRecord {
-    /// Task that started.
-    pub task: TaskId,
-    /// Time since the stand-in began.
-    pub at: Duration,
-}
+use crate::announce::{Announcer, withdraw};
+use crate::chance::Chance;
+use crate::exchange::Backend;
+use crate::options::{FaultPlan, StandinOptions, StartRecord};
 
 /// `StandinServer` is a running stand-in. It runs a task for as long as its
 /// payload says: `{"run_ms":120}` overrides the declared run time, which lets
 /// a test declare a false one; other payloads run for the declared time. The
 /// output is `"<job id>/<index>"`.
-#[derive(Debug)]
+///
+/// It runs a task again that it is sent again, so that [`Self::starts`] shows
+/// a dispatcher that sends a task twice. Dropping it has the effect of
+/// [`Self::abort`].
 pub struct StandinServer {
+    backend: Arc<Backend>,
+    client: HttpClient,
+    http: Option<HttpServer>,
     address: SocketAddr,
+    entry_hosts: Vec<SocketAddr>,
+    owner: watch::Receiver<Option<SocketAddr>>,
+    announcing: JoinHandle<()>,
+}
+
+impl std::fmt::Debug for StandinServer {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("StandinServer")
+            .field("address", &self.address)
+            .finish_non_exhaustive()
+    }
 }
 
 impl StandinServer {
@@ -70,8 +49,33 @@
     /// # Errors
     /// `Io` if the address cannot be bound.
     pub async fn start(options: StandinOptions) -> Result<Self> {
+        let listener = TcpListener::bind(options.listen).await?;
+        let address = listener.local_addr()?;
+        let mut announcement = options.announcement;
+        announcement.address = address.to_string();
+        announcement.grant = announcement.grant.max(1);
+        let server_options = HttpServerOptions {
+            max_connections: announcement.max_connections as usize,
+            ..HttpServerOptions::default()
+        };
+        let chance = Chance::new(options.faults, options.seed);
+        let backend = Arc::new(Backend::new(announcement, options.latency, chance));
+        let http = HttpServer::start_on(listener, routes(&backend), server_options)?;
+        let client = HttpClient::new(ClientOptions::default())?;
+        let (owner_sender, owner) = watch::channel(None);
+        let announcer = Announcer {
+            backend: backend.clone(),
+            client: client.clone(),
+            entry_hosts: options.entry_hosts.clone(),
+        };
         Ok(Self {
-            address: options.listen,
+            backend,
+            client,
+            http: Some(http),
+            address,
+            entry_hosts: options.entry_hosts,
+            owner,
+            announcing: tokio::spawn(announcer.run(owner_sender)),
         })
     }
 
@@ -82,17 +86,57 @@
 
     /// Gets every start so far, in order.
     pub fn starts(&self) -> Vec<StartRecord> {
-        Vec::new()
+        self.backend.board.starts()
     }
 
     /// Replaces the fault plan.
     pub fn set_faults(&self, faults: FaultPlan) {
-        let _ = faults;
+        self.backend.chance.set_plan(faults);
     }
 
     /// Withdraws, finishes running tasks and stops.
-    pub async fn leave(self) {}
+    pub async fn leave(mut self) {
+        self.announcing.abort();
+        // An aborted task ends with an error.
+        let _ = (&mut self.announcing).await;
+        self.backend.leaving.send_replace(true);
+        withdraw(&self.backend, &self.client, &self.owners()).await;
+        if let Some(http) = self.http.take() {
+            http.stop().await;
+        }
+        self.backend.join().await;
+    }
 
     /// Stops at once without withdrawing, as a crash would.
     pub fn abort(self) {}
+
+    /// Gets the entry hosts that hold a lease or may hold one.
+    fn owners(&self) -> Vec<SocketAddr> {
+        if self.backend.announcement.shared {
+            return self.entry_hosts.clone();
+        }
+        let owner = *self.owner.borrow();
+        owner.into_iter().collect()
+    }
+}
+
+impl Drop for StandinServer {
+    fn drop(&mut self) {
+        self.announcing.abort();
+        self.backend.abort();
+    }
+}
+
+fn routes(backend: &Arc<Backend>) -> Router {
+    let running = backend.clone();
+    let cancelling = backend.clone();
+    Router::new()
+        .route(
+            "/v1/tasks",
+            post(move |request: Request| running.run_tasks(request)),
+        )
+        .route(
+            "/v1/tasks/cancel",
+            post(move |request: Request| cancelling.cancel_tasks(request)),
+        )
 }
--- /dev/null
+++ b/crates/standin/tests/announce.rs
@@ -0,0 +1,102 @@
+//! Tests of leases and withdrawal against fake entry hosts.
+
+mod common;
+
+use std::time::Duration;
+
+use common::{Caller, FakeEntry, LEASE, Manner, eventually, standin};
+use googletest::prelude::*;
+use hornbeam_core::api::backend::TaskStatus;
+use hornbeam_standin::FaultPlan;
+use tokio::time::{Instant, sleep};
+
+/// Guards against a stand-in that stays without an owner when its owner fails,
+/// or that turns to another one under the same grant.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_failed_owner_is_replaced_within_the_lease() {
+    let first = FakeEntry::start(Manner::Accept).await;
+    let second = FakeEntry::start(Manner::Accept).await;
+    let hosts = vec![first.address(), second.address()];
+    let server = standin(2, false, FaultPlan::default(), hosts).await;
+    eventually(|| first.last_grant().or(second.last_grant()).is_some()).await;
+    let (owner, other) = if first.last_grant().is_some() {
+        (first, second)
+    } else {
+        (second, first)
+    };
+    let renewals = || owner.grants.lock().unwrap().len();
+    eventually(|| renewals() > 3).await;
+    expect_that!(other.last_grant(), none());
+    let lost_at = Instant::now();
+    owner.server.abort();
+    eventually(|| other.last_grant().is_some()).await;
+    expect_that!(lost_at.elapsed(), lt(LEASE + Duration::from_millis(200)));
+    expect_that!(other.last_grant(), some(eq(2)));
+    let old = Caller::new(&server);
+    let statuses = old.statuses("j1", &[0], 1).await;
+    expect_that!(statuses, eq(&vec![TaskStatus::NotStarted]));
+    let new = Caller { grant: 2, ..old };
+    expect_that!(
+        new.statuses("j2", &[0], 1).await,
+        eq(&vec![TaskStatus::Finished])
+    );
+}
+
+/// Guards against a stand-in that ignores a redirect or a refusal, or that
+/// keeps its grant when it turns away from an owner that drains.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn redirects_and_refusals_are_followed() {
+    let target = FakeEntry::start(Manner::Accept).await;
+    let draining = FakeEntry::start(Manner::Accept).await;
+    let hosts = vec![draining.address()];
+    let _server = standin(2, false, FaultPlan::default(), hosts).await;
+    eventually(|| draining.last_grant() == Some(1)).await;
+    *draining.manner.lock().unwrap() = Manner::Redirect(target.address());
+    eventually(|| target.last_grant() == Some(2)).await;
+    *draining.manner.lock().unwrap() = Manner::Accept;
+    *target.manner.lock().unwrap() = Manner::Decline;
+    eventually(|| draining.last_grant() == Some(3)).await;
+}
+
+/// Guards against a shared stand-in that misses an entry host.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_shared_server_announces_to_all_under_one_grant() {
+    let first = FakeEntry::start(Manner::Accept).await;
+    let second = FakeEntry::start(Manner::Accept).await;
+    let hosts = vec![first.address(), second.address()];
+    let server = standin(2, true, FaultPlan::default(), hosts).await;
+    let renewals = |entry: &FakeEntry| entry.grants.lock().unwrap().len();
+    eventually(|| renewals(&first) > 2 && renewals(&second) > 2).await;
+    expect_that!(first.last_grant(), some(eq(1)));
+    expect_that!(second.last_grant(), some(eq(1)));
+    server.leave().await;
+    expect_that!(first.withdrawals.lock().unwrap().len(), eq(1));
+    expect_that!(second.withdrawals.lock().unwrap().len(), eq(1));
+}
+
+/// Guards against a leave that cuts running tasks, takes new ones or renews
+/// the lease after the withdrawal (G6).
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn leaving_withdraws_and_finishes_what_runs() {
+    let entry = FakeEntry::start(Manner::Accept).await;
+    let server = standin(2, false, FaultPlan::default(), vec![entry.address()]).await;
+    eventually(|| entry.last_grant().is_some()).await;
+    let caller = Caller::new(&server);
+    let sender = caller.clone();
+    let running = tokio::spawn(async move { sender.statuses("j1", &[0], 400).await });
+    eventually(|| !server.starts().is_empty()).await;
+    let leaving = tokio::spawn(server.leave());
+    eventually(|| !entry.withdrawals.lock().unwrap().is_empty()).await;
+    let late = caller.send("j2", &[0], 1).await;
+    let ran = late.is_ok_and(|answer| answer.ends[0].status != TaskStatus::NotStarted);
+    expect_false!(ran);
+    expect_that!(running.await.unwrap(), eq(&vec![TaskStatus::Finished]));
+    leaving.await.unwrap();
+    let renewals = entry.grants.lock().unwrap().len();
+    sleep(Duration::from_millis(120)).await;
+    expect_that!(entry.grants.lock().unwrap().len(), eq(renewals));
+}
--- /dev/null
+++ b/crates/standin/tests/common/mod.rs
@@ -0,0 +1,195 @@
+//! Batches, cancellations and a fake entry host.
+#![allow(dead_code)] // Justification: each test file uses a part of it.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use hornbeam_core::Result;
+use hornbeam_core::api::backend::{
+    AnnounceAnswer, Announcement, BatchTask, CancelAnswer, CancelRequest, Fate, TaskBatch,
+    TaskBatchAnswer, TaskStatus,
+};
+use hornbeam_http::{
+    BodyLimits, ClientOptions, HttpClient, HttpServer, HttpServerOptions, json_answer, read_json,
+};
+use hornbeam_standin::{FaultPlan, StandinOptions, StandinServer};
+use tokio::time::Instant;
+use volo_http::request::Request;
+use volo_http::server::Router;
+use volo_http::server::route::post;
+
+pub const WITHIN: Duration = Duration::from_secs(3);
+pub const LEASE: Duration = Duration::from_millis(300);
+
+pub fn announcement(slots: u32, shared: bool) -> Announcement {
+    Announcement {
+        server_id: "s1".into(),
+        incarnation: 7,
+        grant: 1,
+        address: String::new(),
+        failure_domain: "almaty-a".into(),
+        rack: "r1".into(),
+        worker_id: "w1".into(),
+        service: "subscribe".into(),
+        slots,
+        max_connections: 64,
+        cpu_milli: 16_000,
+        memory_mib: 64_000,
+        accelerators: 0,
+        shared,
+    }
+}
+
+pub async fn standin(
+    slots: u32,
+    shared: bool,
+    faults: FaultPlan,
+    entry_hosts: Vec<SocketAddr>,
+) -> StandinServer {
+    let options = StandinOptions {
+        announcement: announcement(slots, shared),
+        listen: "127.0.0.1:0".parse().unwrap(),
+        entry_hosts,
+        latency: Duration::ZERO,
+        faults,
+        seed: 1,
+    };
+    StandinServer::start(options).await.unwrap()
+}
+
+/// Sends batches and cancellations to one stand-in.
+#[derive(Clone)]
+pub struct Caller {
+    pub client: HttpClient,
+    pub address: SocketAddr,
+    pub grant: u64,
+    pub incarnation: u64,
+    pub start_within_ms: u64,
+}
+
+impl Caller {
+    pub fn new(standin: &StandinServer) -> Self {
+        Self {
+            client: HttpClient::new(ClientOptions::default()).unwrap(),
+            address: standin.address(),
+            grant: 1,
+            incarnation: 7,
+            start_within_ms: 2000,
+        }
+    }
+
+    pub async fn send(&self, job: &str, indexes: &[u32], run_ms: u64) -> Result<TaskBatchAnswer> {
+        let task = |index: &u32| BatchTask {
+            index: *index,
+            payload: format!("{{\"run_ms\":{run_ms}}}"),
+            run_ms: 5,
+        };
+        let batch = TaskBatch {
+            host_id: "e1".into(),
+            incarnation: self.incarnation,
+            grant: self.grant,
+            job_id: job.into(),
+            start_within_ms: self.start_within_ms,
+            tasks: indexes.iter().map(task).collect(),
+        };
+        let reply = self.client.post(self.address, "/v1/tasks", &batch, WITHIN);
+        Ok(reply.await?.body)
+    }
+
+    pub async fn statuses(&self, job: &str, indexes: &[u32], run_ms: u64) -> Vec<TaskStatus> {
+        let answer = self.send(job, indexes, run_ms).await.unwrap();
+        answer.ends.iter().map(|end| end.status).collect()
+    }
+
+    pub async fn cancel(&self, job: &str, indexes: &[u32]) -> Vec<Fate> {
+        let request = CancelRequest {
+            incarnation: self.incarnation,
+            job_id: job.into(),
+            tasks: indexes.to_vec(),
+        };
+        let path = "/v1/tasks/cancel";
+        let reply = self.client.post(self.address, path, &request, WITHIN);
+        let answer: CancelAnswer = reply.await.unwrap().body;
+        answer.fates.iter().map(|fate| fate.fate).collect()
+    }
+}
+
+/// How a fake entry host treats announcements.
+#[derive(Clone, Debug)]
+pub enum Manner {
+    Accept,
+    Decline,
+    Redirect(SocketAddr),
+}
+
+/// A fake entry host that records announcements and withdrawals.
+pub struct FakeEntry {
+    pub server: HttpServer,
+    pub grants: Arc<Mutex<Vec<(Instant, u64)>>>,
+    pub withdrawals: Arc<Mutex<Vec<Instant>>>,
+    pub manner: Arc<Mutex<Manner>>,
+}
+
+impl FakeEntry {
+    pub async fn start(manner: Manner) -> Self {
+        let manner = Arc::new(Mutex::new(manner));
+        let grants = Arc::new(Mutex::new(Vec::new()));
+        let withdrawals = Arc::new(Mutex::new(Vec::new()));
+        let (kept_grants, kept_manner) = (grants.clone(), manner.clone());
+        let announce = move |request: Request| async move {
+            let limits = BodyLimits::default();
+            let announcement: Announcement = read_json(request, &limits).await.unwrap();
+            let now = Instant::now();
+            kept_grants.lock().unwrap().push((now, announcement.grant));
+            let manner = kept_manner.lock().unwrap().clone();
+            json_answer(200, &answer(manner))
+        };
+        let kept = withdrawals.clone();
+        let withdraw = move |_: Request| async move {
+            kept.lock().unwrap().push(Instant::now());
+            json_answer(200, &true)
+        };
+        let router = Router::new()
+            .route("/v1/backend/announce", post(announce))
+            .route("/v1/backend/withdraw", post(withdraw));
+        let listen = "127.0.0.1:0".parse().unwrap();
+        let options = HttpServerOptions::default();
+        Self {
+            server: HttpServer::start(listen, router, options).await.unwrap(),
+            grants,
+            withdrawals,
+            manner,
+        }
+    }
+
+    pub fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+
+    pub fn last_grant(&self) -> Option<u64> {
+        self.grants.lock().unwrap().last().map(|(_, grant)| *grant)
+    }
+}
+
+fn answer(manner: Manner) -> AnnounceAnswer {
+    AnnounceAnswer {
+        host_id: "e1".into(),
+        accepted: matches!(manner, Manner::Accept),
+        lease_ms: u64::try_from(LEASE.as_millis()).unwrap(),
+        renew_ms: 50,
+        redirect: match manner {
+            Manner::Redirect(to) => Some(to.to_string()),
+            _ => None,
+        },
+    }
+}
+
+/// Waits until a condition holds.
+pub async fn eventually(mut condition: impl FnMut() -> bool) {
+    let give_up = Instant::now() + WITHIN;
+    while !condition() {
+        assert!(Instant::now() < give_up, "the condition never held");
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+}
