--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -3,6 +3,13 @@
 
 #![forbid(unsafe_code)]
 
+mod check;
+mod messages;
+mod options;
+mod report;
 mod run;
+mod schedule;
 
-pub use run::{LoadOptions, LoadReport, compare, run};
+pub use options::LoadOptions;
+pub use report::{LoadReport, compare};
+pub use run::run;
--- a/crates/load/src/run.rs
+++ b/crates/load/src/run.rs
@@ -1,105 +1,208 @@
-//! One load run and the comparison of two.
-
-use std::net::SocketAddr;
-use std::time::Duration;
-
-use hornbeam_core::Result;
-use hornbeam_core::ids::{InstitutionId, ServiceId, TeamId};
-use serde::{Deserialize, Serialize};
-
-/// `LoadOptions` are the settings of a run.
-#[derive(Clone, Debug, PartialEq)]
-pub struct LoadOptions {
-    /// Entry hosts; jobs go to a random one each. No default.
-    pub entry_hosts: Vec<SocketAddr>,
-    /// Institution of the jobs.
-    pub institution: InstitutionId,
-    /// Teams of the jobs, used in turn.
-    pub teams: Vec<TeamId>,
-    /// Service of the jobs.
-    pub service: ServiceId,
-    /// Jobs to submit in all; default 100.
-    pub jobs: u32,
-    /// Mean task starts a second that the arrivals ask for; default 100.
-    pub task_rate: f64,
-    /// Tasks per job, uniform between both; default 1 to 20.
-    pub tasks_per_job: (u32, u32),
-    /// Task length in ms, log-uniform between both; default 50 to 1000.
-    pub task_ms: (u64, u64),
-    /// Share of tasks that take 3 to 5 s instead; default 0.
-    pub long_share: f64,
-    /// Factor by which the arrival rate rises in bursts; default 1 (none).
-    pub burst_factor: f64,
-    /// Period of the bursts, each a tenth of it long; default 10 s.
-    pub burst_period: Duration,
-    /// Factor by which declared run times are wrong at random, up or down;
-    /// default 1 (exact).
-    pub declared_error: f64,
-    /// Share of jobs marked as not repeatable; default 0.
-    pub not_repeatable_share: f64,
-    /// Time that callers wait; default 30 s.
-    pub timeout: Duration,
-    /// Network round trips in the ideal, added to the longest task; default
-    /// two round trips of zero.
-    pub ideal_network: Duration,
-    /// Seed of arrivals, sizes and lengths; default 0.
-    pub seed: u64,
-}
+//! One load run.
+
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use hdrhistogram::Histogram;
+use hornbeam_core::api::caller::SubmitAnswer;
+use hornbeam_core::{Error, Result};
+use hornbeam_http::{ClientOptions, HttpClient};
+use tokio::task::JoinSet;
+use tokio::time::{Instant, sleep_until};
+
+use crate::check::{JobEnd, judge};
+use crate::messages;
+use crate::options::LoadOptions;
+use crate::report::LoadReport;
+use crate::schedule::{Schedule, ScheduledJob};
+
+/// Connections to one entry host; high enough that arrivals never wait for a
+/// connection (open loop).
+const MAX_CONNECTIONS: usize = 4096;
 
-/// `LoadReport` is the result of a run.
-#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
-#[serde(default, deny_unknown_fields, rename_all = "snake_case")]
-pub struct LoadReport {
-    /// Jobs submitted.
-    pub jobs: u64,
-    /// Tasks submitted.
-    pub tasks: u64,
-    /// Jobs by outcome.
-    pub complete: u64,
-    /// Failed jobs.
-    pub failed: u64,
-    /// Refused jobs.
-    pub refused: u64,
-    /// Jobs whose entry host gave no answer.
-    pub unanswered: u64,
-    /// Jobs whose answer was not whole or not its own; must be 0.
-    pub wrong: u64,
-    /// Tasks of complete jobs per second of the run.
-    pub goodput_tasks_per_s: f64,
-    /// Response over ideal of complete jobs.
-    pub ratio_p50: f64,
-    /// Its 99th percentile.
-    pub ratio_p99: f64,
-    /// Its maximum.
-    pub ratio_max: f64,
-    /// Response time of complete jobs in ms, 50th percentile.
-    pub response_ms_p50: f64,
-    /// Its 99th percentile.
-    pub response_ms_p99: f64,
-    /// Response time of refusals in ms, 99th percentile.
-    pub refusal_ms_p99: f64,
-    /// Largest lag of a submission behind its scheduled time, in ms; a large
-    /// one means that the load tool itself was the bottleneck.
-    pub schedule_lag_ms_max: f64,
-    /// Length of the run in ms.
-    pub elapsed_ms: u64,
-    /// Messages counted by the entry hosts during the run, by kind.
-    pub messages: std::collections::BTreeMap<String, u64>,
-    /// Exchange messages (task exchanges and chunks) per task.
-    pub messages_per_task: f64,
+/// Time beyond the job's own limit after which an entry host counts as not
+/// answering.
+const ANSWER_MARGIN: Duration = Duration::from_secs(2);
+
+/// Ratios are recorded in thousandths.
+const RATIO_SCALE: f64 = 1000.0;
+
+/// Significant digits of the histograms.
+const DIGITS: u8 = 3;
+
+/// Largest recorded response in µs (one hour) and ratio in thousandths; larger
+/// ones count as this.
+const MAX_RECORDED: u64 = 3_600_000_000;
+
+/// `JobRecord` is what became of one job.
+struct JobRecord {
+    end: JobEnd,
+    tasks: u64,
+    /// Time from the scheduled start to the answer.
+    response: Duration,
+    /// Time from the scheduled start to the submission.
+    lag: Duration,
+    ideal: Duration,
 }
 
 /// Runs the load.
 ///
 /// # Errors
-/// `Io` if no entry host can be reached at the start.
+/// `Io` if no entry host can be reached at the start, `Limit` if an option is
+/// out of its range.
 pub async fn run(options: LoadOptions) -> Result<LoadReport> {
-    let _ = options;
-    Ok(LoadReport::default())
+    check_ranges(&options)?;
+    let client = HttpClient::new(ClientOptions {
+        max_connections_per_address: MAX_CONNECTIONS,
+        ..ClientOptions::default()
+    })?;
+    let before = messages::read(&client, &options.entry_hosts).await;
+    if before.is_empty() {
+        return Err(Error::io("no entry host shows its metrics"));
+    }
+    let mut tally = Tally::new()?;
+    let began = Instant::now();
+    let prefix = format!("load-{}-{}", options.seed, unix_ms());
+    let mut jobs = JoinSet::new();
+    for job in Schedule::new(options.clone(), prefix) {
+        sleep_until(began + job.at).await;
+        jobs.spawn(submit(client.clone(), job, began, options.clone()));
+        while let Some(record) = jobs.try_join_next() {
+            tally.add(record.map_err(Error::io)?);
+        }
+    }
+    while let Some(record) = jobs.join_next().await {
+        tally.add(record.map_err(Error::io)?);
+    }
+    let elapsed = began.elapsed();
+    let after = messages::read(&client, &options.entry_hosts).await;
+    Ok(tally.finish(elapsed, messages::between(&before, &after)))
 }
 
-/// Gets the ratios of the figures of two runs, by name.
-pub fn compare(baseline: &LoadReport, candidate: &LoadReport) -> Vec<(&'static str, f64)> {
-    let _ = (baseline, candidate);
-    Vec::new()
+fn check_ranges(options: &LoadOptions) -> Result<()> {
+    let (fewest, most) = options.tasks_per_job;
+    let (shortest, longest) = options.task_ms;
+    let is_share = |share: f64| (0.0..=1.0).contains(&share);
+    let all_right = 1 <= fewest
+        && fewest <= most
+        && 1 <= shortest
+        && shortest <= longest
+        && options.task_rate > 0.0
+        && options.burst_factor > 0.0
+        && !options.burst_period.is_zero()
+        && options.declared_error >= 1.0
+        && is_share(options.long_share)
+        && is_share(options.not_repeatable_share);
+    if all_right {
+        Ok(())
+    } else {
+        Err(Error::limit(
+            "tasks_per_job and task_ms must rise from at least 1, task_rate, burst_factor and \
+             burst_period must be above 0, declared_error at least 1, shares between 0 and 1",
+        ))
+    }
+}
+
+async fn submit(
+    client: HttpClient,
+    job: ScheduledJob,
+    began: Instant,
+    options: LoadOptions,
+) -> JobRecord {
+    let scheduled = began + job.at;
+    let lag = scheduled.elapsed();
+    let mut request = job.request;
+    if !request.repeatable {
+        request.valid_until_unix_ms = Some(unix_ms() + request.timeout_ms);
+    }
+    let within = options.timeout + ANSWER_MARGIN;
+    let result = client
+        .post::<_, SubmitAnswer>(job.entry_host, "/v1/jobs", &request, within)
+        .await;
+    JobRecord {
+        end: judge(&request, &result),
+        tasks: request.tasks.len() as u64,
+        response: scheduled.elapsed(),
+        lag,
+        ideal: job.longest + options.ideal_network,
+    }
+}
+
+fn unix_ms() -> u64 {
+    // A clock before 1970 gives 0, which only makes request ids less unique.
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    let ms = since.unwrap_or_default().as_millis();
+    u64::try_from(ms).unwrap_or(u64::MAX)
+}
+
+/// `Tally` collects the records of a run.
+struct Tally {
+    report: LoadReport,
+    complete_tasks: u64,
+    ratios: Histogram<u64>,
+    responses_us: Histogram<u64>,
+    refusals_us: Histogram<u64>,
+}
+
+impl Tally {
+    fn new() -> Result<Self> {
+        let histogram = || Histogram::new_with_max(MAX_RECORDED, DIGITS).map_err(Error::io);
+        Ok(Self {
+            report: LoadReport::default(),
+            complete_tasks: 0,
+            ratios: histogram()?,
+            responses_us: histogram()?,
+            refusals_us: histogram()?,
+        })
+    }
+
+    fn add(&mut self, record: JobRecord) {
+        self.report.jobs += 1;
+        self.report.tasks += record.tasks;
+        let lag_ms = record.lag.as_secs_f64() * 1e3;
+        self.report.schedule_lag_ms_max = self.report.schedule_lag_ms_max.max(lag_ms);
+        let response_us = u64::try_from(record.response.as_micros()).unwrap_or(u64::MAX);
+        match record.end {
+            JobEnd::Complete => {
+                self.report.complete += 1;
+                self.complete_tasks += record.tasks;
+                let ratio = record.response.as_secs_f64() / record.ideal.as_secs_f64();
+                self.ratios
+                    .saturating_record((ratio * RATIO_SCALE).round() as u64);
+                self.responses_us.saturating_record(response_us);
+            }
+            JobEnd::Failed => self.report.failed += 1,
+            JobEnd::Refused => {
+                self.report.refused += 1;
+                self.refusals_us.saturating_record(response_us);
+            }
+            JobEnd::Unanswered => self.report.unanswered += 1,
+            JobEnd::Wrong => self.report.wrong += 1,
+        }
+    }
+
+    fn finish(self, elapsed: Duration, counts: messages::Counts) -> LoadReport {
+        let ratio = |quantile| self.ratios.value_at_quantile(quantile) as f64 / RATIO_SCALE;
+        let ms = |histogram: &Histogram<u64>, quantile| {
+            histogram.value_at_quantile(quantile) as f64 / 1e3
+        };
+        let complete_tasks = self.complete_tasks as f64;
+        let task_messages = messages::of_tasks(&counts) as f64;
+        LoadReport {
+            goodput_tasks_per_s: complete_tasks / elapsed.as_secs_f64().max(f64::EPSILON),
+            ratio_p50: ratio(0.5),
+            ratio_p99: ratio(0.99),
+            ratio_max: self.ratios.max() as f64 / RATIO_SCALE,
+            response_ms_p50: ms(&self.responses_us, 0.5),
+            response_ms_p99: ms(&self.responses_us, 0.99),
+            refusal_ms_p99: ms(&self.refusals_us, 0.99),
+            elapsed_ms: u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX),
+            messages_per_task: if complete_tasks > 0.0 {
+                task_messages / complete_tasks
+            } else {
+                0.0
+            },
+            messages: counts,
+            ..self.report
+        }
+    }
 }
