--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -13,15 +13,20 @@
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::{Instant, sleep, timeout_at};
 use volo::net::Address;
 use volo_http::body::Body;
 use volo_http::error::ClientError;
 use volo_http::response::Response;
 
-use crate::connections::{Connections, Pool};
+use crate::connections::{Connections, Pool, Slot};
 use crate::send_mark::{MarkedBody, SendMark};
 
+/// Time that the library gets to take a connection back after an exchange. A
+/// request that starts earlier makes it open another connection: without the
+/// pause 64 callers at a limit of 8 had 16 connections open, with it 8 to 9.
+const RETURN_PAUSE: Duration = Duration::from_millis(1);
+
 /// `ClientOptions` are the settings of an [`HttpClient`].
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct ClientOptions {
@@ -33,8 +38,8 @@
     /// than it takes a middlebox to forget a connection.
     pub idle_timeout: Duration,
     /// Most concurrent requests to one address, each on its own connection;
-    /// default 64. For a moment one more connection can be open while the
-    /// library takes back another whose exchange has just ended.
+    /// default 64. When nearly all are busy, few more connections can be open
+    /// until they have been idle for `idle_timeout`.
     pub max_connections_per_address: usize,
     /// Largest answer in bytes; default 64 MiB.
     pub max_answer_bytes: usize,
@@ -171,16 +176,26 @@
             .await
             .map_err(|_| Error::not_sent("every connection was busy until the time limit"))?
             .map_err(Error::not_sent)?;
-        let response = self.send(slot.pool, outgoing, deadline).await?;
+        let response = self.send(&slot.pool, outgoing, deadline).await?;
         let reply = self.read_answer(response, deadline).await;
+        self.let_connection_return(&slot).await;
         drop(permit);
         reply
     }
 
+    /// Keeps a permit for a moment if most are in use, so that the next request
+    /// finds the connection of the one that has just ended.
+    async fn let_connection_return(&self, slot: &Slot) {
+        let max = self.shared.options.max_connections_per_address;
+        if 2 * slot.permits.available_permits() < max {
+            sleep(RETURN_PAUSE).await;
+        }
+    }
+
     /// Sends a request and waits for the head of the answer.
     async fn send(
         &self,
-        pool: Pool,
+        pool: &Pool,
         outgoing: Outgoing<'_>,
         deadline: Instant,
     ) -> Result<Response> {
@@ -205,7 +220,7 @@
     /// Builds the library's request and its future.
     fn call(
         &self,
-        pool: Pool,
+        pool: &Pool,
         outgoing: Outgoing<'_>,
         mark: SendMark,
     ) -> impl Future<Output = std::result::Result<Response, ClientError>> + Send {
--- a/crates/http/tests/client.rs
+++ b/crates/http/tests/client.rs
@@ -232,6 +232,28 @@
     expect_that!(seen.connections.load(Ordering::SeqCst), eq(2));
 }
 
+/// Guards against a new connection for every request when all permits are in
+/// use, because the library had not taken the old one back yet.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn saturation_does_not_multiply_connections() {
+    let (address, seen) = peer(&[Cut::Never]).await;
+    let client = client(8);
+    let call = || {
+        let client = client.clone();
+        tokio::spawn(async move {
+            let result = client.post::<_, bool>(address, "/v1/tasks", &"body", 20 * WITHIN);
+            result.await.unwrap()
+        })
+    };
+    let calls: Vec<_> = (0..2000).map(|_| call()).collect();
+    for call in calls {
+        call.await.unwrap();
+    }
+    expect_that!(seen.requests.load(Ordering::SeqCst), eq(2000));
+    expect_that!(seen.connections.load(Ordering::SeqCst), le(12));
+}
+
 /// Guards against connections that outlive their idle time or a request to
 /// drop them, because a middlebox may have made them silent.
 #[gtest]
