--- a/crates/ctl/src/commands/demo.rs
+++ b/crates/ctl/src/commands/demo.rs
@@ -36,6 +36,9 @@
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 /// Looks at the hosts before the demo gives up: 15 s in all.
 const POLL_LIMIT: u32 = 300;
+/// Two intervals of the entry hosts' statuses, after which they know each
+/// other's free slots.
+const SETTLE_TIME: Duration = Duration::from_millis(500);
 /// Name under which the demo changes the configuration.
 const OPERATOR: &str = "demo";
 
@@ -83,15 +86,20 @@
     pub(crate) async fn run(self) -> Result<Exit> {
         let credential = unique_id("credential");
         let progress = Progress::start("running the demo");
-        let cluster = Cluster::start(&credential).await?;
-        let report = exercise(&cluster, &credential).await;
-        cluster.stop().await;
+        let report = run_cluster(&credential).await;
         progress.finish().await;
         output::result(self.globals.output, &report?, text)?;
         Ok(Exit::Ok)
     }
 }
 
+async fn run_cluster(credential: &str) -> Result<DemoReport> {
+    let cluster = Cluster::start(credential).await?;
+    let report = exercise(&cluster, credential).await;
+    cluster.stop().await;
+    report
+}
+
 async fn exercise(cluster: &Cluster, credential: &str) -> Result<DemoReport> {
     let control = cluster.control_api(credential)?;
     let entry = cluster.entry_api(Duration::from_millis(JOB_TIMEOUT_MS))?;
@@ -169,6 +177,7 @@
             .filter(|status| status.config_version >= version);
         let servers: u32 = statuses.iter().map(|status| status.servers).sum();
         if current.count() == entry.addresses().len() && servers == STANDINS {
+            tokio::time::sleep(SETTLE_TIME).await;
             return Ok(());
         }
         tokio::time::sleep(POLL_INTERVAL).await;
--- a/crates/ctl/src/commands/load.rs
+++ b/crates/ctl/src/commands/load.rs
@@ -1,21 +1,24 @@
 //! `hornbeam load`: runs open-loop loads and compares their reports.
 
+mod flags;
+
 use std::io::BufRead;
 use std::path::{Path, PathBuf};
-use std::str::FromStr;
 use std::time::Duration;
 
-use bpaf::{Parser, construct, long};
+use bpaf::{Parser, construct};
 use eyre::{Result, WrapErr, eyre};
 use hornbeam_load::{LoadOptions, LoadReport};
 use serde::Serialize;
 
 use crate::exit::Exit;
 use crate::globals::{Globals, globals};
-use crate::input::{file, id, number};
+use crate::input::{file, number};
 use crate::output;
 use crate::progress::Progress;
 
+use flags::{Arrivals, Shape, Target, arrivals, shape, target};
+
 /// `Load` holds the arguments of the command.
 #[derive(Clone, Debug)]
 pub(crate) enum Load {
@@ -35,36 +38,6 @@
     runs: u32,
 }
 
-/// `Target` says on whose behalf the jobs run.
-#[derive(Clone, Debug)]
-struct Target {
-    institution: String,
-    teams: Names,
-    service: String,
-}
-
-/// `Arrivals` say when jobs are submitted.
-#[derive(Clone, Debug)]
-struct Arrivals {
-    jobs: u32,
-    task_rate: f64,
-    burst_factor: f64,
-    burst_period_ms: u64,
-    seed: u64,
-}
-
-/// `Shape` says what the jobs are like.
-#[derive(Clone, Debug)]
-struct Shape {
-    tasks_per_job: Span,
-    task_ms: Span,
-    long_share: f64,
-    declared_error: f64,
-    not_repeatable_share: f64,
-    timeout_ms: u64,
-    ideal_network_us: u64,
-}
-
 /// `Compare` holds the arguments of `load compare`.
 #[derive(Clone, Debug)]
 pub(crate) struct Compare {
@@ -73,49 +46,6 @@
     candidate: PathBuf,
 }
 
-/// `Names` is a list of ids, separated by commas.
-#[derive(Clone, Debug, Eq, PartialEq)]
-struct Names(Vec<String>);
-
-impl FromStr for Names {
-    type Err = String;
-
-    fn from_str(text: &str) -> std::result::Result<Self, Self::Err> {
-        let names: Vec<String> = text.split(',').map(|name| name.trim().into()).collect();
-        if names.iter().any(String::is_empty) {
-            return Err("an id is empty".into());
-        }
-        Ok(Self(names))
-    }
-}
-
-/// `Span` is a range of whole numbers, both ends included, as `1-20`.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-struct Span {
-    min: u32,
-    max: u32,
-}
-
-impl FromStr for Span {
-    type Err = String;
-
-    fn from_str(text: &str) -> std::result::Result<Self, Self::Err> {
-        let (min, max) = text.split_once('-').unwrap_or((text, text));
-        let number = |part: &str| {
-            part.parse::<u32>()
-                .map_err(|_| format!("`{part}` is not a whole number"))
-        };
-        let span = Self {
-            min: number(min)?,
-            max: number(max)?,
-        };
-        if span.min == 0 || span.min > span.max {
-            return Err(format!("`{text}` is not a range such as 1-20"));
-        }
-        Ok(span)
-    }
-}
-
 /// `RatioLine` is one figure of a comparison as printed.
 #[derive(Debug, Serialize)]
 #[serde(rename_all = "snake_case")]
@@ -145,10 +75,11 @@
     let target = target();
     let arrivals = arrivals();
     let shape = shape();
-    let runs = long("runs")
-        .help("Number of runs, each with the next seed; default 1")
-        .argument::<u32>("N")
-        .fallback(1);
+    let runs = number(
+        "runs",
+        "Number of runs, each with the next seed; default 1",
+        1_u32,
+    );
     construct!(LoadRun {
         globals,
         target,
@@ -193,89 +124,6 @@
     .help("Compare the reports of two runs")
 }
 
-fn target() -> impl Parser<Target> {
-    let institution = id("institution", "Institution of the jobs");
-    let teams = long("teams")
-        .help("Teams of the jobs, used in turn, separated by commas")
-        .argument::<Names>("IDS");
-    let service = id("service", "Service of the jobs");
-    construct!(Target {
-        institution,
-        teams,
-        service
-    })
-}
-
-fn arrivals() -> impl Parser<Arrivals> {
-    let jobs = number("jobs", "Jobs to submit in all; default 100", 100_u32);
-    let task_rate = number("task-rate", "Task starts a second; default 100", 100.0);
-    let burst_factor = number(
-        "burst-factor",
-        "Factor by which the rate rises in bursts; default 1",
-        1.0,
-    );
-    let burst_period_ms = number(
-        "burst-period-ms",
-        "Period of the bursts in ms; default 10000",
-        10_000_u64,
-    );
-    let seed = number("seed", "Seed of every random choice; default 0", 0_u64);
-    construct!(Arrivals {
-        jobs,
-        task_rate,
-        burst_factor,
-        burst_period_ms,
-        seed
-    })
-}
-
-fn shape() -> impl Parser<Shape> {
-    let tasks_per_job = number(
-        "tasks-per-job",
-        "Tasks per job; default 1-20",
-        Span { min: 1, max: 20 },
-    );
-    let task_ms = number(
-        "task-ms",
-        "Length of a task in ms; default 50-1000",
-        Span { min: 50, max: 1000 },
-    );
-    let long_share = number(
-        "long-share",
-        "Share of tasks that take 3 to 5 s; default 0",
-        0.0,
-    );
-    let declared_error = number(
-        "declared-error",
-        "Factor by which declared run times are wrong; default 1",
-        1.0,
-    );
-    let not_repeatable_share = number(
-        "not-repeatable-share",
-        "Share of jobs that are not repeatable; default 0",
-        0.0,
-    );
-    let timeout_ms = number(
-        "timeout-ms",
-        "How long callers wait, in ms; default 30000",
-        30_000_u64,
-    );
-    let ideal_network_us = number(
-        "ideal-network-us",
-        "Network time in the ideal, in microseconds; default 0",
-        0_u64,
-    );
-    construct!(Shape {
-        tasks_per_job,
-        task_ms,
-        long_share,
-        declared_error,
-        not_repeatable_share,
-        timeout_ms,
-        ideal_network_us
-    })
-}
-
 impl Load {
     /// Gets the settings that every command takes.
     pub(crate) fn globals(&self) -> &Globals {
--- /dev/null
+++ b/crates/ctl/src/commands/standin/records.rs
@@ -0,0 +1,68 @@
+//! The file of start records.
+
+use std::fs::File;
+use std::io::{BufWriter, Write};
+use std::path::Path;
+
+use eyre::{Result, WrapErr};
+use serde::Serialize;
+
+use super::Running;
+
+/// `RecordLine` is one start of a task as written to the file.
+#[derive(Debug, Serialize)]
+#[serde(rename_all = "snake_case")]
+struct RecordLine<'a> {
+    server_id: &'a str,
+    job_id: &'a str,
+    index: u32,
+    at_us: u128,
+}
+
+/// `Records` appends start records to a file, if there is one.
+#[derive(Debug)]
+pub(super) struct Records {
+    file: Option<BufWriter<File>>,
+    written: Vec<usize>,
+}
+
+impl Records {
+    /// Creates the file, if a path is given.
+    ///
+    /// # Errors
+    /// If it cannot be created.
+    pub(super) fn create(path: Option<&Path>) -> Result<Self> {
+        let create = |path: &Path| {
+            File::create(path).wrap_err_with(|| format!("cannot write {}", path.display()))
+        };
+        Ok(Self {
+            file: path.map(create).transpose()?.map(BufWriter::new),
+            written: Vec::new(),
+        })
+    }
+
+    /// Appends the starts that are new since the last call.
+    ///
+    /// # Errors
+    /// If the file cannot be written.
+    pub(super) fn append(&mut self, servers: &[Running]) -> Result<()> {
+        let Some(file) = &mut self.file else {
+            return Ok(());
+        };
+        self.written.resize(servers.len(), 0);
+        for (running, written) in servers.iter().zip(&mut self.written) {
+            let starts = running.server.starts();
+            for start in starts.iter().skip(*written) {
+                let line = RecordLine {
+                    server_id: &running.server_id,
+                    job_id: &start.task.0,
+                    index: start.task.1,
+                    at_us: start.at.as_micros(),
+                };
+                writeln!(file, "{}", serde_json::to_string(&line)?)?;
+            }
+            *written = starts.len();
+        }
+        Ok(file.flush()?)
+    }
+}
