--- a/crates/ctl/src/client.rs
+++ b/crates/ctl/src/client.rs
@@ -162,7 +162,7 @@
 
 fn describe(address: SocketAddr, status: u16, body: &str) -> String {
     let hint = if is_credential_refused(status) {
-        "; check --credential-file"
+        " (check --credential-file)"
     } else {
         ""
     };
--- a/crates/ctl/src/commands/apply.rs
+++ b/crates/ctl/src/commands/apply.rs
@@ -125,7 +125,7 @@
         ChangeOutcome::Invalid { findings } => {
             let lines: Vec<String> = findings.iter().map(ToString::to_string).collect();
             format!(
-                "Nothing was changed; the files have findings:\n{}",
+                "Nothing was changed; the change has findings:\n{}",
                 lines.join("\n")
             )
         }
