--- a/crates/ctl/src/commands/demo/cluster.rs
+++ b/crates/ctl/src/commands/demo/cluster.rs
@@ -184,6 +184,7 @@
             initial_voters: vec![REPLICA],
             ..ReplicaOptions::default()
         },
+        new_group: true,
         data_folder: data_folder.path().to_owned(),
         http_listen: ANY_PORT,
         link_listen: ANY_PORT,
