--- a/crates/ctl/src/commands/demo/cluster.rs
+++ b/crates/ctl/src/commands/demo/cluster.rs
@@ -23,6 +23,8 @@
 
 /// Failure domains of the entry hosts, one host in each.
 const FAILURE_DOMAINS: [&str; 2] = ["almaty-a", "almaty-b"];
+/// Attempts to find free ports for the entry hosts.
+const PORT_ATTEMPTS: u32 = 5;
 /// Id of the only control replica.
 const REPLICA: ReplicaId = 1;
 /// Largest body of a job in bytes.
@@ -66,15 +68,35 @@
     }
 
     async fn start_rest(&mut self) -> Result<()> {
+        self.start_entries().await?;
+        for number in 0..STANDINS {
+            let options = self.standin_options(number);
+            self.standins.push(standin::start(options).await?);
+        }
+        Ok(())
+    }
+
+    /// Starts the entry hosts, on other ports if another process has taken
+    /// one of the free ones in the meantime.
+    async fn start_entries(&mut self) -> Result<()> {
+        let mut attempt = 1;
+        loop {
+            match self.try_start_entries().await {
+                Err(_) if attempt < PORT_ATTEMPTS => attempt += 1,
+                result => return result,
+            }
+            for entry in std::mem::take(&mut self.entries) {
+                entry.stop().await;
+            }
+        }
+    }
+
+    async fn try_start_entries(&mut self) -> Result<()> {
         let links = free_addresses(FAILURE_DOMAINS.len())?;
         for (number, failure_domain) in FAILURE_DOMAINS.into_iter().enumerate() {
             let options = self.entry_options(number, failure_domain, &links);
             self.entries.push(EntryHost::start(options).await?);
         }
-        for number in 0..STANDINS {
-            let options = self.standin_options(number);
-            self.standins.push(standin::start(options).await?);
-        }
         Ok(())
     }
 
