--- a/crates/ctl/src/commands/standin.rs
+++ b/crates/ctl/src/commands/standin.rs
@@ -9,9 +9,10 @@
 
 use bpaf::{Parser, ShellComp, construct, long};
 use eyre::Result;
-use hornbeam_standin::{FaultPlan, StandinOptions, StandinServer};
+use hornbeam_standin::{FaultPlan, StandinOptions, StandinServer, StartRecord};
 use serde::Serialize;
 use tokio::signal::unix::{SignalKind, signal};
+use tokio::task::JoinSet;
 use tokio::time::MissedTickBehavior;
 
 use crate::exit::Exit;
@@ -122,11 +123,12 @@
             servers.push(running);
         }
         let written = self.record_until_end(&servers, &mut records).await;
-        let written = written.and_then(|()| records.append(&servers));
-        for running in servers {
-            running.server.leave().await;
+        let left = leave(servers).await;
+        written?;
+        for (server_id, starts) in left {
+            records.append(&server_id, &starts)?;
         }
-        written.map(|()| Exit::Ok)
+        Ok(Exit::Ok)
     }
 
     fn options(&self, number: u32) -> StandinOptions {
@@ -152,12 +154,26 @@
                 _ = interrupt.recv() => return Ok(()),
                 _ = terminate.recv() => return Ok(()),
                 () = &mut end => return Ok(()),
-                _ = ticks.tick() => records.append(servers)?,
+                _ = ticks.tick() => {
+                    for running in servers {
+                        records.append(&running.server_id, &running.server.starts())?;
+                    }
+                }
             }
         }
     }
 }
 
+/// Makes all stand-ins leave at once, so that none gets the work of another.
+/// Gets the starts of each by its id.
+async fn leave(servers: Vec<Running>) -> Vec<(String, Vec<StartRecord>)> {
+    let mut leaving = JoinSet::new();
+    for Running { server_id, server } in servers {
+        leaving.spawn(async move { (server_id, server.leave().await) });
+    }
+    leaving.join_all().await
+}
+
 async fn run_time(run_for_ms: Option<u64>) {
     match run_for_ms {
         Some(ms) => tokio::time::sleep(Duration::from_millis(ms)).await,
--- a/crates/ctl/src/commands/standin/records.rs
+++ b/crates/ctl/src/commands/standin/records.rs
@@ -5,10 +5,10 @@
 use std::path::Path;
 
 use eyre::{Result, WrapErr};
+use hornbeam_standin::StartRecord;
+use indexmap::IndexMap;
 use serde::Serialize;
 
-use super::Running;
-
 /// `RecordLine` is one start of a task as written to the file.
 #[derive(Debug, Serialize)]
 #[serde(rename_all = "snake_case")]
@@ -23,7 +23,8 @@
 #[derive(Debug)]
 pub(super) struct Records {
     file: Option<BufWriter<File>>,
-    written: Vec<usize>,
+    /// Starts already written, by server.
+    written: IndexMap<String, usize>,
 }
 
 impl Records {
@@ -37,32 +38,29 @@
         };
         Ok(Self {
             file: path.map(create).transpose()?.map(BufWriter::new),
-            written: Vec::new(),
+            written: IndexMap::new(),
         })
     }
 
-    /// Appends the starts that are new since the last call.
+    /// Appends the starts of a server that are new since its last call.
     ///
     /// # Errors
     /// If the file cannot be written.
-    pub(super) fn append(&mut self, servers: &[Running]) -> Result<()> {
+    pub(super) fn append(&mut self, server_id: &str, starts: &[StartRecord]) -> Result<()> {
         let Some(file) = &mut self.file else {
             return Ok(());
         };
-        self.written.resize(servers.len(), 0);
-        for (running, written) in servers.iter().zip(&mut self.written) {
-            let starts = running.server.starts();
-            for start in starts.iter().skip(*written) {
-                let line = RecordLine {
-                    server_id: &running.server_id,
-                    job_id: &start.task.0,
-                    index: start.task.1,
-                    at_us: start.at.as_micros(),
-                };
-                writeln!(file, "{}", serde_json::to_string(&line)?)?;
-            }
-            *written = starts.len();
+        let written = self.written.entry(server_id.to_owned()).or_default();
+        for start in starts.iter().skip(*written) {
+            let line = RecordLine {
+                server_id,
+                job_id: &start.task.0,
+                index: start.task.1,
+                at_us: start.at.as_micros(),
+            };
+            writeln!(file, "{}", serde_json::to_string(&line)?)?;
         }
+        *written = starts.len();
         Ok(file.flush()?)
     }
 }
--- a/crates/standin/src/server.rs
+++ b/crates/standin/src/server.rs
@@ -94,8 +94,9 @@
         self.backend.chance.set_plan(faults);
     }
 
-    /// Withdraws, finishes running tasks and stops.
-    pub async fn leave(mut self) {
+    /// Withdraws, finishes running tasks and stops. Gets every start, also
+    /// those between the last call of [`Self::starts`] and the withdrawal.
+    pub async fn leave(mut self) -> Vec<StartRecord> {
         self.announcing.abort();
         // An aborted task ends with an error.
         let _ = (&mut self.announcing).await;
@@ -105,6 +106,7 @@
             http.stop().await;
         }
         self.backend.join().await;
+        self.starts()
     }
 
     /// Stops at once without withdrawing, as a crash would.
