--- /dev/null
+++ b/crates/daemon/tests/processes.rs
@@ -0,0 +1,303 @@
+//! A whole system of separate processes under load and failures.
+
+mod harness;
+
+use std::collections::HashSet;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::time::Duration;
+
+use googletest::prelude::*;
+use harness::{PATIENCE, Processes, until};
+use hornbeam_core::Result;
+use hornbeam_core::api::backend::Announcement;
+use hornbeam_core::api::caller::{Outcome, SubmitAnswer, SubmitRequest, TaskSpec};
+use hornbeam_core::api::operator::{
+    ChangeContent, ChangeOutcome, ChangeRequest, CheckRequest, EntryStatus, SourceFile,
+};
+use hornbeam_core::ids::TaskId;
+use hornbeam_http::Reply;
+use hornbeam_standin::{FaultPlan, StandinOptions, StandinServer};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use tokio::task::JoinSet;
+
+const BASE: &str = r#"
+site = "test"
+failure_domains = ["fd-a", "fd-b"]
+entry_hosts = 4
+
+[services.parish-orders]
+institution = "wickmaratne"
+
+[institutions.wickmaratne]
+max_queue_ms = 20000
+
+[institutions.wickmaratne.teams.orders]
+quota_slots = 4000
+"#;
+const JOBS: usize = 20;
+const TASKS: usize = 200;
+const SERVERS_PER_ENTRY: usize = 4;
+const SLOTS: u32 = 8;
+const SEED: u64 = 7;
+/// Time from the submission of the second load to the kills, well before its
+/// end.
+const KILL_AFTER: Duration = Duration::from_millis(300);
+/// Longest wait for the answer to a job, above the time that the job allows.
+const JOB_PATIENCE: Duration = Duration::from_secs(18);
+
+/// `Submitted` is a job with what its caller got.
+struct Submitted {
+    request: SubmitRequest,
+    entry: SocketAddr,
+    reply: Result<Reply<SubmitAnswer>>,
+}
+
+impl Submitted {
+    /// Whether every task has its result, in order, of this job.
+    fn is_whole(&self) -> bool {
+        let Ok(reply) = &self.reply else {
+            return false;
+        };
+        let answer = &reply.body;
+        let job_id = answer.job_id.clone().unwrap_or_default();
+        let tasks = answer.results.iter().enumerate();
+        reply.status == 200
+            && answer.outcome == Outcome::Complete
+            && answer.request_id == self.request.request_id
+            && answer.results.len() == self.request.tasks.len()
+            && tasks.fold(true, |whole, (index, result)| {
+                whole && result.output == format!("{job_id}/{index}")
+            })
+    }
+
+    /// Whether the caller was told clearly that there is no answer.
+    fn is_clear_failure(&self) -> bool {
+        let Ok(reply) = &self.reply else {
+            return false;
+        };
+        let answer = &reply.body;
+        answer.outcome != Outcome::Complete
+            && answer.reason.is_some()
+            && answer.request_id == self.request.request_id
+            && answer.results.is_empty()
+    }
+
+    fn describe(&self) -> String {
+        let described = self.reply.as_ref().map(|reply| {
+            let answer = &reply.body;
+            (reply.status, answer.reason, answer.message.clone())
+        });
+        format!("{}: {described:?}", self.request.request_id)
+    }
+}
+
+/// Guards against lost, doubled or mixed-up tasks when the parts are separate
+/// processes, against a failed host that takes others with it, and against a
+/// daemon that does not end with 0 after SIGTERM or an operator's drain.
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn separate_processes_answer_every_job_whole_and_survive_kills() {
+    let mut system = Processes::start();
+    put_in_force(&system).await;
+    let servers = start_servers(&system).await;
+    let mut rng = ChaCha8Rng::seed_from_u64(SEED);
+
+    for job in submit_jobs(&system, &mut rng, "first").join_all().await {
+        expect_that!(job.is_whole(), eq(true), "{}", job.describe());
+    }
+    expect_that!(starts(&servers).len(), eq(JOBS * TASKS));
+
+    let running = submit_jobs(&system, &mut rng, "second");
+    tokio::time::sleep(KILL_AFTER).await;
+    let killed = system.entries[0].http;
+    system.entries[0].kill();
+    system.controls[0].kill();
+    for job in running.join_all().await {
+        // A caller of the killed host sees a lost connection.
+        let clear = job.is_whole() || job.is_clear_failure() || job.entry == killed;
+        expect_that!(clear, eq(true), "{}", job.describe());
+    }
+
+    system.entries.remove(0);
+    wait_for_servers(&system, servers.len()).await;
+    for job in submit_jobs(&system, &mut rng, "third").join_all().await {
+        expect_that!(job.is_whole(), eq(true), "{}", job.describe());
+    }
+    let starts = starts(&servers);
+    let distinct: HashSet<&TaskId> = starts.iter().collect();
+    expect_that!(distinct.len(), eq(starts.len()));
+
+    for server in servers {
+        server.leave().await;
+    }
+    end_all(&mut system).await;
+}
+
+/// Guards against settings that are reported one at a time or without place.
+#[gtest]
+fn all_findings_about_settings_are_reported_together() {
+    let output = std::process::Command::new(env!("CARGO_BIN_EXE_hornbeamd"))
+        .env("HORNBEAM_SEED", "x")
+        .args([
+            "--role",
+            "entry",
+            "--http-listen=0.0.0.0:1",
+            "--control-hosts",
+            "1",
+        ])
+        .output()
+        .expect("an ended process");
+    expect_that!(output.status.code(), some(eq(2)));
+    let findings = String::from_utf8_lossy(&output.stderr);
+    for place in [
+        "HORNBEAM_SEED: ",
+        "--http-listen: ",
+        "--control-hosts: ",
+        "--host-id or HORNBEAM_HOST_ID: ",
+        "--link-listen or HORNBEAM_LINK_LISTEN: ",
+        "--failure-domain or HORNBEAM_FAILURE_DOMAIN: ",
+    ] {
+        expect_that!(findings, contains_substring(place));
+    }
+}
+
+/// Puts the first configuration in force and waits for it everywhere.
+async fn put_in_force(system: &Processes) {
+    for control in &system.controls {
+        system.wait_ready(control.http).await;
+    }
+    let file = |name: &str, text: &str| SourceFile {
+        name: name.into(),
+        text: text.into(),
+    };
+    let request = ChangeRequest {
+        expected_version: 0,
+        change_id: "first".into(),
+        operator: "nuwan".into(),
+        reason: "test".into(),
+        content: ChangeContent::Files(CheckRequest {
+            base: file("base.toml", BASE),
+            overlay: file("overlay.toml", ""),
+        }),
+    };
+    // A control host that does not lead brings the change to the leader.
+    let address = system.controls[2].http;
+    let path = "/v1/config/changes";
+    let reply: Reply<ChangeOutcome> = system.post(address, path, &request).await;
+    expect_that!(reply.body, eq(&ChangeOutcome::Accepted { version: 1 }));
+    for entry in &system.entries {
+        system.wait_ready(entry.http).await;
+    }
+}
+
+/// Starts backend servers that prefer the entry hosts of their domain.
+async fn start_servers(system: &Processes) -> Vec<StandinServer> {
+    let mut servers = Vec::new();
+    for (at, entry) in system.entries.iter().enumerate() {
+        for number in 0..SERVERS_PER_ENTRY {
+            let id = format!("s-{at}-{number}");
+            let options = StandinOptions {
+                announcement: announcement(&id, &entry.failure_domain),
+                listen: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)),
+                entry_hosts: system.entries.iter().map(|entry| entry.http).collect(),
+                latency: Duration::ZERO,
+                faults: FaultPlan::default(),
+                seed: (at * SERVERS_PER_ENTRY + number) as u64,
+            };
+            servers.push(StandinServer::start(options).await.expect("a server"));
+        }
+    }
+    wait_for_servers(system, servers.len()).await;
+    servers
+}
+
+/// Waits until all backend servers are leased to live entry hosts.
+async fn wait_for_servers(system: &Processes, count: usize) {
+    until("a lease of every server", async || {
+        let mut leased = 0;
+        for entry in &system.entries {
+            let status = system.client.get(entry.http, "/v1/status", PATIENCE).await;
+            let status: Reply<EntryStatus> = status.expect("a status");
+            leased += status.body.servers as usize;
+        }
+        leased == count
+    })
+    .await;
+}
+
+/// Submits jobs to random entry hosts at once.
+fn submit_jobs(system: &Processes, rng: &mut ChaCha8Rng, name: &str) -> JoinSet<Submitted> {
+    let mut running = JoinSet::new();
+    for number in 0..JOBS {
+        let at = rng.random_range(0..system.entries.len());
+        let entry = system.entries[at].http;
+        let client = system.client.clone();
+        let request = job(format!("{name}-{number}"), rng);
+        running.spawn(async move {
+            let reply = client.post(entry, "/v1/jobs", &request, JOB_PATIENCE).await;
+            Submitted {
+                request,
+                entry,
+                reply,
+            }
+        });
+    }
+    running
+}
+
+/// Builds a job of tasks of 5 to 50 ms.
+fn job(request_id: String, rng: &mut ChaCha8Rng) -> SubmitRequest {
+    let mut task = || TaskSpec {
+        run_ms: rng.random_range(5..=50),
+        ..TaskSpec::default()
+    };
+    SubmitRequest {
+        request_id,
+        institution: "wickmaratne".into(),
+        team: "orders".into(),
+        service: "parish-orders".into(),
+        repeatable: true,
+        timeout_ms: 15_000,
+        valid_until_unix_ms: None,
+        tasks: (0..TASKS).map(|_| task()).collect(),
+    }
+}
+
+/// Gets every start that the backend servers recorded.
+fn starts(servers: &[StandinServer]) -> Vec<TaskId> {
+    let records = servers.iter().flat_map(StandinServer::starts);
+    records.map(|record| record.task).collect()
+}
+
+/// Drains one entry host by an operator's request and ends the other
+/// processes by SIGTERM; all of them must end with 0.
+async fn end_all(system: &mut Processes) {
+    let drained = system.entries[0].http;
+    let reply: Reply<serde_json::Value> = system.post(drained, "/v1/drain", &()).await;
+    expect_that!(reply.status, eq(200));
+    let others = system.entries[1..].iter().chain(&system.controls[1..]);
+    others.for_each(|daemon| daemon.terminate());
+    for daemon in system.entries.iter_mut().chain(&mut system.controls[1..]) {
+        expect_that!(daemon.ended().await.code(), some(eq(0)));
+    }
+}
+
+fn announcement(id: &str, failure_domain: &str) -> Announcement {
+    Announcement {
+        server_id: id.into(),
+        incarnation: 1,
+        grant: 1,
+        address: String::new(),
+        failure_domain: failure_domain.into(),
+        rack: "rack-1".into(),
+        worker_id: format!("worker-{id}"),
+        service: "parish-orders".into(),
+        slots: SLOTS,
+        max_connections: 64,
+        cpu_milli: 8_000,
+        memory_mib: 8_192,
+        accelerators: 0,
+        shared: false,
+    }
+}
