--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -31,7 +31,12 @@
         () = stop_signals.next() => host.start_drain(),
         () = host.drained() => {}
     }
+    host.drained().await;
+    let failed = host.has_failed();
     host.stop().await;
+    if failed {
+        bail!("the entry host stopped because of an error");
+    }
     Ok(())
 }
 
@@ -48,7 +53,7 @@
     let failed = host.has_failed();
     host.stop().await;
     if failed {
-        bail!("the control host stopped because its disk failed");
+        bail!("the control host stopped because of an error");
     }
     Ok(())
 }
--- a/crates/node/src/control/input.rs
+++ b/crates/node/src/control/input.rs
@@ -61,6 +61,11 @@
 }
 
 impl ControlHandle {
+    /// Whether the loop runs.
+    pub(crate) fn is_live(&self) -> bool {
+        !self.inputs.is_closed()
+    }
+
     /// Sends an input that nobody waits for.
     ///
     /// # Errors
--- a/crates/node/src/control/routes.rs
+++ b/crates/node/src/control/routes.rs
@@ -155,7 +155,11 @@
     }
 
     async fn livez(&self, _request: Request) -> Response {
-        reply::text(OK, "live\n")
+        if self.leader.shell.is_live() {
+            reply::text(OK, "live\n")
+        } else {
+            reply::text(503, "stopped\n")
+        }
     }
 
     /// Answers 200 only when changes can be taken: not draining, and a leader
--- a/crates/node/src/control/shell.rs
+++ b/crates/node/src/control/shell.rs
@@ -17,7 +17,7 @@
 use super::input::ControlInput;
 use super::outboxes::Outboxes;
 use crate::config_watch::ConfigWatch;
-use crate::lifecycle::{LifeEvent, Lifecycle};
+use crate::lifecycle::{FailOnDrop, LifeEvent, Lifecycle};
 
 /// `ControlShell` runs the replica: inputs in, outputs carried out.
 #[derive(Debug)]
@@ -84,6 +84,7 @@
         mut disk_events: mpsc::UnboundedReceiver<DiskEvent>,
     ) {
         let life = Arc::clone(&self.life);
+        let _fail = FailOnDrop::new(&life);
         let leaving = life.leaving();
         tokio::pin!(leaving);
         let mut draining = false;
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -167,6 +167,11 @@
         self.life.stopped().await;
     }
 
+    /// Whether the host stopped because of an error.
+    pub fn has_failed(&self) -> bool {
+        self.life.has_failed()
+    }
+
     /// Drains, stops and joins everything.
     pub async fn stop(mut self) {
         self.start_drain();
--- a/crates/node/src/entry/exchange.rs
+++ b/crates/node/src/entry/exchange.rs
@@ -24,7 +24,7 @@
 const CANCEL_PATH: &str = "/v1/tasks/cancel";
 
 /// `Exchanges` starts the requests of one entry host.
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 pub(crate) struct Exchanges {
     /// This host, for requests that name their sender.
     pub(crate) host_id: HostId,
@@ -43,8 +43,12 @@
 impl Exchanges {
     /// Starts what an output asks for. Outputs that are answers to callers
     /// are handled by the shell loop and ignored here.
-    pub(crate) fn start(&self, output: DispatchOutput, running: &mut JoinSet<DispatchInput>) {
-        let this = self.clone();
+    pub(crate) fn start(
+        self: &Arc<Self>,
+        output: DispatchOutput,
+        running: &mut JoinSet<DispatchInput>,
+    ) {
+        let this = Arc::clone(self);
         match output {
             DispatchOutput::SendBatch {
                 exchange,
--- a/crates/node/src/entry/follower.rs
+++ b/crates/node/src/entry/follower.rs
@@ -108,11 +108,14 @@
 
     /// Applies a version unless an equal or newer one is in force.
     async fn apply(&self, version: ConfigVersion, configuration: Configuration) -> bool {
-        let configuration = Arc::new(configuration);
-        if !self.config.publish(version, Arc::clone(&configuration)) {
+        if version <= self.config.version() {
             return false;
         }
-        let input = DispatchInput::ConfigInForce(version, configuration);
-        self.shell.send(input).await.is_ok()
+        let configuration = Arc::new(configuration);
+        let input = DispatchInput::ConfigInForce(version, Arc::clone(&configuration));
+        // The dispatcher gets it first, so that a host that says it is ready
+        // does not refuse a job for want of a configuration.
+        let in_force = self.shell.send(input).await.is_ok();
+        in_force && self.config.publish(version, configuration)
     }
 }
--- a/crates/node/src/entry/input.rs
+++ b/crates/node/src/entry/input.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use hornbeam_core::api::backend::{AnnounceAnswer, Announcement};
+use hornbeam_core::api::backend::{AnnounceAnswer, Announcement, Withdrawal};
 use hornbeam_core::api::caller::{SubmitAnswer, SubmitRequest};
 use hornbeam_core::api::operator::EntryStatus;
 use hornbeam_core::ids::{ChunkId, HostId, JobId};
@@ -22,6 +22,9 @@
     Submit(JobId, Arc<SubmitRequest>, oneshot::Sender<SubmitAnswer>),
     /// An announcement; answered in the same step.
     Announce(Announcement, oneshot::Sender<AnnounceAnswer>),
+    /// A withdrawal; answered after the step, when no more work is started on
+    /// the server.
+    Withdraw(Withdrawal, oneshot::Sender<()>),
     /// A forwarded chunk; answered when it is over.
     Chunk(Chunk, oneshot::Sender<ChunkAnswer>),
     /// A cancelled chunk; answered in the same step.
@@ -96,6 +99,11 @@
         }
     }
 
+    /// Whether the shell loop runs.
+    pub(crate) fn is_live(&self) -> bool {
+        !self.inputs.is_closed()
+    }
+
     /// Ends the shell loop after the inputs that wait already.
     pub(crate) async fn stop(&self) {
         // Fails only when the loop has ended.
--- a/crates/node/src/entry/routes.rs
+++ b/crates/node/src/entry/routes.rs
@@ -6,7 +6,6 @@
 use hornbeam_core::api::caller::{Outcome, Reason, SubmitAnswer};
 use hornbeam_core::ids::JobId;
 use hornbeam_core::{Error, Finding, Place};
-use hornbeam_dispatch::DispatchInput;
 use hornbeam_timer::TimerService;
 use volo_http::request::Request;
 use volo_http::response::Response;
@@ -142,7 +141,8 @@
             Ok(withdrawal) => withdrawal,
             Err(response) => return *response,
         };
-        match self.shell.send(DispatchInput::Withdrawn(withdrawal)).await {
+        let withdraw = |answer| ShellInput::Withdraw(withdrawal, answer);
+        match self.shell.ask(withdraw).await {
             Ok(()) => reply::json(OK, &serde_json::json!({})),
             Err(cause) => reply::text(503, cause.to_string()),
         }
@@ -165,7 +165,11 @@
     }
 
     async fn livez(&self, _request: Request) -> Response {
-        reply::text(OK, "live\n")
+        if self.shell.is_live() {
+            reply::text(OK, "live\n")
+        } else {
+            reply::text(503, "stopped\n")
+        }
     }
 
     async fn readyz(&self, _request: Request) -> Response {
--- a/crates/node/src/entry/shell.rs
+++ b/crates/node/src/entry/shell.rs
@@ -18,7 +18,7 @@
 use super::input::{ShellInput, ShellReceiver};
 use super::metrics::EntryMetrics;
 use super::peers::PeerTable;
-use crate::lifecycle::{LifeEvent, Lifecycle};
+use crate::lifecycle::{FailOnDrop, LifeEvent, Lifecycle};
 
 /// `JobWaiter` is a caller that waits for its answer.
 #[derive(Debug)]
@@ -41,7 +41,7 @@
     /// Peers by id.
     pub(crate) peers: Arc<PeerTable>,
     /// Sends requests for the dispatcher.
-    pub(crate) exchanges: Exchanges,
+    pub(crate) exchanges: Arc<Exchanges>,
     /// Callers that wait.
     waiters: Waiters,
     /// Exchanges in flight; each ends with an input.
@@ -72,7 +72,7 @@
             life,
             metrics: Arc::clone(&exchanges.metrics),
             peers,
-            exchanges,
+            exchanges: Arc::new(exchanges),
             waiters: Waiters::default(),
             running: JoinSet::new(),
         }
@@ -81,6 +81,7 @@
     /// Runs until it is stopped, then ends and joins the exchanges.
     pub(crate) async fn run(mut self, mut receiver: ShellReceiver) {
         let life = Arc::clone(&self.life);
+        let _fail = FailOnDrop::new(&life);
         let leaving = life.leaving();
         tokio::pin!(leaving);
         let mut draining = false;
@@ -118,6 +119,10 @@
                 self.waiters.announcement = Some(answer);
                 self.step(DispatchInput::Announced(announcement));
             }
+            ShellInput::Withdraw(withdrawal, answer) => {
+                self.step(DispatchInput::Withdrawn(withdrawal));
+                let _ = answer.send(());
+            }
             ShellInput::Chunk(chunk, answer) => {
                 let key = (chunk.from.clone(), chunk.chunk_id);
                 self.waiters.chunks.insert(key, answer);
--- a/crates/node/src/lifecycle.rs
+++ b/crates/node/src/lifecycle.rs
@@ -1,5 +1,6 @@
 //! The life cycle of a daemon, interpreted from `charts/daemon.toml`.
 
+use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 
 use hornbeam_chart::{ChartDomain, Machine};
@@ -71,15 +72,15 @@
 
     /// Reacts to an event; returns whether the state changed.
     pub(crate) fn on(&self, event: LifeEvent) -> bool {
-        if event == LifeEvent::Failed {
-            self.failed.store(true, Ordering::Relaxed);
-        }
         self.state.send_if_modified(|state| {
-            let next = self.machine.next(*state, event);
-            if let Some(next) = next {
-                *state = next;
+            let Some(next) = self.machine.next(*state, event) else {
+                return false;
+            };
+            if event == LifeEvent::Failed {
+                self.failed.store(true, Ordering::Relaxed);
             }
-            next.is_some()
+            *state = next;
+            true
         })
     }
 
@@ -110,3 +111,26 @@
         let _ = changes.wait_for(condition).await;
     }
 }
+
+/// `FailOnDrop` ends the life cycle with an error when the task that holds it
+/// ends while there is still something to do, for example by a panic. A host
+/// without its loop would otherwise answer nothing and never end.
+#[derive(Debug)]
+pub(crate) struct FailOnDrop {
+    life: Arc<Lifecycle>,
+}
+
+impl FailOnDrop {
+    /// Creates a guard.
+    pub(crate) fn new(life: &Arc<Lifecycle>) -> Self {
+        Self {
+            life: Arc::clone(life),
+        }
+    }
+}
+
+impl Drop for FailOnDrop {
+    fn drop(&mut self) {
+        self.life.on(LifeEvent::Failed);
+    }
+}
--- a/crates/node/src/reply.rs
+++ b/crates/node/src/reply.rs
@@ -5,7 +5,7 @@
 use hornbeam_core::api::operator::CheckAnswer;
 use hornbeam_http::{BodyLimits, BodyRejection};
 use hornbeam_timer::TimerService;
-use http_body_util::{BodyExt, Limited};
+use http_body_util::BodyExt;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use volo_http::body::Body;
@@ -35,27 +35,32 @@
     request: Request,
     max_bytes: usize,
 ) -> Result<Vec<u8>, BodyError> {
-    let body = Limited::new(request.into_body(), max_bytes);
-    let reading = collect(body);
+    let reading = collect(request.into_body(), max_bytes);
     timer
         .timeout(BODY_TIMEOUT, reading)
         .await
         .unwrap_or(Err(BodyError::Late))
 }
 
-/// Collects the frames of a body and keeps the ones before an error, because
-/// the request id can often be read from them.
-async fn collect(mut body: Limited<Body>) -> Result<Vec<u8>, BodyError> {
+/// Collects the frames of a body. What is over the limit is read and thrown
+/// away up to twice the limit, because a caller that is still sending often
+/// sees a reset connection instead of an early answer.
+async fn collect(mut body: Body, max_bytes: usize) -> Result<Vec<u8>, BodyError> {
     let mut bytes = Vec::new();
+    let mut total_bytes = 0;
     while let Some(frame) = body.frame().await {
-        match frame {
-            Ok(frame) => bytes.extend(frame.into_data().unwrap_or_default()),
-            Err(cause) if cause.is::<http_body_util::LengthLimitError>() => {
-                return Err(BodyError::TooLarge(bytes));
-            }
-            Err(cause) => return Err(BodyError::Broken(cause.to_string())),
+        let frame = frame.map_err(|cause| BodyError::Broken(cause.to_string()))?;
+        let data = frame.into_data().unwrap_or_default();
+        total_bytes += data.len();
+        if total_bytes <= max_bytes {
+            bytes.extend_from_slice(&data);
+        } else if total_bytes > max_bytes.saturating_mul(2) {
+            break;
         }
     }
+    if total_bytes > max_bytes {
+        return Err(BodyError::TooLarge(bytes));
+    }
     Ok(bytes)
 }
 
--- a/crates/node/tests/harness/mod.rs
+++ b/crates/node/tests/harness/mod.rs
@@ -22,6 +22,9 @@
 /// Longest wait for anything in a test.
 pub const PATIENCE: Duration = Duration::from_secs(10);
 
+/// Largest body of a job in tests.
+pub const MAX_BODY_BYTES: usize = 256 << 10;
+
 const BASE: &str = r#"
 site = "test"
 failure_domains = ["fd-a", "fd-b"]
@@ -42,14 +45,21 @@
     /// Sends requests with the operators' credential.
     pub client: HttpClient,
     control_addresses: Vec<(ReplicaId, SocketAddr)>,
-    _folders: Vec<TempDir>,
+    /// Data folders of the control hosts.
+    pub folders: Vec<TempDir>,
 }
 
 impl System {
     /// Starts hosts that know each other and puts a configuration in force.
     pub async fn start(controls: u64, entries: usize) -> Self {
+        Self::start_apart(controls, entries, 0).await
+    }
+
+    /// Like [`System::start`], with some entry hosts that reach no control
+    /// host; they come last.
+    pub async fn start_apart(controls: u64, entries: usize, apart: usize) -> Self {
         let mut system = Self::start_control(controls).await;
-        system.start_entries(entries).await;
+        system.start_entries(entries, apart).await;
         assert!(matches!(
             system.change("first", 0, "").await,
             ChangeOutcome::Accepted { version: 1 }
@@ -72,6 +82,8 @@
                 replica: ReplicaOptions {
                     id: *id,
                     initial_voters: (1..=count).collect(),
+                    // Small, so that tests write snapshots as well.
+                    snapshot_entries: 8,
                     seed: *id,
                     ..ReplicaOptions::default()
                 },
@@ -95,14 +107,15 @@
             entries: Vec::new(),
             client: HttpClient::new(client).expect("a client"),
             control_addresses: addresses,
-            _folders: folders,
+            folders,
         }
     }
 
-    async fn start_entries(&mut self, count: usize) {
-        let addresses: Vec<_> = (0..count).map(|_| free_address()).collect();
+    async fn start_entries(&mut self, following: usize, apart: usize) {
+        let addresses: Vec<_> = (0..following + apart).map(|_| free_address()).collect();
         for (index, address) in addresses.iter().enumerate() {
             let others = addresses.iter().filter(|other| *other != address);
+            let control_hosts = self.control_addresses.iter().filter(|_| index < following);
             let options = EntryOptions {
                 dispatch: DispatchOptions {
                     host_id: format!("entry-{index}"),
@@ -113,9 +126,10 @@
                 http_listen: free_address(),
                 link_listen: *address,
                 peers: others.copied().collect(),
-                control_hosts: self.control_addresses.clone(),
+                control_hosts: control_hosts.copied().collect(),
                 link_credential: Some("link-secret".into()),
                 operator_credential: Some(OPERATOR.into()),
+                max_body_bytes: MAX_BODY_BYTES,
                 ..EntryOptions::default()
             };
             let entry = EntryHost::start(options).await.expect("an entry host");
--- a/crates/node/tests/system.rs
+++ b/crates/node/tests/system.rs
@@ -5,10 +5,11 @@
 use std::time::{Duration, Instant};
 
 use googletest::prelude::*;
-use harness::{PATIENCE, System, job, job_once, submit_at, until};
-use hornbeam_core::api::caller::{Outcome, Reason, SubmitAnswer};
+use harness::{MAX_BODY_BYTES, PATIENCE, System, job, job_once, submit_at, until};
+use hornbeam_core::Error;
+use hornbeam_core::api::caller::{Outcome, Reason, SubmitAnswer, SubmitRequest};
 use hornbeam_core::api::operator::ChangeOutcome;
-use hornbeam_http::Reply;
+use hornbeam_http::{ClientOptions, HttpClient, Reply};
 
 /// Checks that an answer is complete and that its results are in order.
 fn expect_whole(reply: &Reply<SubmitAnswer>, request_id: &str, tasks: usize) {
@@ -180,3 +181,142 @@
     server.leave().await;
     system.stop().await;
 }
+
+/// Guards against an entry host that is cut off from all control hosts and
+/// stays on an old configuration although a peer has the new one.
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn an_entry_host_without_control_hosts_follows_its_peers() {
+    let system = System::start_apart(1, 1, 1).await;
+    let outcome = system.change("second", 1, "entry_hosts = 3").await;
+    expect_that!(outcome, eq(&ChangeOutcome::Accepted { version: 2 }));
+    system.wait_for_version(&system.entries[1], 2).await;
+    system.stop().await;
+}
+
+/// Guards against bad input that is reported without its place, one problem
+/// at a time, or without the request id by which the caller knows its job.
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn bad_input_is_refused_with_all_findings_and_the_request_id() {
+    let system = System::start(1, 1).await;
+    let address = system.entries[0].http_address();
+    let body = serde_json::json!({
+        "request_id": "bad", "institution": "dala", "team": 5, "service": "subscribe",
+        "repeatable": true, "timeout_ms": "long", "extra": 1,
+        "tasks": [{ "run_ms": 1 }, { "run_ms": -1 }],
+    });
+    let reply = system
+        .client
+        .post(address, "/v1/jobs", &body, PATIENCE)
+        .await;
+    let reply: Reply<SubmitAnswer> = reply.expect("an answer");
+    expect_that!(reply.status, eq(400));
+    expect_that!(reply.body.reason, some(eq(Reason::BadRequest)));
+    expect_that!(reply.body.request_id, eq("bad"));
+    let findings = reply.body.findings.iter();
+    let paths: Vec<_> = findings
+        .map(|finding| finding.place.path.as_str())
+        .collect();
+    expect_that!(
+        paths,
+        unordered_elements_are![
+            eq(&"extra"),
+            eq(&"team"),
+            eq(&"timeout_ms"),
+            eq(&"tasks[1]")
+        ]
+    );
+
+    let mut large = job("large", 1, 1);
+    large.tasks[0].payload = "x".repeat(MAX_BODY_BYTES);
+    let reply = system.submit(&system.entries[0], &large).await;
+    expect_that!(reply.status, eq(413));
+    expect_that!(reply.body.reason, some(eq(Reason::TooLarge)));
+    expect_that!(reply.body.request_id, eq("large"));
+    system.stop().await;
+}
+
+/// Guards against operators' routes that are open to everybody.
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn operators_routes_need_the_credential() {
+    let system = System::start(1, 1).await;
+    let wrong = ClientOptions {
+        credential: Some("wrong".into()),
+        ..ClientOptions::default()
+    };
+    let (entry, control) = (&system.entries[0], &system.controls[0]);
+    for client in [
+        HttpClient::new(wrong),
+        HttpClient::new(ClientOptions::default()),
+    ] {
+        let client = client.expect("a client");
+        for path in ["/v1/config", "/v1/config/history", "/v1/status"] {
+            let reply = client
+                .get_text(control.http_address(), path, PATIENCE)
+                .await;
+            expect_that!(reply.expect("an answer").status, eq(401), "{path}");
+        }
+        for address in [entry.http_address(), control.http_address()] {
+            let open = client.get_text(address, "/livez", PATIENCE).await;
+            expect_that!(open.expect("an answer").status, eq(200));
+            // The answer is no JSON, which shows that it was the refusal.
+            let drain = client.post(address, "/v1/drain", &(), PATIENCE).await;
+            let drain: hornbeam_core::Result<Reply<serde_json::Value>> = drain;
+            expect_that!(drain, err(matches_pattern!(Error::Codec(_))));
+        }
+    }
+    expect_that!(system.status(entry).await.draining, eq(false));
+    system.stop().await;
+}
+
+/// Guards against jobs that go on and use slots after their caller has gone.
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_caller_that_disconnects_cancels_its_job() {
+    let system = System::start(1, 1).await;
+    let entry = &system.entries[0];
+    let server = system.start_server("s1", entry).await;
+    let (client, address) = (system.client.clone(), entry.http_address());
+    let long_job = SubmitRequest {
+        timeout_ms: 20_000,
+        ..job("abandoned", 8, 2_000)
+    };
+    let caller = tokio::spawn(async move { submit_at(&client, address, &long_job).await });
+    until("starts", async || server.starts().len() == 4).await;
+    caller.abort();
+    until("the end of the job", async || {
+        system.status(entry).await.jobs == 0
+    })
+    .await;
+    let name = "hornbeam_jobs_total{outcome=\"failed\",reason=\"cancelled\"}";
+    expect_that!(system.metric(entry, name).await, eq(1.0));
+    expect_that!(server.starts().len(), eq(4));
+    server.abort();
+    system.stop().await;
+}
+
+/// Guards against a control host that accepts changes although its disk does
+/// not keep them, and against one that goes on after a disk error.
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_failing_disk_stops_the_control_host() {
+    let mut system = System::start(1, 0).await;
+    system.folders.clear();
+    let mut version = 1;
+    // The folder is gone, so the next snapshot cannot be written.
+    while !system.controls[0].has_failed() {
+        let id = format!("change-{version}");
+        match system.change(&id, version, "").await {
+            ChangeOutcome::Accepted { version: next } => version = next,
+            ChangeOutcome::Unknown { .. } | ChangeOutcome::Unavailable { .. } => {}
+            other => panic!("an unexpected outcome: {other:?}"),
+        }
+        assert!(version < 100, "the host does not notice its disk");
+    }
+    system.controls[0].stopped().await;
+    let after = system.change("after", version, "").await;
+    expect_that!(after, matches_pattern!(ChangeOutcome::Unavailable { .. }));
+    system.stop().await;
+}
