--- a/crates/dispatch/src/admission.rs
+++ b/crates/dispatch/src/admission.rs
@@ -46,6 +46,15 @@
     pub(crate) terms: Terms,
 }
 
+impl Placement {
+    fn weights(&self) -> Weights {
+        Weights {
+            institution: self.terms.institution_weight,
+            team: self.terms.team_weight,
+        }
+    }
+}
+
 impl Dispatcher {
     /// Admits or refuses a job.
     pub(crate) fn submitted(&mut self, job_id: JobId, request: Arc<SubmitRequest>) {
@@ -140,22 +149,34 @@
         };
         let longest_ms = estimates().max().unwrap_or(0);
         let work_ms: u64 = estimates().sum();
-        let wait_ms = pool.queued_work_ms / u64::from(slots.max(1));
-        let run_ms = longest_ms.max(work_ms / u64::from(slots.max(1)));
+        if longest_ms > request.timeout_ms {
+            let message = format!("A task runs {longest_ms} ms, which is longer than the timeout.");
+            return Err(Refusal::new(Reason::Overloaded, message));
+        }
+        let until_done_ms = |more_ms| {
+            let share_ms = pool
+                .queue
+                .work_until_done_ms(at.flow, at.weights(), more_ms);
+            share_ms.min(pool.queued_work_ms + more_ms) / u64::from(slots.max(1))
+        };
+        let (wait_ms, done_ms) = (until_done_ms(0), until_done_ms(work_ms));
         let team = self.quotas.team(at.flow.team);
         let share = u64::from(team.share_slots);
-        let team_wait_ms = team.queued_work_ms.checked_div(share).unwrap_or(u64::MAX);
-        let team_run_ms = work_ms.checked_div(share).unwrap_or(u64::MAX);
-        let late = |wait_ms: u64, run_ms: u64| {
-            wait_ms > at.terms.max_queue_ms || wait_ms.saturating_add(run_ms) > request.timeout_ms
+        let over_share = |work_ms: u64| work_ms.checked_div(share).unwrap_or(u64::MAX);
+        let team_wait_ms = over_share(team.queued_work_ms);
+        let team_done_ms = over_share(team.queued_work_ms + work_ms);
+        let late = |wait_ms: u64, done_ms: u64| {
+            let done_ms = done_ms.max(wait_ms.saturating_add(longest_ms));
+            wait_ms > at.terms.max_queue_ms || done_ms > request.timeout_ms
         };
-        if late(team_wait_ms, team_run_ms) {
+        if late(team_wait_ms, team_done_ms) {
             let message = format!("The team's quota of {share} slots here has no room in time.");
             return Err(Refusal::new(Reason::QuotaExceeded, message));
         }
-        if late(wait_ms, run_ms) {
-            let message =
-                format!("The job would wait {wait_ms} ms and run {run_ms} ms, which is too long.");
+        if late(wait_ms, done_ms) {
+            let message = format!(
+                "The job would wait {wait_ms} ms and end after {done_ms} ms, which is too late."
+            );
             return Err(Refusal::new(Reason::Overloaded, message));
         }
         Ok(())
@@ -215,10 +236,7 @@
             state: self.charts.job.initial(),
             pool: at.pool,
             flow: at.flow,
-            weights: Weights {
-                institution: at.terms.institution_weight,
-                team: at.terms.team_weight,
-            },
+            weights: at.weights(),
             most_per_exchange: at.terms.max_tasks_per_exchange,
             task_grace_ms: at.terms.task_grace_ms,
             admitted_at: self.now,
--- a/crates/dispatch/src/fair_queue.rs
+++ b/crates/dispatch/src/fair_queue.rs
@@ -35,6 +35,7 @@
     weight: i64,
     deficit: i64,
     jobs: BTreeSet<JobKey>,
+    queued_work_ms: u64,
     listed: bool,
 }
 
@@ -43,6 +44,8 @@
     weight: i64,
     deficit: i64,
     ring: VecDeque<FlowKey>,
+    /// Sum of the weights of flows that have jobs.
+    active_weight: i64,
     listed: bool,
 }
 
@@ -52,24 +55,60 @@
     lanes: BTreeMap<InstitutionKey, Lane>,
     flows: BTreeMap<FlowKey, Flow>,
     ring: VecDeque<InstitutionKey>,
+    /// Sum of the weights of lanes that have jobs.
+    active_weight: i64,
 }
 
 impl FairQueue {
-    /// Adds a job, at its place in the order of admission.
-    pub(crate) fn add(&mut self, key: FlowKey, weights: Weights, job: JobKey) {
+    /// Adds queued work of a job, at its place in the order of admission.
+    pub(crate) fn add(&mut self, key: FlowKey, weights: Weights, job: JobKey, work_ms: u64) {
+        self.count_active(key, -1);
         let lane = self.lanes.entry(key.institution).or_default();
         lane.weight = i64::from(weights.institution.max(1));
         let flow = self.flows.entry(key).or_default();
         flow.weight = i64::from(weights.team.max(1));
         flow.jobs.insert(job);
+        flow.queued_work_ms += work_ms;
+        self.count_active(key, 1);
         self.activate(key);
     }
 
+    /// Subtracts queued work that was started or given up.
+    pub(crate) fn subtract_work(&mut self, key: FlowKey, work_ms: u64) {
+        if let Some(flow) = self.flows.get_mut(&key) {
+            flow.queued_work_ms -= work_ms;
+        }
+    }
+
     /// Removes a job.
     pub(crate) fn remove(&mut self, key: FlowKey, job: JobKey) {
+        self.count_active(key, -1);
         if let Some(flow) = self.flows.get_mut(&key) {
             flow.jobs.remove(&job);
         }
+        self.count_active(key, 1);
+    }
+
+    /// Gets the work that is done, on all slots together, until a flow's queue
+    /// and `more_ms` of its work are done, if every active flow gets its
+    /// share. In ms.
+    pub(crate) fn work_until_done_ms(&self, key: FlowKey, weights: Weights, more_ms: u64) -> u64 {
+        let lane = self.lanes.get(&key.institution);
+        let flow = self.flows.get(&key);
+        let own_ms = flow.map_or(0, |flow| flow.queued_work_ms) + more_ms;
+        let weight_of = |weight: u32| f64::from(weight.max(1));
+        let is_active = |flow: &Flow| !flow.jobs.is_empty();
+        let mut lane_weights = self.active_weight as f64;
+        let mut flow_weights = lane.map_or(0, |lane| lane.active_weight) as f64;
+        if flow_weights == 0.0 {
+            lane_weights += weight_of(weights.institution);
+        }
+        if !flow.is_some_and(is_active) {
+            flow_weights += weight_of(weights.team);
+        }
+        let share =
+            weight_of(weights.institution) / lane_weights * weight_of(weights.team) / flow_weights;
+        (own_ms as f64 / share) as u64
     }
 
     /// Puts a flow back into the ring.
@@ -145,4 +184,21 @@
             lane.deficit -= work_ms;
         }
     }
+
+    /// Adds a flow with jobs to the sums of active weights, or subtracts it.
+    fn count_active(&mut self, key: FlowKey, sign: i64) {
+        let (Some(flow), Some(lane)) = (self.flows.get(&key), self.lanes.get_mut(&key.institution))
+        else {
+            return;
+        };
+        if flow.jobs.is_empty() {
+            return;
+        }
+        let was_active = lane.active_weight > 0;
+        lane.active_weight += sign * flow.weight;
+        let is_active = lane.active_weight > 0;
+        if was_active != is_active {
+            self.active_weight += sign * lane.weight;
+        }
+    }
 }
--- a/crates/dispatch/src/queueing.rs
+++ b/crates/dispatch/src/queueing.rs
@@ -37,7 +37,7 @@
         let pool = &mut self.pools[job.pool];
         pool.queued_tasks += tasks;
         pool.queued_work_ms += work_ms;
-        pool.queue.add(job.flow, job.weights, key);
+        pool.queue.add(job.flow, job.weights, key, work_ms);
         if !job.flow.foreign {
             self.quotas.team(job.flow.team).queued_work_ms += work_ms;
         }
@@ -82,6 +82,7 @@
         let pool = &mut self.pools[pool];
         pool.queued_tasks -= tasks;
         pool.queued_work_ms -= work_ms;
+        pool.queue.subtract_work(flow, work_ms);
         if !flow.foreign {
             self.quotas.team(flow.team).queued_work_ms -= work_ms;
         }
--- a/crates/dispatch/tests/admission.rs
+++ b/crates/dispatch/tests/admission.rs
@@ -97,6 +97,24 @@
     expect_that!(admitted, all![ge(8), le(11)]);
 }
 
+/// Guards against a team that is refused because another has a long queue.
+#[gtest]
+fn a_long_queue_of_one_team_does_not_shut_out_another() {
+    let mut host = host_with_server();
+    let of_team = |team: &str| SubmitRequest {
+        team: team.into(),
+        timeout_ms: 4_000,
+        ..request("r", 40)
+    };
+    let mut jobs = 0..;
+    let mut submit = |team| {
+        let job = format!("j{}", jobs.next().unwrap());
+        answers(&host.submit(&job, of_team(team)))
+    };
+    while submit("feeding").is_empty() {}
+    expect_that!(submit("orders"), is_empty());
+}
+
 /// Guards against estimates that trust declared run times for ever.
 #[gtest]
 fn declared_run_times_are_corrected() {
--- a/crates/dispatch/tests/common/history.rs
+++ b/crates/dispatch/tests/common/history.rs
@@ -10,68 +10,37 @@
 pub enum Step {
     /// A caller submitted a job.
     Submitted {
-        /// Job.
         job: JobId,
-        /// Its request id.
         request: RequestId,
-        /// Number of its tasks.
         tasks: u32,
-        /// Whether it may run twice.
         repeatable: bool,
     },
     /// A claim was recorded for a job.
-    Claimed {
-        /// Job.
-        job: JobId,
-    },
+    Claimed { job: JobId },
     /// The host of a job crashed, so that its caller gets no answer.
-    CallerLost {
-        /// Job.
-        job: JobId,
-    },
+    CallerLost { job: JobId },
     /// A task started on a server.
     Started {
-        /// Job.
         job: JobId,
-        /// Task.
         index: TaskIndex,
-        /// Server.
         server: ServerId,
     },
     /// A caller got an answer.
-    Answered {
-        /// Job.
-        job: JobId,
-        /// The answer.
-        answer: SubmitAnswer,
-    },
+    Answered { job: JobId, answer: SubmitAnswer },
     /// A host learned that a server withdraws.
     Withdrew {
-        /// Host.
         host: HostId,
-        /// Server.
         server: ServerId,
-        /// Its incarnation.
         incarnation: Incarnation,
     },
     /// A host sent tasks to a server.
     Sent {
-        /// Host.
         host: HostId,
-        /// Server.
         server: ServerId,
-        /// Its incarnation.
         incarnation: Incarnation,
     },
     /// So much of a limited thing is in use.
-    InUse {
-        /// What is limited.
-        what: String,
-        /// Use.
-        used: u32,
-        /// Limit.
-        limit: u32,
-    },
+    InUse { what: String, used: u32, limit: u32 },
 }
 
 /// `Violation` is a broken guarantee.
--- a/crates/dispatch/tests/common/mod.rs
+++ b/crates/dispatch/tests/common/mod.rs
@@ -113,11 +113,8 @@
 /// `SentBatch` is a batch that the dispatcher sent.
 #[derive(Clone, Debug)]
 pub struct SentBatch {
-    /// Exchange to end.
     pub exchange: ExchangeId,
-    /// Receiver.
     pub server_id: String,
-    /// Body.
     pub batch: TaskBatch,
 }
 
--- /dev/null
+++ b/crates/dispatch/tests/model/incidents.rs
@@ -0,0 +1,108 @@
+//! Submissions, claims, statuses and incidents of the world.
+
+use super::*;
+
+impl World {
+    pub(super) fn submit(&mut self, planned: &PlannedJob) {
+        let host = planned.host % self.entries.len();
+        self.submitted += 1;
+        let job = format!("j{}", self.submitted);
+        let mut request = request(&format!("r-{job}"), planned.tasks);
+        if let Some(once) = planned.once {
+            request.request_id = format!("once-{once}");
+            request.repeatable = false;
+            request.valid_until_unix_ms = Some(self.now_ms + 10_000);
+        }
+        if planned.small_quota {
+            request.team = "orders".into();
+        }
+        request.timeout_ms = planned.timeout_ms;
+        for task in &mut request.tasks {
+            task.run_ms = planned.run_ms;
+            task.cpu_milli = planned.cpu_milli;
+        }
+        self.history.push(Step::Submitted {
+            job: job.clone(),
+            request: request.request_id.clone(),
+            tasks: u32::try_from(planned.tasks).unwrap(),
+            repeatable: request.repeatable,
+        });
+        let small_quota = planned.small_quota;
+        self.entries[host].jobs.insert(job.clone(), small_quota);
+        let to = self.current(host);
+        if let Some(cancel_after_ms) = planned.cancel_after_ms {
+            let input = DispatchInput::CallerCancelled(job.clone());
+            self.input(cancel_after_ms + 1, to, input);
+        }
+        let input = DispatchInput::Submitted(job, Arc::new(request));
+        self.step(to, input, &Reply::Nobody);
+    }
+
+    pub(super) fn record_claim(&mut self, from: HostRef, job: JobId, request: RequestId) {
+        let lost = self.faulty();
+        let recorded = !lost || self.chance(500);
+        let mut end = ClaimEnd::Unavailable;
+        if recorded {
+            let holder = self.claims.entry(request).or_insert_with(|| job.clone());
+            end = match *holder == job {
+                true => ClaimEnd::Recorded,
+                false => ClaimEnd::AlreadyClaimed,
+            };
+        }
+        if end == ClaimEnd::Recorded {
+            self.history.push(Step::Claimed { job: job.clone() });
+        }
+        let end = if lost { ClaimEnd::Unavailable } else { end };
+        let delay = self.rng.random_range(3..12);
+        self.input(delay, from, DispatchInput::ClaimEnded(job, end));
+    }
+
+    pub(super) fn incident(&mut self, incident: Incident) {
+        let servers = self.backends.len();
+        let hosts = self.entries.len();
+        match incident {
+            Incident::Restart(server) => self.restart(server % servers),
+            Incident::Withdraw(server) => self.withdraw(server % servers),
+            Incident::Mute(server) => self.muted_until_ms[server % servers] = self.now_ms + MUTE_MS,
+            Incident::Isolate(host) => {
+                self.entries[host % hosts].isolated_until_ms = self.now_ms + ISOLATE_MS;
+            }
+            Incident::Crash(host) => self.crash(host % hosts),
+            Incident::Drain(host) => {
+                let to = self.current(host % hosts);
+                self.step(to, DispatchInput::DrainStarted, &Reply::Nobody);
+            }
+        }
+    }
+
+    pub(super) fn crash(&mut self, host: usize) {
+        let lost = self.current(host);
+        let entry = self.entry(host, lost.epoch + 1, self.entries.len());
+        let before = std::mem::replace(&mut self.entries[host], entry);
+        for job in before.jobs.into_keys() {
+            self.history.push(Step::CallerLost { job });
+        }
+        self.open.retain(|exchange, _| exchange.from != lost);
+        self.server_load.retain(|(owner, _, _), _| *owner != lost);
+        let chunks: Vec<_> = self.chunks.keys().copied().collect();
+        for key in chunks.into_iter().filter(|(from, _)| *from == lost) {
+            self.chunks.remove(&key);
+        }
+    }
+
+    pub(super) fn exchange_statuses(&mut self) {
+        self.after(STATUS_EVERY_MS, Event::Statuses);
+        let now = Duration::from_millis(self.now_ms);
+        for from in 0..self.entries.len() {
+            let mut status = self.entries[from].host.dispatcher.peer_status(now);
+            status.http_address = format!("e{from}");
+            for to in (0..self.entries.len()).filter(|to| *to != from) {
+                if self.connected(from, to) {
+                    let input = DispatchInput::PeerStatusReceived(status.clone());
+                    let (delay, to) = (self.latency(), self.current(to));
+                    self.input(delay, to, input);
+                }
+            }
+        }
+    }
+}
--- a/crates/dispatch/tests/model/plan.rs
+++ b/crates/dispatch/tests/model/plan.rs
@@ -86,19 +86,12 @@
 /// `Plan` is one run.
 #[derive(Clone, Debug)]
 pub struct Plan {
-    /// Number of entry hosts.
     pub hosts: usize,
-    /// Slots of each server.
     pub server_slots: Vec<u32>,
-    /// Most tasks in one exchange.
     pub max_tasks_per_exchange: u32,
-    /// Part of exchanges that suffer a fault, in per mille.
     pub faults_per_mille: u32,
-    /// Seed of every random choice in the run.
     pub seed: u64,
-    /// Submissions.
     pub jobs: Vec<PlannedJob>,
-    /// Incidents with their times in ms.
     pub incidents: Vec<(u64, Incident)>,
 }
 
