--- a/crates/dispatch/src/leases.rs
+++ b/crates/dispatch/src/leases.rs
@@ -40,14 +40,32 @@
 
     /// Stops sending work to a server that leaves.
     pub(crate) fn withdrawn(&mut self, withdrawal: Withdrawal) {
-        let Some(key) = self.servers.find(&withdrawal.server_id) else {
-            return;
-        };
-        let incarnation = self.servers.get(key).map(|s| s.announcement.incarnation);
-        if incarnation != Some(withdrawal.incarnation) {
-            return;
+        let known = self.servers.find(&withdrawal.server_id);
+        let incarnation = known
+            .and_then(|key| self.servers.get(key))
+            .map_or(0, |server| server.announcement.incarnation);
+        match known {
+            Some(key) if incarnation == withdrawal.incarnation => self.release_server(key),
+            Some(_) if incarnation > withdrawal.incarnation => {}
+            _ => self.remember_withdrawal(withdrawal),
         }
-        self.release_server(key);
+    }
+
+    /// Remembers the withdrawal of an incarnation without a lease, whose
+    /// announcement may be delayed.
+    fn remember_withdrawal(&mut self, withdrawal: Withdrawal) {
+        let Withdrawal {
+            server_id,
+            incarnation,
+        } = withdrawal;
+        let timer = Timer::ForgetWithdrawal(server_id.clone(), incarnation);
+        self.timers.set(self.now + FORGET_AFTER, timer);
+        self.withdrawn.insert((server_id, incarnation));
+    }
+
+    fn has_withdrawn(&self, announcement: &Announcement) -> bool {
+        let key = (announcement.server_id.clone(), announcement.incarnation);
+        self.withdrawn.contains(&key)
     }
 
     /// Marks a server as leaving. Its running tasks finish.
@@ -136,6 +154,9 @@
         if let Some(key) = earlier {
             self.abandon_incarnation(key);
         }
+        if self.has_withdrawn(&announcement) {
+            return self.refuse_lease(None);
+        }
         if self.draining {
             let peer = self.redirect_target(&announcement.failure_domain);
             return self.refuse_lease(peer);
@@ -220,7 +241,7 @@
             .filter_map(|id| self.release_exchange(id))
             .collect();
         for exchange in tasks {
-            self.lose_tasks(&exchange, "the server started again");
+            self.lose_tasks(exchange.job, &exchange.tasks, "the server started again");
         }
         self.servers.remove(key);
     }
