--- /dev/null
+++ b/crates/ctl/src/commands/standin.rs
@@ -0,0 +1,176 @@
+//! `hornbeam standin`: runs stand-in backend servers in one process.
+
+mod flags;
+mod records;
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::path::PathBuf;
+use std::time::Duration;
+
+use bpaf::{Parser, ShellComp, construct, long};
+use eyre::Result;
+use hornbeam_standin::{FaultPlan, StandinOptions, StandinServer};
+use serde::Serialize;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::time::MissedTickBehavior;
+
+use crate::exit::Exit;
+use crate::globals::{Globals, globals};
+use crate::input::number;
+use crate::output;
+
+use flags::{faults, shape};
+use records::Records;
+
+pub(crate) use flags::Shape;
+
+/// Interval at which new start records are appended to the file.
+const RECORD_INTERVAL: Duration = Duration::from_secs(1);
+
+/// `Standin` holds the arguments of the command.
+#[derive(Clone, Debug)]
+pub(crate) struct Standin {
+    /// Settings of every command.
+    pub(crate) globals: Globals,
+    count: u32,
+    shape: Shape,
+    faults: FaultPlan,
+    latency_us: u64,
+    seed: u64,
+    run_for_ms: Option<u64>,
+    records: Option<PathBuf>,
+}
+
+/// `AddressLine` is one stand-in as printed.
+#[derive(Debug, Serialize)]
+#[serde(rename_all = "snake_case")]
+struct AddressLine {
+    server_id: String,
+    address: SocketAddr,
+}
+
+/// `Running` is one started stand-in.
+#[derive(Debug)]
+pub(crate) struct Running {
+    /// Its id.
+    pub(crate) server_id: String,
+    /// The server.
+    pub(crate) server: StandinServer,
+}
+
+/// Parses the command.
+pub(crate) fn parser() -> impl Parser<Standin> {
+    let globals = globals();
+    let count = number("count", "Number of stand-ins; default 1", 1_u32);
+    let shape = shape();
+    let faults = faults();
+    let latency_us = number(
+        "latency-us",
+        "Delay of each direction of an exchange in microseconds; default 0",
+        0_u64,
+    );
+    let seed = number("seed", "Seed of every random choice; default 0", 0_u64);
+    let run_for_ms = long("run-for-ms")
+        .help("Leave after this time in ms; by default on SIGINT or SIGTERM")
+        .argument::<u64>("MS")
+        .optional();
+    let records = long("records")
+        .help("File to which every start of a task is written as a line of JSON")
+        .argument::<PathBuf>("FILE")
+        .complete_shell(ShellComp::File { mask: None })
+        .optional();
+    construct!(Standin {
+        globals,
+        count,
+        shape,
+        faults,
+        latency_us,
+        seed,
+        run_for_ms,
+        records
+    })
+    .to_options()
+    .descr("Runs stand-in backend servers that announce themselves to the entry hosts")
+    .footer(
+        "Faults are probabilities from 0 to 1 per task or exchange.\n\n\
+         Example:\n\n      hornbeam standin --entry 127.0.0.1:7000 --count 10 --service subscribe \
+         --failure-domain almaty-a --records starts.jsonl",
+    )
+    .command("standin")
+    .help("Run stand-in backend servers")
+}
+
+impl Standin {
+    /// Runs the stand-ins until a signal or the given time.
+    ///
+    /// # Errors
+    /// If no entry host is given, an address cannot be bound, or the file
+    /// cannot be written.
+    pub(crate) async fn run(self) -> Result<Exit> {
+        self.globals.entry_api(Duration::ZERO)?;
+        let mut records = Records::create(self.records.as_deref())?;
+        let mut servers = Vec::new();
+        for number in 0..self.count {
+            let running = start(self.options(number)).await?;
+            let line = AddressLine {
+                server_id: running.server_id.clone(),
+                address: running.server.address(),
+            };
+            output::result(self.globals.output, &line, |line| {
+                format!("{} {}", line.server_id, line.address)
+            })?;
+            servers.push(running);
+        }
+        let written = self.record_until_end(&servers, &mut records).await;
+        let written = written.and_then(|()| records.append(&servers));
+        for running in servers {
+            running.server.leave().await;
+        }
+        written.map(|()| Exit::Ok)
+    }
+
+    fn options(&self, number: u32) -> StandinOptions {
+        StandinOptions {
+            announcement: self.shape.announcement(number),
+            listen: (Ipv4Addr::LOCALHOST, 0).into(),
+            entry_hosts: self.globals.entry.0.clone(),
+            latency: Duration::from_micros(self.latency_us),
+            faults: self.faults.clone(),
+            seed: self.seed.wrapping_add(number.into()),
+        }
+    }
+
+    async fn record_until_end(&self, servers: &[Running], records: &mut Records) -> Result<()> {
+        let mut interrupt = signal(SignalKind::interrupt())?;
+        let mut terminate = signal(SignalKind::terminate())?;
+        let mut ticks = tokio::time::interval(RECORD_INTERVAL);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let end = run_time(self.run_for_ms);
+        tokio::pin!(end);
+        loop {
+            tokio::select! {
+                _ = interrupt.recv() => return Ok(()),
+                _ = terminate.recv() => return Ok(()),
+                () = &mut end => return Ok(()),
+                _ = ticks.tick() => records.append(servers)?,
+            }
+        }
+    }
+}
+
+async fn run_time(run_for_ms: Option<u64>) {
+    match run_for_ms {
+        Some(ms) => tokio::time::sleep(Duration::from_millis(ms)).await,
+        None => std::future::pending().await,
+    }
+}
+
+/// Starts one stand-in.
+///
+/// # Errors
+/// If its address cannot be bound.
+pub(crate) async fn start(options: StandinOptions) -> Result<Running> {
+    let server_id = options.announcement.server_id.clone();
+    let server = StandinServer::start(options).await?;
+    Ok(Running { server_id, server })
+}
