--- a/crates/core/tests/events.rs
+++ b/crates/core/tests/events.rs
@@ -13,11 +13,17 @@
 
 /// Gets the first three cells of each table row that starts with a number.
 fn rows(page: &str) -> BTreeSet<(u16, String, String)> {
-    let cells = |line: &str| line.split('|').map(|cell| cell.trim().to_owned()).collect::<Vec<_>>();
+    let cells = |line: &str| {
+        line.split('|')
+            .map(|cell| cell.trim().to_owned())
+            .collect::<Vec<_>>()
+    };
     let row = |cells: Vec<String>| match cells.as_slice() {
-        [_, number, name, level, ..] => {
-            Some((number.parse().ok()?, name.trim_matches('`').to_owned(), level.clone()))
-        }
+        [_, number, name, level, ..] => Some((
+            number.parse().ok()?,
+            name.trim_matches('`').to_owned(),
+            level.clone(),
+        )),
         _ => None,
     };
     page.lines().map(cells).filter_map(row).collect()
@@ -30,7 +36,11 @@
     let in_code: BTreeSet<_> = Event::ALL
         .iter()
         .map(|event| {
-            (event.number(), event.name().to_owned(), event.level().to_string().to_lowercase())
+            (
+                event.number(),
+                event.name().to_owned(),
+                event.level().to_string().to_lowercase(),
+            )
         })
         .collect();
     expect_that!(rows(&page()), eq(&in_code));
--- a/crates/node/tests/harness/mod.rs
+++ b/crates/node/tests/harness/mod.rs
@@ -87,7 +87,6 @@
                     seed: *id,
                     ..ReplicaOptions::default()
                 },
-                new_group: true,
                 data_folder: folder.path().to_owned(),
                 http_listen: free_address(),
                 link_listen: *address,
