--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -5,6 +5,7 @@
 mod input;
 mod leader;
 mod links;
+mod members;
 mod metrics;
 mod outbox;
 mod outboxes;
@@ -120,7 +121,7 @@
         tasks.spawn_blocking(move || disk::run(disk, &disk_requests, &events));
         tasks.spawn(control_shell.run(inputs, disk_events));
         let (end_links, links_end) = oneshot::channel();
-        let service = parts.links(leader);
+        let service = parts.links(replica_id, leader);
         let server_options = ServerOptions {
             credential: options.link_credential.clone(),
             ..ServerOptions::default()
@@ -256,8 +257,9 @@
         }
     }
 
-    fn links(&self, leader: LeaderCalls) -> ControlLinks {
+    fn links(&self, replica_id: ReplicaId, leader: LeaderCalls) -> ControlLinks {
         ControlLinks {
+            replica_id,
             leader,
             config: self.config.clone(),
             timer: self.timer.clone(),
--- a/crates/node/src/control/leader.rs
+++ b/crates/node/src/control/leader.rs
@@ -13,7 +13,7 @@
 
 use super::input::{ControlHandle, ControlInput};
 use super::replicas::ReplicaTable;
-use crate::wire::{ApplyAnswer, Request, RequestAnswer};
+use crate::wire::{ApplyAnswer, MembersAnswer, Request, RequestAnswer};
 
 /// Longest wait for a leader that is not known yet. An election takes up to
 /// about a second.
@@ -108,6 +108,30 @@
         answer.and_then(Result::ok).flatten()
     }
 
+    /// Changes the voting members at this host or at the leader.
+    pub(crate) async fn members(&self, voters: Vec<ReplicaId>) -> MembersAnswer {
+        match self.members_here(voters.clone()).await {
+            MembersAnswer::NotLeader(Some(leader)) => {
+                match self.forward(leader, &Request::Members(voters)).await {
+                    Ok(RequestAnswer::Members(answer)) => answer,
+                    Err(Error::NotSent(_) | Error::Refused(_)) => MembersAnswer::NotLeader(None),
+                    Ok(_) | Err(_) => MembersAnswer::Unknown,
+                }
+            }
+            answer => answer,
+        }
+    }
+
+    /// Changes the voting members only if this host leads.
+    pub(crate) async fn members_here(&self, voters: Vec<ReplicaId>) -> MembersAnswer {
+        match self.propose(Command::Members(voters)).await {
+            ProposalEnd::Applied(CommandResult::Members) => MembersAnswer::Accepted,
+            ProposalEnd::Refused(cause) => MembersAnswer::Refused(format!("{cause:?}")),
+            ProposalEnd::NotLeader(leader) => MembersAnswer::NotLeader(leader),
+            ProposalEnd::Applied(_) | ProposalEnd::Unknown => MembersAnswer::Unknown,
+        }
+    }
+
     async fn try_confirm_read(&self) -> bool {
         if self.read_here().await.is_some() {
             return true;
--- a/crates/node/src/control/links.rs
+++ b/crates/node/src/control/links.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use hornbeam_core::ids::ReplicaId;
 use hornbeam_core::{Error, Result};
 use hornbeam_timer::TimerService;
 use hornbeam_transport::Service;
@@ -18,6 +19,8 @@
 pub(crate) struct ControlLinks {
     /// Ways to the leader and to this host's replica.
     pub(crate) leader: LeaderCalls,
+    /// Id of this host's replica.
+    pub(crate) replica_id: ReplicaId,
     /// What is applied here.
     pub(crate) config: ConfigWatch,
     /// The time.
@@ -35,9 +38,13 @@
             Request::Ping => Ok(RequestAnswer::Done),
             Request::Replica {
                 from,
+                to,
                 address,
                 message,
             } => {
+                if to != self.replica_id {
+                    return Err(Error::refused("the message is meant for another replica"));
+                }
                 self.leader.replicas.learn(from, address);
                 let input = ControlInput::Received(from, message);
                 self.leader.shell.send(input).await?;
@@ -80,6 +87,10 @@
                 let answer = self.leader.change_here(*command).await;
                 Ok(RequestAnswer::Change(answer))
             }
+            Request::Members(voters) => {
+                let answer = self.leader.members_here(voters).await;
+                Ok(RequestAnswer::Members(answer))
+            }
             _ => Err(Error::refused(
                 "a control host does not answer this request",
             )),
--- a/crates/node/src/control/outbox.rs
+++ b/crates/node/src/control/outbox.rs
@@ -89,6 +89,7 @@
             };
             let request = Request::Replica {
                 from: self.from,
+                to: self.to,
                 address: self.address,
                 message,
             };
--- a/crates/node/src/control/routes.rs
+++ b/crates/node/src/control/routes.rs
@@ -12,6 +12,7 @@
 use super::changes;
 use super::input::{ControlInput, HistoryFilter};
 use super::leader::LeaderCalls;
+use super::members;
 use super::metrics::ControlMetrics;
 use crate::lifecycle::{LifeEvent, LifeState, Lifecycle};
 use crate::{credential, reply};
@@ -67,6 +68,7 @@
             "/v1/config/history",
             get(operator_handler!(routes, history)),
         )
+        .route("/v1/members", post(operator_handler!(routes, members)))
         .route("/v1/status", get(operator_handler!(routes, status)))
         .route("/v1/drain", post(operator_handler!(routes, drain)))
         .route("/livez", get(open_handler!(routes, livez)))
@@ -107,6 +109,17 @@
         reply::json(changes::http_status(&outcome), &outcome)
     }
 
+    async fn members(&self, request: Request) -> Response {
+        let request = match reply::read_json(request, MAX_BODY_BYTES).await {
+            Ok(request) => request,
+            Err(response) => return *response,
+        };
+        if self.life.state() != LifeState::Ready {
+            return reply::text(503, "This control host is draining.");
+        }
+        members::change(&self.leader, request).await
+    }
+
     async fn config(&self, request: Request) -> Response {
         let version = match number(&request, "version") {
             Ok(version) => version,
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -18,4 +18,4 @@
 
 pub use control::{ControlHost, ControlOptions};
 pub use entry::{EntryHost, EntryOptions};
-pub use wire::{ApplyAnswer, Request, RequestAnswer};
+pub use wire::{ApplyAnswer, MembersAnswer, Request, RequestAnswer};
--- a/crates/node/src/wire.rs
+++ b/crates/node/src/wire.rs
@@ -32,6 +32,9 @@
     Replica {
         /// Replica that sends it.
         from: ReplicaId,
+        /// Replica that is meant. A host that lost its disk has the address of
+        /// its former replica and must not answer for it.
+        to: ReplicaId,
         /// Link address at which that replica is reached. A replica with a new
         /// id, because it lost its disk, is in nobody's settings.
         address: SocketAddr,
@@ -47,6 +50,8 @@
     ForwardedClaim(ClaimCommand),
     /// Control host to the leader: a change that an operator sent.
     Apply(Box<ChangeCommand>),
+    /// Control host to the leader: a change of the voting members.
+    Members(Vec<ReplicaId>),
     /// Control host to the leader: confirm that the leader leads and get the
     /// commit index to read at.
     Read,
@@ -69,6 +74,8 @@
     Claim(ClaimEnd),
     /// Answers [`Request::Apply`].
     Change(ApplyAnswer),
+    /// Answers [`Request::Members`].
+    Members(MembersAnswer),
     /// Answers [`Request::Read`]: the index to read at, or `None` if this
     /// host does not lead.
     ReadAt(Option<u64>),
@@ -87,3 +94,17 @@
     /// It may or may not be recorded.
     Unknown,
 }
+
+/// `MembersAnswer` is the answer to a change of the voting members.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum MembersAnswer {
+    /// The change is synced on a quorum.
+    Accepted,
+    /// Not recorded: the leader refused the change for this reason.
+    Refused(String),
+    /// Not recorded: the asked host does not lead.
+    NotLeader(Option<ReplicaId>),
+    /// It may or may not be recorded.
+    Unknown,
+}
--- a/crates/node/tests/harness/mod.rs
+++ b/crates/node/tests/harness/mod.rs
@@ -8,7 +8,8 @@
 use hornbeam_core::api::backend::Announcement;
 use hornbeam_core::api::caller::{SubmitAnswer, SubmitRequest, TaskSpec};
 use hornbeam_core::api::operator::{
-    ChangeContent, ChangeOutcome, ChangeRequest, CheckRequest, EntryStatus, SourceFile,
+    ChangeContent, ChangeOutcome, ChangeRequest, CheckRequest, ControlStatus, EntryStatus,
+    SourceFile,
 };
 use hornbeam_core::ids::ReplicaId;
 use hornbeam_dispatch::DispatchOptions;
@@ -74,26 +75,9 @@
         let addresses: Vec<_> = (1..=count).map(|id| (id, free_address())).collect();
         let mut controls = Vec::new();
         let mut folders = Vec::new();
-        for (id, address) in &addresses {
+        for (id, _) in &addresses {
             let folder = tempfile::tempdir().expect("a folder for data");
-            let others = addresses.iter().filter(|(other, _)| other != id);
-            let options = ControlOptions {
-                host_id: format!("control-{id}"),
-                replica: ReplicaOptions {
-                    id: *id,
-                    initial_voters: (1..=count).collect(),
-                    // Small, so that tests write snapshots as well.
-                    snapshot_entries: 8,
-                    seed: *id,
-                    ..ReplicaOptions::default()
-                },
-                data_folder: folder.path().to_owned(),
-                http_listen: free_address(),
-                link_listen: *address,
-                peers: others.copied().collect(),
-                link_credential: Some("link-secret".into()),
-                operator_credential: Some(OPERATOR.into()),
-            };
+            let options = control_options(*id, &addresses, &folder);
             controls.push(ControlHost::start(options).await.expect("a control host"));
             folders.push(folder);
         }
@@ -136,6 +120,26 @@
         }
     }
 
+    /// Stops a control host, takes its disk away and starts it again as a host
+    /// that joins the group.
+    pub async fn lose_disk(&mut self, at: usize) {
+        let (id, _) = self.control_addresses[at];
+        self.controls.remove(at).stop().await;
+        let folder = tempfile::tempdir().expect("a folder for data");
+        let mut options = control_options(id, &self.control_addresses, &folder);
+        options.replica.id = 0;
+        let control = ControlHost::start(options).await.expect("a control host");
+        self.controls.insert(at, control);
+        self.folders[at] = folder;
+    }
+
+    /// Gets the status of a control host.
+    pub async fn control_status(&self, at: usize) -> ControlStatus {
+        let address = self.controls[at].http_address();
+        let reply = self.client.get(address, "/v1/status", PATIENCE).await;
+        reply.expect("a status").body
+    }
+
     /// Starts a backend server of 4 slots that announces itself to an entry
     /// host, and waits until it is leased there.
     pub async fn start_server(&self, id: &str, entry: &EntryHost) -> StandinServer {
@@ -229,6 +233,32 @@
     }
 }
 
+fn control_options(
+    id: ReplicaId,
+    addresses: &[(ReplicaId, SocketAddr)],
+    folder: &TempDir,
+) -> ControlOptions {
+    let own = addresses.iter().find(|(other, _)| *other == id);
+    let others = addresses.iter().filter(|(other, _)| *other != id);
+    ControlOptions {
+        host_id: format!("control-{id}"),
+        replica: ReplicaOptions {
+            id,
+            initial_voters: addresses.iter().map(|(id, _)| *id).collect(),
+            // Small, so that tests write snapshots as well.
+            snapshot_entries: 8,
+            seed: id,
+            ..ReplicaOptions::default()
+        },
+        data_folder: folder.path().to_owned(),
+        http_listen: free_address(),
+        link_listen: own.expect("an address").1,
+        peers: others.copied().collect(),
+        link_credential: Some("link-secret".into()),
+        operator_credential: Some(OPERATOR.into()),
+    }
+}
+
 /// Submits a job to an address.
 pub async fn submit_at(
     client: &HttpClient,
--- a/crates/node/tests/system.rs
+++ b/crates/node/tests/system.rs
@@ -320,3 +320,40 @@
     expect_that!(after, matches_pattern!(ChangeOutcome::Unavailable { .. }));
     system.stop().await;
 }
+
+/// Guards against a control host that lost its disk and votes on state it has
+/// lost, or never gets back into the group.
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_control_host_that_lost_its_disk_is_replaced_by_member_changes() {
+    let mut system = System::start(3, 0).await;
+    system.lose_disk(2).await;
+    until("a learner with the state", async || {
+        let status = system.control_status(2).await;
+        status.role == "learner" && status.config_version == 1
+    })
+    .await;
+    let new_id = system.control_status(2).await.replica_id;
+    expect_that!(new_id, not(eq(3)));
+    for voters in [vec![1, 2, 3, new_id], vec![1, 2, new_id]] {
+        let request = serde_json::json!({ "voters": voters });
+        until("a change of members", async || {
+            let address = system.controls[0].http_address();
+            let reply = system
+                .client
+                .post(address, "/v1/members", &request, PATIENCE)
+                .await;
+            reply.is_ok_and(|reply: Reply<serde_json::Value>| reply.status == 200)
+        })
+        .await;
+    }
+    // Only with the new member is there a quorum now.
+    system.controls.remove(1).abort();
+    until("a change without the lost host", async || {
+        let outcome = system.change("second", 1, "").await;
+        outcome == ChangeOutcome::Accepted { version: 2 }
+    })
+    .await;
+    expect_that!(system.control_status(1).await.role, not(eq("learner")));
+    system.stop().await;
+}
