--- a/crates/node/src/entry/shell.rs
+++ b/crates/node/src/entry/shell.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use hornbeam_core::api::backend::AnnounceAnswer;
-use hornbeam_core::api::caller::SubmitAnswer;
+use hornbeam_core::api::caller::{SubmitAnswer, SubmitRequest};
 use hornbeam_core::event::Event;
 use hornbeam_core::ids::{ChunkId, HostId, JobId};
 use hornbeam_core::log_event;
@@ -109,12 +109,7 @@
     fn take(&mut self, input: ShellInput) {
         match input {
             ShellInput::Dispatch(input) => self.take_dispatch(input),
-            ShellInput::Submit(job_id, request, answer) => {
-                let received = self.timer.now();
-                let waiter = JobWaiter { received, answer };
-                self.waiters.jobs.insert(job_id.clone(), waiter);
-                self.step(DispatchInput::Submitted(job_id, request));
-            }
+            ShellInput::Submit(job_id, request, answer) => self.submit(job_id, request, answer),
             ShellInput::Announce(announcement, answer) => {
                 self.waiters.announcement = Some(answer);
                 self.step(DispatchInput::Announced(announcement));
@@ -143,6 +138,23 @@
         }
     }
 
+    /// Submits a job unless its caller went away while the input waited. The
+    /// cancellation may have been taken before the job, and so had no effect.
+    fn submit(
+        &mut self,
+        job_id: JobId,
+        request: Arc<SubmitRequest>,
+        answer: oneshot::Sender<SubmitAnswer>,
+    ) {
+        if answer.is_closed() {
+            return;
+        }
+        let received = self.timer.now();
+        let waiter = JobWaiter { received, answer };
+        self.waiters.jobs.insert(job_id.clone(), waiter);
+        self.step(DispatchInput::Submitted(job_id, request));
+    }
+
     fn take_dispatch(&mut self, input: DispatchInput) {
         if let DispatchInput::PeerStatusReceived(status) = &input {
             self.peers.learn(status);
