--- a/crates/dispatch/src/admission.rs
+++ b/crates/dispatch/src/admission.rs
@@ -47,7 +47,8 @@
 }
 
 impl Placement {
-    fn weights(&self) -> Weights {
+    /// Gets the weights in the fair order.
+    pub(crate) fn weights(&self) -> Weights {
         Weights {
             institution: self.terms.institution_weight,
             team: self.terms.team_weight,
@@ -132,56 +133,6 @@
         }
     }
 
-    /// Refuses a job that would wait longer than its terms or its deadline
-    /// allow. The wait is the queued work over the slots, and no longer than
-    /// the team's share of the slots implies.
-    fn check_wait(&mut self, request: &SubmitRequest, at: &Placement) -> Result<(), Refusal> {
-        let pool = &self.pools[at.pool];
-        let slots = match pool.slots {
-            0 => self.peer_slots(&pool.service),
-            slots => slots,
-        };
-        let estimates = || {
-            request
-                .tasks
-                .iter()
-                .map(|t| pool.ratio.estimate_ms(t.run_ms))
-        };
-        let longest_ms = estimates().max().unwrap_or(0);
-        let work_ms: u64 = estimates().sum();
-        if longest_ms > request.timeout_ms {
-            let message = format!("A task runs {longest_ms} ms, which is longer than the timeout.");
-            return Err(Refusal::new(Reason::Overloaded, message));
-        }
-        let until_done_ms = |more_ms| {
-            let share_ms = pool
-                .queue
-                .work_until_done_ms(at.flow, at.weights(), more_ms);
-            share_ms.min(pool.queued_work_ms + more_ms) / u64::from(slots.max(1))
-        };
-        let (wait_ms, done_ms) = (until_done_ms(0), until_done_ms(work_ms));
-        let team = self.quotas.team(at.flow.team);
-        let share = u64::from(team.share_slots);
-        let over_share = |work_ms: u64| work_ms.checked_div(share).unwrap_or(u64::MAX);
-        let team_wait_ms = over_share(team.queued_work_ms);
-        let team_done_ms = over_share(team.queued_work_ms + work_ms);
-        let late = |wait_ms: u64, done_ms: u64| {
-            let done_ms = done_ms.max(wait_ms.saturating_add(longest_ms));
-            wait_ms > at.terms.max_queue_ms || done_ms > request.timeout_ms
-        };
-        if late(team_wait_ms, team_done_ms) {
-            let message = format!("The team's quota of {share} slots here has no room in time.");
-            return Err(Refusal::new(Reason::QuotaExceeded, message));
-        }
-        if late(wait_ms, done_ms) {
-            let message = format!(
-                "The job would wait {wait_ms} ms and end after {done_ms} ms, which is too late."
-            );
-            return Err(Refusal::new(Reason::Overloaded, message));
-        }
-        Ok(())
-    }
-
     fn admit(&mut self, job_id: JobId, request: Arc<SubmitRequest>, placement: Placement) {
         let timeout = Duration::from_millis(request.timeout_ms);
         let valid_until = request.valid_until_unix_ms;
--- a/crates/dispatch/src/chunks_sent.rs
+++ b/crates/dispatch/src/chunks_sent.rs
@@ -211,7 +211,13 @@
         asked.eq(results.iter().map(|result| result.index))
     }
 
+    /// Fails the job of a chunk. A peer cancels a chunk of its own accord only
+    /// if it lost this host; the caller of the job has cancelled nothing.
     fn chunk_failed(&mut self, id: ChunkId, reason: Reason, message: String) {
+        let reason = match reason {
+            Reason::Cancelled => Reason::OutcomeUnknown,
+            reason => reason,
+        };
         if let Some(chunk) = self.release_chunk(id) {
             self.change_tasks(chunk.job, &chunk.positions, TaskEvent::Lose);
             self.fail_job(chunk.job, reason, message);
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -37,6 +37,7 @@
 mod server;
 mod status;
 mod timers;
+mod waits;
 
 pub use dispatcher::Dispatcher;
 pub use io::{
