--- /dev/null
+++ b/crates/dispatch/src/waits.rs
@@ -0,0 +1,98 @@
+//! Estimated waits of submitted jobs.
+
+use hornbeam_core::api::caller::{Reason, SubmitRequest};
+
+use crate::admission::{Placement, Refusal};
+use crate::dispatcher::Dispatcher;
+
+/// `Work` is the estimated run time of the tasks of a job, in ms.
+#[derive(Clone, Copy, Debug)]
+struct Work {
+    longest_ms: u64,
+    sum_ms: u64,
+}
+
+/// `Wait` is the estimated time until a job's first task starts and until its
+/// last one is done, in ms.
+#[derive(Clone, Copy, Debug)]
+struct Wait {
+    start_ms: u64,
+    done_ms: u64,
+}
+
+impl Dispatcher {
+    /// Refuses a job that would wait longer than its terms or its deadline
+    /// allow.
+    pub(crate) fn check_wait(
+        &mut self,
+        request: &SubmitRequest,
+        at: &Placement,
+    ) -> Result<(), Refusal> {
+        let work = self.work_of(request, at);
+        if work.longest_ms > request.timeout_ms {
+            let message = format!(
+                "A task runs {} ms, which is longer than the timeout.",
+                work.longest_ms
+            );
+            return Err(Refusal::new(Reason::Overloaded, message));
+        }
+        let is_late = |wait: Wait| {
+            let done_ms = wait
+                .done_ms
+                .max(wait.start_ms.saturating_add(work.longest_ms));
+            wait.start_ms > at.terms.max_queue_ms || done_ms > request.timeout_ms
+        };
+        if is_late(self.wait_for_quota(at, work)) {
+            let message = "The team's quota has no room in time.";
+            return Err(Refusal::new(Reason::QuotaExceeded, message));
+        }
+        let wait = self.wait_for_slots(at, work);
+        if is_late(wait) {
+            let message = format!(
+                "The job would start after {} ms and end after {} ms, which is too late.",
+                wait.start_ms, wait.done_ms
+            );
+            return Err(Refusal::new(Reason::Overloaded, message));
+        }
+        Ok(())
+    }
+
+    fn work_of(&self, request: &SubmitRequest, at: &Placement) -> Work {
+        let ratio = self.pools[at.pool].ratio;
+        let estimates = || request.tasks.iter().map(|t| ratio.estimate_ms(t.run_ms));
+        Work {
+            longest_ms: estimates().max().unwrap_or(0),
+            sum_ms: estimates().sum(),
+        }
+    }
+
+    /// Estimates the wait under the team's quota alone.
+    fn wait_for_quota(&mut self, at: &Placement, work: Work) -> Wait {
+        let team = self.quotas.team(at.flow.team);
+        let share = u64::from(team.share_slots);
+        let over_share = |work_ms: u64| work_ms.checked_div(share).unwrap_or(u64::MAX);
+        Wait {
+            start_ms: over_share(team.queued_work_ms),
+            done_ms: over_share(team.queued_work_ms + work.sum_ms),
+        }
+    }
+
+    /// Estimates the wait for slots: the queued work over the slots, and no
+    /// longer than the team's share of the slots implies.
+    fn wait_for_slots(&self, at: &Placement, work: Work) -> Wait {
+        let pool = &self.pools[at.pool];
+        let slots = match pool.slots {
+            0 => self.peer_slots(&pool.service),
+            slots => slots,
+        };
+        let until_done_ms = |more_ms| {
+            let queue = &pool.queue;
+            let share_ms = queue.work_until_done_ms(at.flow, at.weights(), more_ms);
+            share_ms.min(pool.queued_work_ms + more_ms) / u64::from(slots.max(1))
+        };
+        Wait {
+            start_ms: until_done_ms(0),
+            done_ms: until_done_ms(work.sum_ms),
+        }
+    }
+}
--- a/crates/dispatch/tests/model/servers.rs
+++ b/crates/dispatch/tests/model/servers.rs
@@ -109,6 +109,8 @@
             Fault::LostAfterRun => ExchangeEnd::Unanswered("connection lost".into()),
             Fault::WrongAnswer => {
                 answer.job_id = "another".into();
+                let outputs = answer.ends.iter_mut().map(|end| &mut end.output);
+                outputs.for_each(|output| *output = "another".into());
                 ExchangeEnd::Answered(answer)
             }
             _ => ExchangeEnd::Answered(answer),
