--- a/crates/transport/src/connection.rs
+++ b/crates/transport/src/connection.rs
@@ -148,8 +148,9 @@
             .send_request(request, is_empty)
             .map_err(Error::not_sent)?;
         if !is_empty {
-            // The head may have left, so from here on the outcome is unknown.
-            stream.send_data(body, true).map_err(Error::unknown)?;
+            // An error says that the other process has ended the stream
+            // already; the response then holds its refusal or the reason.
+            let _ = stream.send_data(body, true);
         }
         Ok(response)
     }
