--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -186,10 +186,8 @@
         let message = format!("It must list all control hosts, this one ({replica_id}) included.");
         reader.report(names::control_hosts, message);
     }
-    let new_group = new_group.unwrap_or(false);
     let replica = ReplicaOptions {
-        // With 0 a host whose data folder is empty joins without a vote.
-        id: if new_group { replica_id } else { 0 },
+        id: replica_id,
         initial_voters: members,
         seed: common.seed,
         ..ReplicaOptions::default()
@@ -198,6 +196,7 @@
     Some(RoleSettings::Control(Box::new(ControlOptions {
         host_id: common.host_id,
         replica,
+        new_group: new_group.unwrap_or(false),
         data_folder: PathBuf::from(data_folder?),
         http_listen: common.http_listen,
         link_listen: common.link_listen,
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -46,10 +46,12 @@
 pub struct ControlOptions {
     /// Id of this host; no default.
     pub host_id: HostId,
-    /// Options of the replica. Its id is used only for an empty data folder,
-    /// when the group is formed. With id 0 a host with an empty folder joins
-    /// under a new random id without a vote, because it may have lost its disk.
+    /// Options of the replica.
     pub replica: ReplicaOptions,
+    /// Whether the group is being formed, so that an empty data folder gets
+    /// the id in `replica` and may vote. Otherwise a host with an empty folder
+    /// joins under a new random id without a vote; default false.
+    pub new_group: bool,
     /// Data folder.
     pub data_folder: PathBuf,
     /// Address for operators' HTTP.
@@ -192,7 +194,7 @@
 /// Opens the data folder on a blocking thread and chooses the replica's id.
 async fn open_disk(options: &ControlOptions) -> Result<(ReplicaId, DiskLog, Recovered)> {
     let folder = options.data_folder.clone();
-    let configured_id = Some(options.replica.id).filter(|id| *id != 0);
+    let configured_id = options.new_group.then_some(options.replica.id);
     let opening = tokio::task::spawn_blocking(move || {
         let id = replica_id(DiskLog::identity(&folder)?, configured_id);
         let (disk, recovered) = DiskLog::open(&folder, id)?;
@@ -210,9 +212,9 @@
     Ok((id, disk, recovered))
 }
 
-/// Chooses the id of a replica. A folder keeps its id. Without a configured id
-/// the replica may have lost its disk, and under its old id it could vote on
-/// state it has lost.
+/// Chooses the id of a replica. A folder keeps its id. An empty folder gets
+/// the configured one only when the group is formed; else the replica may have
+/// lost its disk, and under its old id it could vote on state it has lost.
 fn replica_id(stored: Option<ReplicaId>, configured: Option<ReplicaId>) -> ReplicaId {
     stored.or(configured).unwrap_or_else(rand::random)
 }
--- a/crates/node/tests/harness/mod.rs
+++ b/crates/node/tests/harness/mod.rs
@@ -125,7 +125,7 @@
         self.controls.remove(at).stop().await;
         let folder = tempfile::tempdir().expect("a folder for data");
         let mut options = control_options(id, &self.control_addresses, &folder);
-        options.replica.id = 0;
+        options.new_group = false;
         let control = ControlHost::start(options).await.expect("a control host");
         self.controls.insert(at, control);
         self.folders[at] = folder;
@@ -266,6 +266,7 @@
             seed: id,
             ..ReplicaOptions::default()
         },
+        new_group: true,
         data_folder: folder.path().to_owned(),
         http_listen: free_address(),
         link_listen: own.expect("an address").1,
