--- a/crates/node/src/entry/shell.rs
+++ b/crates/node/src/entry/shell.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use hornbeam_core::api::backend::AnnounceAnswer;
-use hornbeam_core::api::caller::SubmitAnswer;
+use hornbeam_core::api::caller::{SubmitAnswer, SubmitRequest};
 use hornbeam_core::event::Event;
 use hornbeam_core::ids::{ChunkId, HostId, JobId};
 use hornbeam_core::log_event;
@@ -18,7 +18,7 @@
 use super::input::{ShellInput, ShellReceiver};
 use super::metrics::EntryMetrics;
 use super::peers::PeerTable;
-use crate::lifecycle::{LifeEvent, Lifecycle};
+use crate::lifecycle::{FailOnDrop, LifeEvent, Lifecycle};
 
 /// `JobWaiter` is a caller that waits for its answer.
 #[derive(Debug)]
@@ -41,7 +41,7 @@
     /// Peers by id.
     pub(crate) peers: Arc<PeerTable>,
     /// Sends requests for the dispatcher.
-    pub(crate) exchanges: Exchanges,
+    pub(crate) exchanges: Arc<Exchanges>,
     /// Callers that wait.
     waiters: Waiters,
     /// Exchanges in flight; each ends with an input.
@@ -72,7 +72,7 @@
             life,
             metrics: Arc::clone(&exchanges.metrics),
             peers,
-            exchanges,
+            exchanges: Arc::new(exchanges),
             waiters: Waiters::default(),
             running: JoinSet::new(),
         }
@@ -81,6 +81,7 @@
     /// Runs until it is stopped, then ends and joins the exchanges.
     pub(crate) async fn run(mut self, mut receiver: ShellReceiver) {
         let life = Arc::clone(&self.life);
+        let _fail = FailOnDrop::new(&life);
         let leaving = life.leaving();
         tokio::pin!(leaving);
         let mut draining = false;
@@ -108,16 +109,15 @@
     fn take(&mut self, input: ShellInput) {
         match input {
             ShellInput::Dispatch(input) => self.take_dispatch(input),
-            ShellInput::Submit(job_id, request, answer) => {
-                let received = self.timer.now();
-                let waiter = JobWaiter { received, answer };
-                self.waiters.jobs.insert(job_id.clone(), waiter);
-                self.step(DispatchInput::Submitted(job_id, request));
-            }
+            ShellInput::Submit(job_id, request, answer) => self.submit(job_id, request, answer),
             ShellInput::Announce(announcement, answer) => {
                 self.waiters.announcement = Some(answer);
                 self.step(DispatchInput::Announced(announcement));
             }
+            ShellInput::Withdraw(withdrawal, answer) => {
+                self.step(DispatchInput::Withdrawn(withdrawal));
+                let _ = answer.send(());
+            }
             ShellInput::Chunk(chunk, answer) => {
                 let key = (chunk.from.clone(), chunk.chunk_id);
                 self.waiters.chunks.insert(key, answer);
@@ -138,6 +138,23 @@
         }
     }
 
+    /// Submits a job unless its caller went away while the input waited. The
+    /// cancellation may have been taken before the job, and so had no effect.
+    fn submit(
+        &mut self,
+        job_id: JobId,
+        request: Arc<SubmitRequest>,
+        answer: oneshot::Sender<SubmitAnswer>,
+    ) {
+        if answer.is_closed() {
+            return;
+        }
+        let received = self.timer.now();
+        let waiter = JobWaiter { received, answer };
+        self.waiters.jobs.insert(job_id.clone(), waiter);
+        self.step(DispatchInput::Submitted(job_id, request));
+    }
+
     fn take_dispatch(&mut self, input: DispatchInput) {
         if let DispatchInput::PeerStatusReceived(status) = &input {
             self.peers.learn(status);
