--- a/crates/dispatch/src/admission.rs
+++ b/crates/dispatch/src/admission.rs
@@ -199,6 +199,7 @@
             finished_tasks: 0,
             exchanges: BTreeSet::new(),
             chunks: BTreeSet::new(),
+            avoid_peers: Vec::new(),
         }
     }
 
--- a/crates/dispatch/src/chunks_sent.rs
+++ b/crates/dispatch/src/chunks_sent.rs
@@ -48,7 +48,7 @@
             return false;
         };
         let pool = &self.pools[job.pool];
-        let Some((peer, free)) = self.best_peer(&pool.service) else {
+        let Some((peer, free)) = self.best_peer(&pool.service, &job.avoid_peers) else {
             return false;
         };
         let count = job.queued.len().min(free.min(room) as usize);
@@ -102,9 +102,11 @@
             ChunkEnd::Answered(ChunkAnswer::Failed(reason, message)) => {
                 self.chunk_failed(id, reason, message);
             }
-            ChunkEnd::Answered(ChunkAnswer::NotStarted(cause)) | ChunkEnd::NotSent(cause) => {
+            ChunkEnd::Answered(ChunkAnswer::NotStarted(cause)) => {
+                self.avoid_peer(id);
                 self.chunk_not_started(id, &cause);
             }
+            ChunkEnd::NotSent(cause) => self.chunk_not_started(id, &cause),
             ChunkEnd::Unanswered(_) => self.query_chunk(id),
         }
     }
@@ -237,6 +239,15 @@
         self.retry_tasks(chunk.job, &chunk.positions, 1, cause);
     }
 
+    fn avoid_peer(&mut self, id: ChunkId) {
+        let Some(chunk) = self.chunks.get(&id) else {
+            return;
+        };
+        if let Some(job) = self.jobs.get_mut(chunk.job) {
+            job.avoid_peers.push(chunk.peer.clone());
+        }
+    }
+
     fn query_chunk(&mut self, id: ChunkId) {
         let Some(chunk) = self.chunks.get(&id) else {
             return;
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -183,7 +183,7 @@
             match timer {
                 Timer::Lease(server) => self.expire_lease(server),
                 Timer::Trial(server) => self.start_trial(server),
-                Timer::Forget(server) => self.servers.remove(server),
+                Timer::Forget(server) => self.forget_server(server),
                 Timer::ForgetWithdrawal(server, incarnation) => {
                     self.withdrawn.remove(&(server, incarnation));
                 }
--- a/crates/dispatch/src/job.rs
+++ b/crates/dispatch/src/job.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use hornbeam_core::api::caller::{SubmitRequest, TaskResult, TaskSpec};
-use hornbeam_core::ids::{ChunkId, ExchangeId, JobId, TaskIndex};
+use hornbeam_core::ids::{ChunkId, ExchangeId, HostId, JobId, TaskIndex};
 use indexmap::IndexMap;
 
 use crate::charts::{JobState, TaskState};
@@ -57,6 +57,9 @@
     pub(crate) finished_tasks: u32,
     pub(crate) exchanges: BTreeSet<ExchangeId>,
     pub(crate) chunks: BTreeSet<ChunkId>,
+    /// Peers that did not start a chunk of the job; its tasks may not fit
+    /// their servers.
+    pub(crate) avoid_peers: Vec<HostId>,
 }
 
 impl Job {
--- a/crates/dispatch/src/leases.rs
+++ b/crates/dispatch/src/leases.rs
@@ -82,6 +82,18 @@
         self.log(Event::ServerWithdrawn, message);
     }
 
+    /// Drops the record of a server that left, once its last exchange ended.
+    pub(crate) fn forget_server(&mut self, key: ServerKey) {
+        let Some(server) = self.servers.get(key) else {
+            return;
+        };
+        if server.exchanges.is_empty() {
+            self.servers.remove(key);
+        } else {
+            self.timers.set(self.now + FORGET_AFTER, Timer::Forget(key));
+        }
+    }
+
     /// Ends a lease that was not renewed and asks for its running tasks.
     pub(crate) fn expire_lease(&mut self, key: ServerKey) {
         if !self.change_server(key, ServerEvent::Expire) {
--- a/crates/dispatch/src/peers.rs
+++ b/crates/dispatch/src/peers.rs
@@ -86,8 +86,9 @@
 
     /// Gets the peer to forward to: one of the same failure domain if any has
     /// free slots, and of those the one with most.
-    pub(crate) fn best_peer(&self, service: &str) -> Option<(&HostId, u32)> {
-        let peers = self.peers.iter().filter(|(_, peer)| peer.usable());
+    pub(crate) fn best_peer(&self, service: &str, avoid: &[HostId]) -> Option<(&HostId, u32)> {
+        let peers = self.peers.iter();
+        let peers = peers.filter(|(id, peer)| peer.usable() && !avoid.contains(id));
         let free = peers.map(|(id, peer)| (id, peer, peer.free_slots(service)));
         let order = |peer: &Peer, free| (self.is_near(&peer.status.failure_domain), free);
         free.filter(|(_, _, free)| *free > 0)
--- a/crates/dispatch/src/scheduling.rs
+++ b/crates/dispatch/src/scheduling.rs
@@ -43,7 +43,7 @@
         pool.queued_tasks > 0
             && (pool.free_slots > 0
                 || !pool.shared.is_empty()
-                || self.best_peer(&pool.service).is_some())
+                || self.best_peer(&pool.service, &[]).is_some())
     }
 
     /// Sends or forwards the first queued tasks of a job, or ends the job if
--- a/crates/dispatch/tests/servers.rs
+++ b/crates/dispatch/tests/servers.rs
@@ -251,6 +251,23 @@
     expect_that!(chunks(&outputs), is_empty());
 }
 
+/// Guards against retries that are spent on a peer which cannot run a job.
+#[gtest]
+fn a_peer_that_starts_nothing_is_not_asked_again() {
+    let mut host = Host::named("e1");
+    host.announce(announcement("s1"));
+    host.step(status("e2", "almaty-a", 1, 8));
+    let sent = chunks(&host.submit("j", request("r", 20)));
+    let end = ChunkEnd::Answered(ChunkAnswer::NotStarted("too large".into()));
+    host.step(DispatchInput::ChunkEnded(sent[0].1.chunk_id, end));
+    expect_that!(
+        chunks(&host.step(status("e2", "almaty-a", 1, 8))),
+        is_empty()
+    );
+    let other = host.submit("k", request("r", 20));
+    expect_that!(chunks(&other), len(eq(1)));
+}
+
 /// Guards against results of a chunk that end up at the wrong tasks.
 #[gtest]
 fn chunk_results_reach_their_tasks() {
