--- a/crates/dispatch/src/fair_queue.rs
+++ b/crates/dispatch/src/fair_queue.rs
@@ -174,6 +174,12 @@
         }
     }
 
+    /// Gets up to `most` jobs of a flow that follow its first one.
+    pub(crate) fn following(&self, key: FlowKey, most: usize) -> Vec<JobKey> {
+        let jobs = self.flows.get(&key).into_iter().flat_map(|flow| &flow.jobs);
+        jobs.skip(1).take(most).copied().collect()
+    }
+
     /// Charges a flow for tasks that it started.
     pub(crate) fn charge(&mut self, key: FlowKey, work_ms: u64) {
         let work_ms = i64::try_from(work_ms).unwrap_or(i64::MAX / 4);
--- a/crates/dispatch/src/scheduling.rs
+++ b/crates/dispatch/src/scheduling.rs
@@ -3,6 +3,7 @@
 use hornbeam_core::api::caller::Reason;
 
 use crate::dispatcher::Dispatcher;
+use crate::fair_queue::FlowKey;
 use crate::keys::{JobKey, PoolKey, ServerKey, TaskPosition};
 use crate::server::Resources;
 
@@ -10,6 +11,9 @@
 /// ends. It bounds the cost of a pass when many teams wait for large servers.
 const MAX_STALLED_FLOWS: usize = 16;
 
+/// Jobs of a flow that may pass its first job while that has to wait.
+const MAX_LOOKAHEAD_JOBS: usize = 8;
+
 impl Dispatcher {
     /// Starts what can be started in the pools that changed in this step.
     pub(crate) fn schedule_changed_pools(&mut self) {
@@ -28,7 +32,7 @@
             if !flow.foreign && self.quotas.team(flow.team).room() == 0 {
                 self.pools[pool].queue.set_aside(flow);
                 self.quotas.block(pool, flow);
-            } else if !self.start_some(job) {
+            } else if !self.start_some(job) && !self.start_following(pool, flow) {
                 self.pools[pool].queue.set_aside(flow);
                 stalled.push(flow);
             }
@@ -38,6 +42,13 @@
         }
     }
 
+    /// Starts tasks of a later job of a flow whose first job has to wait, for
+    /// example for an accelerator, so that other slots do not stay idle.
+    fn start_following(&mut self, pool: PoolKey, flow: FlowKey) -> bool {
+        let jobs = self.pools[pool].queue.following(flow, MAX_LOOKAHEAD_JOBS);
+        jobs.into_iter().any(|job| self.start_some(job))
+    }
+
     fn may_start(&self, pool: PoolKey) -> bool {
         let pool = &self.pools[pool];
         pool.queued_tasks > 0
--- a/crates/dispatch/tests/admission.rs
+++ b/crates/dispatch/tests/admission.rs
@@ -249,6 +249,8 @@
     let sent = batches(&host.submit("k", needs_one));
     expect_that!(sent, len(eq(1)));
     expect_that!(sent[0].server_id, eq("s2"));
+    // A job that needs no accelerator passes the one that waits for it.
+    expect_that!(batches(&host.submit("l", request("r", 2))), len(eq(2)));
 }
 
 /// Guards against several answers, or none, for a job whose caller leaves.
