--- a/crates/dispatch/src/scheduling.rs
+++ b/crates/dispatch/src/scheduling.rs
@@ -7,12 +7,12 @@
 use crate::keys::{JobKey, PoolKey, ServerKey, TaskPosition};
 use crate::server::Resources;
 
-/// Flows that may fail to find a fitting server before a pass over a pool
-/// ends. It bounds the cost of a pass when many teams wait for large servers.
-const MAX_STALLED_FLOWS: usize = 16;
+/// Jobs that may fail to find a place before a pass over a pool ends. It
+/// bounds the cost of a step when many teams wait for large servers.
+const MAX_FAILED_STARTS: usize = 32;
 
 /// Jobs of a flow that may pass its first job while that has to wait.
-const MAX_LOOKAHEAD_JOBS: usize = 8;
+const MAX_LOOKAHEAD_JOBS: usize = 4;
 
 impl Dispatcher {
     /// Starts what can be started in the pools that changed in this step.
@@ -25,7 +25,8 @@
 
     fn schedule_pool(&mut self, pool: PoolKey) {
         let mut stalled = Vec::new();
-        while stalled.len() < MAX_STALLED_FLOWS && self.may_start(pool) {
+        let mut failed_starts = 0;
+        while failed_starts < MAX_FAILED_STARTS && self.may_start(pool) {
             let Some((flow, job)) = self.pools[pool].queue.pick() else {
                 break;
             };
@@ -35,6 +36,7 @@
             } else if !self.start_some(job) && !self.start_following(pool, flow) {
                 self.pools[pool].queue.set_aside(flow);
                 stalled.push(flow);
+                failed_starts += 1 + MAX_LOOKAHEAD_JOBS;
             }
         }
         for flow in stalled {
