--- a/crates/dispatch/tests/model/backend.rs
+++ b/crates/dispatch/tests/model/backend.rs
@@ -77,7 +77,7 @@
         let refused = self.withdrawn
             || batch.incarnation != self.announcement.incarnation
             || batch.grant != self.announcement.grant
-            || self.busy() + batch.tasks.len() > self.announcement.slots as usize;
+            || (!self.announcement.shared && !self.has_room(batch.tasks.len()));
         let mut held = Held {
             exchange,
             batch,
@@ -161,9 +161,19 @@
         ended
     }
 
-    fn busy(&self) -> usize {
+    /// Whether a shared server has to let a batch wait for its slots.
+    pub fn must_wait(&self, exchange: ExchangeRef) -> bool {
+        let held = self.held.iter().find(|h| h.exchange == exchange);
+        let running = self.runs.values().filter(|run| **run == Run::Running);
+        self.announcement.shared
+            && held.is_some()
+            && running.count() >= self.announcement.slots as usize
+    }
+
+    fn has_room(&self, tasks: usize) -> bool {
         let busy = |run: &&Run| matches!(run, Run::Waiting | Run::Running);
-        self.runs.values().filter(busy).count()
+        let busy = self.runs.values().filter(busy).count();
+        busy + tasks <= self.announcement.slots as usize
     }
 
     fn cancel_task(&mut self, job: &JobId, index: TaskIndex) -> Fate {
--- a/crates/dispatch/tests/model/incidents.rs
+++ b/crates/dispatch/tests/model/incidents.rs
@@ -3,6 +3,30 @@
 use super::*;
 
 impl World {
+    /// Creates a process of a host, with its configuration.
+    pub(super) fn entry(&self, host: usize, epoch: u32, hosts: usize) -> Entry {
+        let mut configuration = configuration();
+        configuration.entry_hosts = u32::try_from(hosts).unwrap();
+        configuration.services[0].task_grace_ms = 2_000;
+        configuration.institutions[0].max_tasks_per_exchange = self.max_tasks_per_exchange;
+        let options = DispatchOptions {
+            host_id: format!("e{host}"),
+            failure_domain: "almaty-a".into(),
+            placement: self.placement,
+            ..DispatchOptions::default()
+        };
+        let mut host = Host::new(options, configuration);
+        host.now_ms = self.now_ms;
+        Entry {
+            host,
+            epoch,
+            isolated_until_ms: 0,
+            wakes: BTreeSet::new(),
+            small_quota_used: 0,
+            jobs: BTreeMap::new(),
+        }
+    }
+
     pub(super) fn submit(&mut self, planned: &PlannedJob) {
         let host = planned.host % self.entries.len();
         self.submitted += 1;
--- a/crates/dispatch/tests/model/links.rs
+++ b/crates/dispatch/tests/model/links.rs
@@ -70,7 +70,7 @@
         self.history.push(Step::InUse {
             what: format!("slots of {server_id}"),
             used: *load,
-            limit: self.backends[server].announcement.slots,
+            limit: self.limit_of(server),
         });
         let open = Open {
             server: (server, batch.incarnation),
@@ -83,6 +83,15 @@
         }
     }
 
+    /// Gets the tasks that one host may have at a server.
+    fn limit_of(&self, server: usize) -> u32 {
+        let announcement = &self.backends[server].announcement;
+        match announcement.shared {
+            true => announcement.max_connections,
+            false => announcement.slots,
+        }
+    }
+
     fn use_quota(&mut self, host: usize, tasks: u32) {
         let limit = SMALL_QUOTA.div_ceil(u32::try_from(self.entries.len()).unwrap());
         let entry = &mut self.entries[host];
--- a/crates/dispatch/tests/model/plan.rs
+++ b/crates/dispatch/tests/model/plan.rs
@@ -90,6 +90,7 @@
     pub server_slots: Vec<u32>,
     pub max_tasks_per_exchange: u32,
     pub faults_per_mille: u32,
+    pub shared: bool,
     pub seed: u64,
     pub jobs: Vec<PlannedJob>,
     pub incidents: Vec<(u64, Incident)>,
@@ -101,12 +102,13 @@
     let incidents = prop::collection::vec((0..5_000_u64, incident()), 0..5);
     let faults = prop_oneof![Just(0_u32), Just(20), Just(100), Just(400)];
     let slots = prop::collection::vec(1..5_u32, 1..7);
+    let choices = (any::<u64>(), prop::bool::weighted(0.15));
     (
         2..4_usize,
         slots,
         1..4_u32,
         faults,
-        any::<u64>(),
+        choices,
         jobs,
         incidents,
     )
@@ -116,15 +118,16 @@
                 server_slots,
                 max_tasks_per_exchange,
                 faults_per_mille,
-                seed,
+                (seed, shared),
                 jobs,
                 incidents,
             )| {
                 Plan {
                     hosts,
                     server_slots,
-                    max_tasks_per_exchange,
+                    max_tasks_per_exchange: if shared { 1 } else { max_tasks_per_exchange },
                     faults_per_mille,
+                    shared,
                     seed,
                     jobs,
                     incidents,
--- a/crates/dispatch/tests/model/servers.rs
+++ b/crates/dispatch/tests/model/servers.rs
@@ -2,6 +2,9 @@
 
 use super::*;
 
+/// Interval at which a shared server looks for a free slot, in ms.
+const QUEUE_POLL_MS: u64 = 20;
+
 impl World {
     pub(super) fn announce(&mut self, server: usize, incarnation: Incarnation) {
         let backend = &mut self.backends[server];
@@ -16,16 +19,32 @@
         }
         let backend = &self.backends[server];
         let announcement = backend.announcement.clone();
-        let owner = self.current(backend.owner);
+        let owners = self.owners(server);
         self.after(600, Event::Announce(server, incarnation));
+        for owner in owners {
+            self.send_announcement(server, owner, &announcement);
+        }
+    }
+
+    /// Gets the hosts that a server announces itself to.
+    fn owners(&self, server: usize) -> Vec<HostRef> {
+        let backend = &self.backends[server];
+        let hosts = 0..self.entries.len();
+        hosts
+            .filter(|host| backend.announcement.shared || *host == backend.owner)
+            .map(|host| self.current(host))
+            .collect()
+    }
+
+    fn send_announcement(&mut self, server: usize, owner: HostRef, announcement: &Announcement) {
         let muted = self.muted_until_ms[server] > self.now_ms;
         if muted || self.faulty() {
             return;
         }
         let late = self.chance(self.faults_per_mille / 4);
         let delay = self.latency() + if late { 700 } else { 0 };
-        let reply = Reply::Server(server, incarnation, self.now_ms);
-        let input = Box::new(DispatchInput::Announced(announcement));
+        let reply = Reply::Server(server, announcement.incarnation, self.now_ms);
+        let input = Box::new(DispatchInput::Announced(announcement.clone()));
         self.after(delay, Event::Input(owner, input, reply));
     }
 
@@ -38,7 +57,8 @@
     ) {
         let owner = self.index_of(&answer.host_id);
         let backend = &mut self.backends[server];
-        if backend.announcement.incarnation != incarnation || backend.owner != owner {
+        let stale = backend.announcement.incarnation != incarnation || backend.owner != owner;
+        if stale || backend.announcement.shared {
             return;
         }
         if answer.accepted {
@@ -78,6 +98,13 @@
     }
 
     pub(super) fn start(&mut self, server: usize, exchange: ExchangeRef, waited_ms: u64) {
+        if self.backends[server].must_wait(exchange) {
+            self.after(
+                QUEUE_POLL_MS,
+                Event::Start(server, exchange, waited_ms + QUEUE_POLL_MS),
+            );
+            return;
+        }
         let started = self.backends[server].start(exchange, waited_ms);
         for (job, index) in started {
             let run_ms = self.rng.random_range(1..600);
@@ -138,8 +165,9 @@
             server_id: backend.announcement.server_id.clone(),
             incarnation: backend.announcement.incarnation,
         });
-        let owner = backend.owner;
-        let (delay, owner) = (self.latency(), self.current(owner));
-        self.input(delay, owner, input);
+        for owner in self.owners(server) {
+            let delay = self.latency();
+            self.input(delay, owner, input.clone());
+        }
     }
 }
--- a/crates/dispatch/tests/model/world.rs
+++ b/crates/dispatch/tests/model/world.rs
@@ -10,7 +10,7 @@
 use hornbeam_core::ids::{ChunkId, ExchangeId, Incarnation, JobId, RequestId, TaskIndex};
 use hornbeam_dispatch::{
     CancelId, Chunk, ChunkAnswer, ChunkEnd, ChunkFate, ClaimEnd, DispatchInput, DispatchOptions,
-    DispatchOutput, ExchangeEnd,
+    DispatchOutput, ExchangeEnd, PlacementPolicy,
 };
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -93,6 +93,7 @@
     muted_until_ms: Vec<u64>,
     faults_per_mille: u32,
     max_tasks_per_exchange: u32,
+    placement: PlacementPolicy,
     rng: ChaCha8Rng,
     open: BTreeMap<ExchangeRef, Open>,
     ended: BTreeSet<ExchangeRef>,
@@ -143,6 +144,10 @@
             muted_until_ms: vec![0; plan.server_slots.len()],
             faults_per_mille: plan.faults_per_mille,
             max_tasks_per_exchange: plan.max_tasks_per_exchange,
+            placement: match plan.shared {
+                true => PlacementPolicy::TwoChoices,
+                false => PlacementPolicy::Leased,
+            },
             rng: ChaCha8Rng::seed_from_u64(plan.seed),
             open: BTreeMap::new(),
             ended: BTreeSet::new(),
@@ -161,6 +166,8 @@
         for (index, slots) in plan.server_slots.iter().enumerate() {
             let announcement = Announcement {
                 slots: *slots,
+                shared: plan.shared,
+                max_connections: slots + 2,
                 ..announcement(&format!("s{index}"))
             };
             let owner = world.rng.random_range(0..plan.hosts);
@@ -177,28 +184,6 @@
         world
     }
 
-    fn entry(&self, host: usize, epoch: u32, hosts: usize) -> Entry {
-        let mut configuration = configuration();
-        configuration.entry_hosts = u32::try_from(hosts).unwrap();
-        configuration.services[0].task_grace_ms = 2_000;
-        configuration.institutions[0].max_tasks_per_exchange = self.max_tasks_per_exchange;
-        let options = DispatchOptions {
-            host_id: format!("e{host}"),
-            failure_domain: "almaty-a".into(),
-            ..DispatchOptions::default()
-        };
-        let mut host = Host::new(options, configuration);
-        host.now_ms = self.now_ms;
-        Entry {
-            host,
-            epoch,
-            isolated_until_ms: 0,
-            wakes: BTreeSet::new(),
-            small_quota_used: 0,
-            jobs: BTreeMap::new(),
-        }
-    }
-
     fn after(&mut self, delay_ms: u64, event: Event) {
         self.sequence += 1;
         let key = (self.now_ms + delay_ms, self.sequence);
