--- a/crates/dispatch/src/scheduling.rs
+++ b/crates/dispatch/src/scheduling.rs
@@ -3,12 +3,16 @@
 use hornbeam_core::api::caller::Reason;
 
 use crate::dispatcher::Dispatcher;
+use crate::fair_queue::FlowKey;
 use crate::keys::{JobKey, PoolKey, ServerKey, TaskPosition};
 use crate::server::Resources;
 
-/// Flows that may fail to find a fitting server before a pass over a pool
-/// ends. It bounds the cost of a pass when many teams wait for large servers.
-const MAX_STALLED_FLOWS: usize = 16;
+/// Jobs that may fail to find a place before a pass over a pool ends. It
+/// bounds the cost of a step when many teams wait for large servers.
+const MAX_FAILED_STARTS: usize = 32;
+
+/// Jobs of a flow that may pass its first job while that has to wait.
+const MAX_LOOKAHEAD_JOBS: usize = 4;
 
 impl Dispatcher {
     /// Starts what can be started in the pools that changed in this step.
@@ -21,16 +25,18 @@
 
     fn schedule_pool(&mut self, pool: PoolKey) {
         let mut stalled = Vec::new();
-        while stalled.len() < MAX_STALLED_FLOWS && self.may_start(pool) {
+        let mut failed_starts = 0;
+        while failed_starts < MAX_FAILED_STARTS && self.may_start(pool) {
             let Some((flow, job)) = self.pools[pool].queue.pick() else {
                 break;
             };
             if !flow.foreign && self.quotas.team(flow.team).room() == 0 {
                 self.pools[pool].queue.set_aside(flow);
                 self.quotas.block(pool, flow);
-            } else if !self.start_some(job) {
+            } else if !self.start_some(job) && !self.start_following(pool, flow) {
                 self.pools[pool].queue.set_aside(flow);
                 stalled.push(flow);
+                failed_starts += 1 + MAX_LOOKAHEAD_JOBS;
             }
         }
         for flow in stalled {
@@ -38,12 +44,19 @@
         }
     }
 
+    /// Starts tasks of a later job of a flow whose first job has to wait, for
+    /// example for an accelerator, so that other slots do not stay idle.
+    fn start_following(&mut self, pool: PoolKey, flow: FlowKey) -> bool {
+        let jobs = self.pools[pool].queue.following(flow, MAX_LOOKAHEAD_JOBS);
+        jobs.into_iter().any(|job| self.start_some(job))
+    }
+
     fn may_start(&self, pool: PoolKey) -> bool {
         let pool = &self.pools[pool];
         pool.queued_tasks > 0
             && (pool.free_slots > 0
                 || !pool.shared.is_empty()
-                || self.best_peer(&pool.service).is_some())
+                || self.best_peer(&pool.service, &[]).is_some())
     }
 
     /// Sends or forwards the first queued tasks of a job, or ends the job if
