--- /dev/null
+++ b/crates/control/examples/restart.rs
@@ -0,0 +1,153 @@
+//! Measures syncs per change, time per apply and the time of a restart.
+//!
+//! Run with `cargo run --release -p hornbeam-control --example restart`. It
+//! writes to a temporary folder and prints one line per number of changes.
+
+use std::path::Path;
+use std::time::{Duration, Instant};
+
+use hornbeam_control::{
+    ChangeCommand, Command, ControlState, DiskLog, Replica, ReplicaInput, ReplicaOptions,
+    ReplicaOutput,
+};
+use hornbeam_core::config::{Configuration, Institution, Service, Team};
+use hornbeam_core::{Error, Result};
+
+/// Numbers of changes before a restart.
+const CHANGES: [u64; 4] = [100, 400, 1_600, 6_400];
+
+/// Restarts of which the median is printed.
+const RESTARTS: usize = 9;
+
+const TEAMS: u32 = 40;
+
+const ID: u64 = 1;
+
+/// A replica that is the only member of its group, and its folder.
+struct Host {
+    replica: Replica,
+    log: DiskLog,
+    now: Duration,
+}
+
+impl Host {
+    fn open(folder: &Path) -> Result<Self> {
+        let (log, recovered) = DiskLog::open(folder, ID)?;
+        let options = ReplicaOptions {
+            id: ID,
+            initial_voters: vec![ID],
+            ..ReplicaOptions::default()
+        };
+        let replica = Replica::new(options, recovered, Duration::ZERO)?;
+        let now = Duration::ZERO;
+        Ok(Self { replica, log, now })
+    }
+
+    /// Gives an input and persists until nothing is left to persist.
+    fn step(&mut self, input: ReplicaInput) -> Result<()> {
+        let mut next = Some(input);
+        while let Some(input) = next.take() {
+            for output in self.replica.step(self.now, input) {
+                if let ReplicaOutput::Persist(request) = output {
+                    self.log.persist(&request)?;
+                    next = Some(ReplicaInput::Persisted(request.id));
+                }
+            }
+        }
+        Ok(())
+    }
+
+    fn lead(&mut self) -> Result<()> {
+        while !self.replica.is_leader() {
+            self.now = self.replica.next_wakeup();
+            self.step(ReplicaInput::Tick)?;
+        }
+        Ok(())
+    }
+}
+
+fn configuration() -> Configuration {
+    let teams = (0..TEAMS).map(|number| (format!("feeding-team-{number}"), Team::default()));
+    let institution = Institution {
+        teams: teams.collect(),
+        ..Institution::default()
+    };
+    let service = Service {
+        institution: "dala-green-lawn".into(),
+        ..Service::default()
+    };
+    Configuration {
+        site: "dala".into(),
+        failure_domains: ["a", "b", "c", "d"]
+            .map(|name| format!("almaty-{name}"))
+            .into(),
+        entry_hosts: 9,
+        services: [("subscribe".into(), service)].into(),
+        institutions: [("dala-green-lawn".into(), institution)].into(),
+    }
+}
+
+fn change(expected_version: u64) -> Command {
+    Command::Change(Box::new(ChangeCommand {
+        expected_version,
+        change_id: format!("8f14e45f-ceea-467a-9d3c-{expected_version:012}"),
+        operator: "aigerim".into(),
+        reason: "quota before the rain".into(),
+        action: "files".into(),
+        proposed_unix_ms: 1_790_000_000_000,
+        configuration: configuration(),
+    }))
+}
+
+fn measure(changes: u64) -> Result<()> {
+    let folder = tempfile::tempdir()?;
+    let mut host = Host::open(folder.path())?;
+    host.lead()?;
+    let syncs_before = host.log.syncs();
+    let started = Instant::now();
+    for version in 0..changes {
+        host.step(ReplicaInput::Propose(version, change(version)))?;
+    }
+    let change_us = started.elapsed().as_micros() as f64 / changes as f64;
+    let syncs = (host.log.syncs() - syncs_before) as f64 / changes as f64;
+    let disk_bytes = host.log.size_bytes();
+    drop(host);
+    let restart_ms = median_restart_ms(folder.path())?;
+    println!("{changes:>7} {syncs:>16.3} {change_us:>13.0} {restart_ms:>10.2} {disk_bytes:>10}");
+    Ok(())
+}
+
+fn median_restart_ms(folder: &Path) -> Result<f64> {
+    let mut times_ms = Vec::new();
+    for _ in 0..RESTARTS {
+        let started = Instant::now();
+        let host = Host::open(folder)?;
+        times_ms.push(started.elapsed().as_secs_f64() * 1_000.0);
+        drop(host);
+    }
+    times_ms.sort_unstable_by(f64::total_cmp);
+    Ok(times_ms[RESTARTS / 2])
+}
+
+fn apply_us(changes: u64) -> Result<f64> {
+    let commands: Vec<Command> = (0..changes).map(change).collect();
+    let mut state = ControlState::default();
+    let started = Instant::now();
+    for command in &commands {
+        state.apply(command);
+    }
+    let elapsed_us = started.elapsed().as_micros() as f64;
+    if state.version() != changes {
+        return Err(Error::corrupt("a change was not accepted"));
+    }
+    Ok(elapsed_us / changes as f64)
+}
+
+fn main() -> Result<()> {
+    println!("changes syncs_per_change us_per_change restart_ms disk_bytes");
+    for changes in CHANGES {
+        measure(changes)?;
+    }
+    println!("apply: {:.2} us per change", apply_us(CHANGES[3])?);
+    Ok(())
+}
--- a/crates/control/src/disk.rs
+++ b/crates/control/src/disk.rs
@@ -15,29 +15,22 @@
 
 use hornbeam_core::ids::ReplicaId;
 use hornbeam_core::{Error, Result};
-use serde::{Deserialize, Serialize};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
 
+use crate::batch;
 use crate::codec;
-use crate::files::{Files, FolderFiles, LOCK_FILE};
+use crate::files::{Files, FolderFiles};
+use crate::identity::{self, IDENTITY_FILE, Identity};
 use crate::io::{Entry, HardState, PersistRequest, SnapshotData};
 use crate::record;
 
-const IDENTITY_FILE: &str = "identity";
 const HARD_STATE_FILE: &str = "hard_state";
 const SNAPSHOT_FILE: &str = "snapshot";
-const LOG_FILE: &str = "log";
+pub(crate) const LOG_FILE: &str = "log";
 
 /// Suffix of a file that is not renamed to its final name yet.
-const NEW_SUFFIX: &str = ".new";
-
-/// Version of the folder's format. It grows with every incompatible change.
-const FORMAT_VERSION: u32 = 1;
-
-/// Marks the folder as one of this program.
-const FORMAT_NAME: &str = "hornbeam control replica";
-
-/// Encoded bytes of entries in one log record, unless its only entry is larger.
-const MAX_BATCH_BYTES: u64 = 8 << 20;
+pub(crate) const NEW_SUFFIX: &str = ".new";
 
 /// `Recovered` is what a data folder held when it was opened.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -75,14 +68,6 @@
     log: u64,
 }
 
-#[derive(Debug, Deserialize, Eq, PartialEq, Serialize)]
-#[serde(deny_unknown_fields, rename_all = "snake_case")]
-struct Identity {
-    format_name: String,
-    format_version: u32,
-    replica_id: ReplicaId,
-}
-
 impl DiskLog {
     /// Opens a data folder for a replica, creating it if missing.
     ///
@@ -102,7 +87,7 @@
         if !folder.exists() {
             return Ok(None);
         }
-        let identity = read_identity(&mut FolderFiles::open(folder)?)?;
+        let identity = identity::read(&mut FolderFiles::open(folder)?)?;
         Ok(identity.map(|identity| identity.replica_id))
     }
 }
@@ -113,9 +98,9 @@
     /// # Errors
     /// As those of [`DiskLog::open`].
     pub fn open_with(mut files: F, id: ReplicaId) -> Result<(Self, Recovered)> {
-        match read_identity(&mut files)? {
-            Some(identity) => check_identity(&identity, id)?,
-            None => check_unused(&files.list()?)?,
+        match identity::read(&mut files)? {
+            Some(identity) => identity.check(id)?,
+            None => identity::check_unused(&files.list()?)?,
         }
         let mut log = Self {
             files,
@@ -173,7 +158,7 @@
     }
 
     fn append(&mut self, entries: &[Entry]) -> Result<()> {
-        for batch in batches(entries) {
+        for batch in batch::split(entries) {
             let record = record::frame(&codec::encode(&batch)?)?;
             self.files.append(LOG_FILE, &record)?;
             self.sync(LOG_FILE)?;
@@ -191,7 +176,7 @@
         if self.last_index > snapshot.index {
             let bytes = self.files.read(LOG_FILE)?.unwrap_or_default();
             let scan = record::scan(LOG_FILE, &bytes)?;
-            kept = after_snapshot(join(&scan.payloads)?, Some(snapshot));
+            kept = batch::after_snapshot(batch::join(&scan.payloads)?, Some(snapshot));
         }
         if self.sizes_bytes.log == 0 && kept.is_empty() {
             return Ok(());
@@ -201,7 +186,7 @@
 
     fn rewrite(&mut self, entries: &[Entry]) -> Result<()> {
         let mut content = Vec::new();
-        for batch in batches(entries) {
+        for batch in batch::split(entries) {
             content.extend(record::frame(&codec::encode(&batch)?)?);
         }
         self.replace_bytes(LOG_FILE, &content)?;
@@ -216,11 +201,7 @@
             return Ok(());
         }
         self.replace_bytes(LOG_FILE, &[])?;
-        let identity = Identity {
-            format_name: FORMAT_NAME.into(),
-            format_version: FORMAT_VERSION,
-            replica_id: id,
-        };
+        let identity = Identity::new(id);
         self.replace(IDENTITY_FILE, &identity)?;
         Ok(())
     }
@@ -235,10 +216,10 @@
             return Err(Error::corrupt("log is missing"));
         };
         let scan = record::scan(LOG_FILE, &bytes)?;
-        let stored = join(&scan.payloads)?;
+        let stored = batch::join(&scan.payloads)?;
         let stored_len = stored.len();
-        let entries = after_snapshot(stored, snapshot.as_ref());
-        check_first(&entries, snapshot.as_ref())?;
+        let entries = batch::after_snapshot(stored, snapshot.as_ref());
+        batch::check_first(&entries, snapshot.as_ref())?;
         let cut_bytes = (bytes.len() - scan.length_bytes) as u64;
         self.last_index = entries.last().map_or(0, |last| last.index);
         self.sizes_bytes.log = scan.length_bytes as u64;
@@ -267,7 +248,7 @@
         Ok(bytes.map_or(0, |bytes| bytes.len() as u64))
     }
 
-    fn read_single<T: serde::de::DeserializeOwned>(&mut self, file: &str) -> Result<Option<T>> {
+    fn read_single<T: DeserializeOwned>(&mut self, file: &str) -> Result<Option<T>> {
         let Some(bytes) = self.files.read(file)? else {
             return Ok(None);
         };
@@ -296,121 +277,3 @@
         Ok(self.files.sync(file)?)
     }
 }
-
-fn read_identity<F: Files>(files: &mut F) -> Result<Option<Identity>> {
-    let Some(bytes) = files.read(IDENTITY_FILE)? else {
-        return Ok(None);
-    };
-    codec::decode(record::single(IDENTITY_FILE, &bytes)?).map(Some)
-}
-
-fn check_identity(identity: &Identity, id: ReplicaId) -> Result<()> {
-    let Identity {
-        format_name,
-        format_version,
-        replica_id,
-    } = identity;
-    if format_name != FORMAT_NAME || *format_version != FORMAT_VERSION {
-        return Err(Error::refused(format!(
-            "the data folder has format {format_name} {format_version}"
-        )));
-    }
-    if *replica_id != id {
-        return Err(Error::refused(format!(
-            "the data folder belongs to replica {replica_id}, not {id}"
-        )));
-    }
-    Ok(())
-}
-
-/// Checks that a folder without identity holds nothing but what an interrupted
-/// first opening leaves.
-fn check_unused(names: &[String]) -> Result<()> {
-    let log_new = format!("{LOG_FILE}{NEW_SUFFIX}");
-    let identity_new = format!("{IDENTITY_FILE}{NEW_SUFFIX}");
-    let own = [LOCK_FILE, LOG_FILE, &log_new, &identity_new];
-    let foreign = names.iter().find(|name| !own.contains(&name.as_str()));
-    match foreign {
-        None => Ok(()),
-        Some(name) => Err(Error::refused(format!(
-            "the data folder has no identity but holds {name}"
-        ))),
-    }
-}
-
-/// Splits entries into batches of bounded size.
-fn batches(entries: &[Entry]) -> Vec<&[Entry]> {
-    let mut batches = Vec::new();
-    let mut start = 0;
-    let mut bytes = 0;
-    for (position, entry) in entries.iter().enumerate() {
-        let entry_bytes = codec::encoded_bytes(entry);
-        if position > start && bytes + entry_bytes > MAX_BATCH_BYTES {
-            batches.push(&entries[start..position]);
-            start = position;
-            bytes = 0;
-        }
-        bytes += entry_bytes;
-    }
-    if start < entries.len() {
-        batches.push(&entries[start..]);
-    }
-    batches
-}
-
-/// Joins batches; each replaces the entries from its first index on.
-fn join(payloads: &[&[u8]]) -> Result<Vec<Entry>> {
-    let mut joined: Vec<Entry> = Vec::new();
-    for payload in payloads {
-        let batch: Vec<Entry> = codec::decode(payload)?;
-        for entry in batch {
-            append_or_replace(&mut joined, entry)?;
-        }
-    }
-    Ok(joined)
-}
-
-fn append_or_replace(entries: &mut Vec<Entry>, entry: Entry) -> Result<()> {
-    if let Some(first) = entries.first() {
-        let position = entry.index.checked_sub(first.index);
-        let Some(position) = position.filter(|at| *at <= entries.len() as u64) else {
-            return Err(Error::corrupt(format!(
-                "log has a gap at index {}",
-                entry.index
-            )));
-        };
-        entries.truncate(position as usize);
-    }
-    entries.push(entry);
-    Ok(())
-}
-
-/// Gets the entries that follow a snapshot. There are none if the log does not
-/// hold the snapshot's last entry, as the snapshot then replaced all of it.
-fn after_snapshot(mut entries: Vec<Entry>, snapshot: Option<&SnapshotData>) -> Vec<Entry> {
-    let Some(snapshot) = snapshot else {
-        return entries;
-    };
-    let starts_before = entries
-        .first()
-        .is_some_and(|first| first.index <= snapshot.index);
-    let holds_last = entries
-        .iter()
-        .any(|entry| (entry.index, entry.term) == (snapshot.index, snapshot.term));
-    if starts_before && !holds_last {
-        return Vec::new();
-    }
-    entries.retain(|entry| entry.index > snapshot.index);
-    entries
-}
-
-fn check_first(entries: &[Entry], snapshot: Option<&SnapshotData>) -> Result<()> {
-    let expected = snapshot.map_or(1, |snapshot| snapshot.index + 1);
-    match entries.first() {
-        Some(first) if first.index != expected => Err(Error::corrupt(format!(
-            "log starts at index {}, expected {expected}",
-            first.index
-        ))),
-        _ => Ok(()),
-    }
-}
--- /dev/null
+++ b/crates/control/src/identity.rs
@@ -0,0 +1,88 @@
+//! The identity of a data folder: its format and its replica.
+
+use hornbeam_core::ids::ReplicaId;
+use hornbeam_core::{Error, Result};
+use serde::{Deserialize, Serialize};
+
+use crate::codec;
+use crate::disk::{LOG_FILE, NEW_SUFFIX};
+use crate::files::{Files, LOCK_FILE};
+use crate::record;
+
+/// Name of the file that holds the identity.
+pub(crate) const IDENTITY_FILE: &str = "identity";
+
+/// Version of the folder's format. It grows with every incompatible change.
+const FORMAT_VERSION: u32 = 1;
+
+/// Marks the folder as one of this program.
+const FORMAT_NAME: &str = "hornbeam control replica";
+
+/// `Identity` says what a folder belongs to. It is written once.
+#[derive(Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields, rename_all = "snake_case")]
+pub(crate) struct Identity {
+    format_name: String,
+    format_version: u32,
+    pub(crate) replica_id: ReplicaId,
+}
+
+impl Identity {
+    /// Creates the identity of a replica's folder in the present format.
+    pub(crate) fn new(replica_id: ReplicaId) -> Self {
+        Self {
+            format_name: FORMAT_NAME.into(),
+            format_version: FORMAT_VERSION,
+            replica_id,
+        }
+    }
+
+    /// Checks that the folder belongs to this program and replica.
+    ///
+    /// # Errors
+    /// `Refused` if it does not.
+    pub(crate) fn check(&self, id: ReplicaId) -> Result<()> {
+        let Self {
+            format_name,
+            format_version,
+            replica_id,
+        } = self;
+        if format_name != FORMAT_NAME || *format_version != FORMAT_VERSION {
+            return Err(Error::refused(format!(
+                "the data folder has format {format_name} {format_version}"
+            )));
+        }
+        if *replica_id != id {
+            return Err(Error::refused(format!(
+                "the data folder belongs to replica {replica_id}, not {id}"
+            )));
+        }
+        Ok(())
+    }
+}
+
+/// Reads the identity, `None` if the folder has none.
+///
+/// # Errors
+/// `Io` if it cannot be read, `Corrupt` if it is damaged.
+pub(crate) fn read<F: Files>(files: &mut F) -> Result<Option<Identity>> {
+    let Some(bytes) = files.read(IDENTITY_FILE)? else {
+        return Ok(None);
+    };
+    codec::decode(record::single(IDENTITY_FILE, &bytes)?).map(Some)
+}
+
+/// Checks that a folder without identity holds nothing but what an interrupted
+/// first opening leaves.
+pub(crate) fn check_unused(names: &[String]) -> Result<()> {
+    let log_new = format!("{LOG_FILE}{NEW_SUFFIX}");
+    let identity_new = format!("{IDENTITY_FILE}{NEW_SUFFIX}");
+    let own = [LOCK_FILE, LOG_FILE, &log_new, &identity_new];
+    let foreign = names.iter().find(|name| !own.contains(&name.as_str()));
+    match foreign {
+        None => Ok(()),
+        Some(name) => Err(Error::refused(format!(
+            "the data folder has no identity but holds {name}"
+        ))),
+    }
+}
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -24,12 +24,14 @@
 
 #![forbid(unsafe_code)]
 
+mod batch;
 mod claims;
 mod codec;
 mod command;
 mod disk;
 mod election;
 mod files;
+mod identity;
 mod io;
 mod log;
 mod members;
