--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -18,6 +18,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore, watch};
 use tokio::task::{JoinHandle, JoinSet};
+use tokio_io_timeout::TimeoutStream;
 use volo::net::Address;
 use volo::service::Service;
 use volo_http::body::Body;
@@ -46,6 +47,10 @@
     pub head_timeout: Duration,
     /// Largest request head in bytes; default 16 KiB.
     pub max_head_bytes: usize,
+    /// Time within which a caller must take more of its answer. A caller that
+    /// reads nothing would otherwise hold up [`HttpServer::stop`]; default
+    /// 10 s.
+    pub write_timeout: Duration,
 }
 
 impl Default for HttpServerOptions {
@@ -54,6 +59,7 @@
             max_connections: 4096,
             head_timeout: Duration::from_secs(5),
             max_head_bytes: 16 << 10,
+            write_timeout: Duration::from_secs(10),
         }
     }
 }
@@ -98,6 +104,7 @@
             listener,
             permits: Arc::new(Semaphore::new(options.max_connections)),
             builder: connection_builder(&options),
+            write_timeout: options.write_timeout,
             router: Arc::new(router),
             stopped,
         };
@@ -149,6 +156,7 @@
     listener: TcpListener,
     permits: Arc<Semaphore>,
     builder: http1::Builder,
+    write_timeout: Duration,
     router: Arc<Router>,
     stopped: watch::Receiver<bool>,
 }
@@ -175,6 +183,7 @@
         Connection {
             accepted,
             builder: self.builder.clone(),
+            write_timeout: self.write_timeout,
             router: self.router.clone(),
             stopped: self.stopped.clone(),
         }
@@ -206,6 +215,7 @@
 struct Connection {
     accepted: Accepted,
     builder: http1::Builder,
+    write_timeout: Duration,
     router: Arc<Router>,
     stopped: watch::Receiver<bool>,
 }
@@ -223,7 +233,10 @@
         let service = service_fn(move |request: http::Request<hyper::body::Incoming>| {
             handle(router.clone(), peer, request)
         });
-        let serving = self.builder.serve_connection(TokioIo::new(stream), service);
+        let mut stream = TimeoutStream::new(stream);
+        stream.set_write_timeout(Some(self.write_timeout));
+        let stream = TokioIo::new(Box::pin(stream));
+        let serving = self.builder.serve_connection(stream, service);
         tokio::pin!(serving);
         // An error only says that the caller broke the connection or the
         // protocol; the connection is over either way.
--- a/crates/http/tests/server.rs
+++ b/crates/http/tests/server.rs
@@ -41,11 +41,16 @@
     let router = Router::new()
         .route("/sum", post(sum))
         .route("/wait", post(wait))
+        .route(
+            "/large",
+            get(|| async { json_answer(200, &"x".repeat(40 << 20)) }),
+        )
         .route("/ok", get(|| async { json_answer(200, &true) }));
     let options = HttpServerOptions {
         max_connections,
         head_timeout: HEAD_TIMEOUT,
         max_head_bytes: 1000,
+        write_timeout: Duration::from_millis(300),
     };
     let listen = "127.0.0.1:0".parse().unwrap();
     HttpServer::start(listen, router, options).await.unwrap()
@@ -116,6 +121,21 @@
     ));
 }
 
+/// Guards against a stop that waits for ever for a caller that does not read
+/// its answer.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_caller_that_does_not_read_cannot_hold_up_a_stop() {
+    let server = server(10).await;
+    let mut stream = TcpStream::connect(server.address()).await.unwrap();
+    let ask = b"GET /large HTTP/1.1\r\nhost: a\r\n\r\n";
+    stream.write_all(ask).await.unwrap();
+    expect_that!(stream.read(&mut [0; 10]).await.unwrap(), gt(0));
+    timeout(Duration::from_secs(5), server.stop())
+        .await
+        .unwrap();
+}
+
 /// Guards against callers that hold a connection or memory by sending slowly,
 /// endlessly or too much.
 #[gtest]
