--- a/crates/transport/src/connection.rs
+++ b/crates/transport/src/connection.rs
@@ -10,23 +10,20 @@
 use h2::{Reason, RecvStream};
 use hornbeam_core::{Error, Result};
 use http::header::AUTHORIZATION;
-use http::{HeaderValue, Method, Request, Response, StatusCode};
+use http::{HeaderValue, Method, Request, Response, StatusCode, Uri};
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 use tokio::time::{Instant, timeout};
 
 use crate::link::LinkOptions;
 use crate::message::{
-    CALL_PATH, CONNECTION_WINDOW_BYTES, MAX_HEADER_LIST_BYTES, PING_PATH, ReadError,
+    CALL_URI, CONNECTION_WINDOW_BYTES, MAX_HEADER_LIST_BYTES, PING_URI, ReadError,
     STREAM_WINDOW_BYTES, read_body,
 };
 
 /// Longest text of a refusal in bytes.
 pub(crate) const MAX_REFUSAL_BYTES: usize = 4 << 10;
 
-/// Authority in the requests; the server does not look at it.
-const AUTHORITY: &str = "http://hornbeam";
-
 /// `Connection` is one h2 connection. Dropping the last reference closes it,
 /// so calls that run on a retired connection still end as usual.
 pub(crate) struct Connection {
@@ -96,7 +93,7 @@
     /// none within `limit`.
     pub(crate) async fn ping(&self, limit: Duration) -> bool {
         let pinging = async {
-            let response = self.start(Method::GET, PING_PATH, Bytes::new())?;
+            let response = self.start(Method::GET, PING_URI, Bytes::new())?;
             response.await.map_err(Error::unknown)
         };
         let answered = matches!(timeout(limit, pinging).await, Ok(Ok(_)));
@@ -111,7 +108,7 @@
     /// # Errors
     /// As [`crate::Link::call`].
     pub(crate) async fn exchange(&self, request: Bytes, max_bytes: usize) -> Result<Bytes> {
-        let response = self.start(Method::POST, CALL_PATH, request)?;
+        let response = self.start(Method::POST, CALL_URI, request)?;
         let response = response.await.map_err(lost)?;
         self.heard();
         let (status, mut body) = split(response);
@@ -130,12 +127,10 @@
     ///
     /// # Errors
     /// `NotSent` if no stream could be opened.
-    fn start(&self, method: Method, path: &str, body: Bytes) -> Result<ResponseFuture> {
+    fn start(&self, method: Method, uri: &'static str, body: Bytes) -> Result<ResponseFuture> {
         let mut request = Request::new(());
         *request.method_mut() = method;
-        *request.uri_mut() = format!("{AUTHORITY}{path}")
-            .parse()
-            .map_err(Error::not_sent)?;
+        *request.uri_mut() = Uri::from_static(uri);
         if let Some(authorization) = &self.authorization {
             request
                 .headers_mut()
--- a/crates/transport/src/message.rs
+++ b/crates/transport/src/message.rs
@@ -11,6 +11,10 @@
 pub(crate) const CALL_PATH: &str = "/call";
 /// Path of pings.
 pub(crate) const PING_PATH: &str = "/ping";
+/// Address of requests. h2 demands an authority, which the server ignores.
+pub(crate) const CALL_URI: &str = "http://hornbeam/call";
+/// Address of pings.
+pub(crate) const PING_URI: &str = "http://hornbeam/ping";
 
 /// Most bytes that the decoder reads or reserves for one message. It keeps a
 /// message from claiming more memory than any allowed message needs.
