--- a/crates/standin/src/options.rs
+++ b/crates/standin/src/options.rs
@@ -26,7 +26,7 @@
     pub stop: f64,
 }
 
-/// `StandinOptions` are the settings of a [`StandinServer`].
+/// `StandinOptions` are the settings of a [`StandinServer`](crate::StandinServer).
 #[derive(Clone, Debug, PartialEq)]
 pub struct StandinOptions {
     /// What the stand-in announces; `address` is filled in when it listens.
