--- a/crates/dispatch/src/chunks_sent.rs
+++ b/crates/dispatch/src/chunks_sent.rs
@@ -90,7 +90,7 @@
         if self.jobs.get(chunk.job).is_none() {
             self.log(
                 Event::AnswerDropped,
-                format!("chunk {id}: its job had ended"),
+                format!("chunk {id} was answered after the end of its job"),
             );
             self.release_chunk(id);
             return;
--- a/crates/dispatch/src/completion.rs
+++ b/crates/dispatch/src/completion.rs
@@ -137,7 +137,7 @@
 
     fn log_end(&mut self, job: &Job, end: Option<&JobEnd>) {
         match end {
-            None => self.log(Event::JobCompleted, format!("job {}", job.id)),
+            None => self.log(Event::JobCompleted, format!("job {} is complete", job.id)),
             Some(end) => {
                 let event = match end.outcome {
                     Outcome::Refused => Event::JobRefused,
--- a/crates/dispatch/src/exchanges.rs
+++ b/crates/dispatch/src/exchanges.rs
@@ -178,7 +178,7 @@
         if self.jobs.get(exchange.job).is_none() {
             self.log(
                 Event::AnswerDropped,
-                format!("job {} had ended", exchange.job_id),
+                format!("an answer arrived after the end of job {}", exchange.job_id),
             );
             return;
         }
--- a/crates/dispatch/src/peers.rs
+++ b/crates/dispatch/src/peers.rs
@@ -61,7 +61,7 @@
         }
         self.timers.set(lost_at, Timer::Peer(id.clone()));
         if !before.is_some_and(|peer| peer.alive) {
-            self.log(Event::PeerFound, format!("peer {id}"));
+            self.log(Event::PeerFound, format!("peer {id} sent its status"));
         }
         self.change_waiting_pools();
     }
@@ -73,7 +73,9 @@
             return;
         };
         peer.alive = false;
-        self.log(Event::PeerLost, format!("peer {id}"));
+        let timeout_ms = self.options.peer_timeout.as_millis();
+        let message = format!("peer {id} has sent no status for {timeout_ms} ms");
+        self.log(Event::PeerLost, message);
         self.query_chunks_of(id);
         self.cancel_chunks_from(id);
     }
--- a/crates/dispatch/src/retries.rs
+++ b/crates/dispatch/src/retries.rs
@@ -29,7 +29,10 @@
                 return;
             }
         }
-        let message = format!("job {id}: {} tasks again: {cause}", positions.len());
+        let message = format!(
+            "job {id}: {} tasks are queued again: {cause}",
+            positions.len()
+        );
         self.log(Event::TaskRetried, message);
         self.change_tasks(key, positions, TaskEvent::Return);
         self.enqueue_tasks(key, positions.iter().copied());
