--- a/crates/control/examples/restart.rs
+++ b/crates/control/examples/restart.rs
@@ -3,12 +3,13 @@
 //! Run with `cargo run --release -p hornbeam-control --example restart`. It
 //! writes to a temporary folder and prints one line per number of changes.
 
+use std::collections::VecDeque;
 use std::path::Path;
 use std::time::{Duration, Instant};
 
 use hornbeam_control::{
-    ChangeCommand, Command, ControlState, DiskLog, Replica, ReplicaInput, ReplicaOptions,
-    ReplicaOutput,
+    ChangeCommand, Command, ControlState, DiskLog, PersistRequest, Replica, ReplicaInput,
+    ReplicaOptions, ReplicaOutput,
 };
 use hornbeam_core::config::{Configuration, Institution, Service, Team};
 use hornbeam_core::{Error, Result};
@@ -19,6 +20,9 @@
 /// Restarts of which the median is printed.
 const RESTARTS: usize = 9;
 
+/// Changes that arrive while one sync is under way.
+const BURST: usize = 16;
+
 const TEAMS: u32 = 40;
 
 const ID: u64 = 1;
@@ -43,24 +47,31 @@
         Ok(Self { replica, log, now })
     }
 
-    /// Gives an input and persists until nothing is left to persist.
-    fn step(&mut self, input: ReplicaInput) -> Result<()> {
-        let mut next = Some(input);
-        while let Some(input) = next.take() {
-            for output in self.replica.step(self.now, input) {
-                if let ReplicaOutput::Persist(request) = output {
-                    self.log.persist(&request)?;
-                    next = Some(ReplicaInput::Persisted(request.id));
-                }
-            }
+    /// Gives inputs at once and then persists until nothing is left to persist.
+    fn steps(&mut self, inputs: impl IntoIterator<Item = ReplicaInput>) -> Result<()> {
+        let mut requests = VecDeque::new();
+        for input in inputs {
+            self.react(input, &mut requests);
+        }
+        while let Some(request) = requests.pop_front() {
+            self.log.persist(&request)?;
+            self.react(ReplicaInput::Persisted(request.id), &mut requests);
         }
         Ok(())
     }
 
+    fn react(&mut self, input: ReplicaInput, requests: &mut VecDeque<PersistRequest>) {
+        for output in self.replica.step(self.now, input) {
+            if let ReplicaOutput::Persist(request) = output {
+                requests.push_back(request);
+            }
+        }
+    }
+
     fn lead(&mut self) -> Result<()> {
         while !self.replica.is_leader() {
             self.now = self.replica.next_wakeup();
-            self.step(ReplicaInput::Tick)?;
+            self.steps([ReplicaInput::Tick])?;
         }
         Ok(())
     }
@@ -106,7 +117,7 @@
     let syncs_before = host.log.syncs();
     let started = Instant::now();
     for version in 0..changes {
-        host.step(ReplicaInput::Propose(version, change(version)))?;
+        host.steps([ReplicaInput::Propose(version, change(version))])?;
     }
     let change_us = started.elapsed().as_micros() as f64 / changes as f64;
     let syncs = (host.log.syncs() - syncs_before) as f64 / changes as f64;
@@ -129,6 +140,19 @@
     Ok(times_ms[RESTARTS / 2])
 }
 
+/// Gets the syncs per change when changes arrive in bursts.
+fn burst_syncs(changes: u64) -> Result<f64> {
+    let folder = tempfile::tempdir()?;
+    let mut host = Host::open(folder.path())?;
+    host.lead()?;
+    let syncs_before = host.log.syncs();
+    for first in (0..changes).step_by(BURST) {
+        let versions = first..first + BURST as u64;
+        host.steps(versions.map(|version| ReplicaInput::Propose(version, change(version))))?;
+    }
+    Ok((host.log.syncs() - syncs_before) as f64 / changes as f64)
+}
+
 fn apply_us(changes: u64) -> Result<f64> {
     let commands: Vec<Command> = (0..changes).map(change).collect();
     let mut state = ControlState::default();
@@ -148,6 +172,8 @@
     for changes in CHANGES {
         measure(changes)?;
     }
+    let syncs = burst_syncs(CHANGES[2])?;
+    println!("bursts of {BURST}: {syncs:.3} syncs per change");
     println!("apply: {:.2} us per change", apply_us(CHANGES[3])?);
     Ok(())
 }
--- a/crates/control/tests/common/cluster.rs
+++ b/crates/control/tests/common/cluster.rs
@@ -4,64 +4,36 @@
 use std::time::Duration;
 
 use hornbeam_control::{
-    Command, DiskLog, Message, PersistRequest, ProposalEnd, Replica, ReplicaInput, ReplicaOptions,
+    DiskLog, Message, PersistRequest, ProposalEnd, Replica, ReplicaInput, ReplicaOptions,
     ReplicaOutput,
 };
 use hornbeam_core::ids::ReplicaId;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
+use super::checks::Checks;
+use super::faults::{Faults, LONG_DELAY_MS};
 use super::memory_files::{MemoryFiles, Strike};
 
-/// Faults under which the property tests run.
-pub const FAULTS: Faults = Faults {
-    loss: 0.05,
-    double: 0.05,
-    delay_ms: 15,
-    long_delay: 0.05,
-    slow_sync: 0.1,
-    persist_crash: 0.01,
-};
-
 /// Election timeout and heartbeat, short so that there are many elections.
 const ELECTION_TIMEOUT: Duration = Duration::from_millis(100);
 const HEARTBEAT: Duration = Duration::from_millis(25);
 
-/// Longest delay of a message with a long delay, in ms.
-const LONG_DELAY_MS: u64 = 300;
-
-/// Probabilities and limits of the faults, all of them 0 when they stop.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct Faults {
-    /// Of a message to be lost.
-    pub loss: f64,
-    /// Of a message to arrive twice.
-    pub double: f64,
-    /// Longest delay of a message in ms; different delays reorder messages.
-    pub delay_ms: u64,
-    /// Of a message to be delayed beyond an election timeout.
-    pub long_delay: f64,
-    /// Of a sync that takes longer than an election timeout.
-    pub slow_sync: f64,
-    /// Of a host to crash before, during or after a persist request.
-    pub persist_crash: f64,
-}
-
 /// One simulated host.
 #[derive(Debug)]
 pub struct Host {
     pub replica: Option<Replica>,
     pub disk: MemoryFiles,
-    log: Option<DiskLog<MemoryFiles>>,
-    persists: VecDeque<PersistRequest>,
-    epoch: u64,
-    frozen_until: Duration,
+    pub log: Option<DiskLog<MemoryFiles>>,
+    pub persists: VecDeque<PersistRequest>,
+    pub epoch: u64,
+    pub frozen_until: Duration,
     persisted_at: Duration,
     initial_voters: Vec<ReplicaId>,
 }
 
 #[derive(Debug)]
-enum Happening {
+pub enum Happening {
     Deliver(ReplicaId, ReplicaId, Box<Message>),
     Ask(ReplicaId, ReplicaInput),
     Tick(ReplicaId, u64),
@@ -86,15 +58,10 @@
     /// Answers that the clients have not taken, with the answering host.
     pub answers: Vec<(ReplicaId, Answer)>,
     pub elections: u64,
-    pub snapshots_sent: u64,
-    pub crashes: u64,
     snapshot_entries: u64,
     queue: BTreeMap<(Duration, u64), Happening>,
     sequence: u64,
-    leaders: BTreeMap<u64, ReplicaId>,
-    contents: BTreeMap<(u64, u64), Command>,
-    committed_terms: BTreeMap<u64, u64>,
-    states: BTreeMap<u64, Vec<u8>>,
+    checks: Checks,
 }
 
 impl Cluster {
@@ -107,15 +74,10 @@
             cuts: BTreeSet::new(),
             answers: Vec::new(),
             elections: 0,
-            snapshots_sent: 0,
-            crashes: 0,
             snapshot_entries,
             queue: BTreeMap::new(),
             sequence: 0,
-            leaders: BTreeMap::new(),
-            contents: BTreeMap::new(),
-            committed_terms: BTreeMap::new(),
-            states: BTreeMap::new(),
+            checks: Checks::default(),
         };
         let ids: Vec<ReplicaId> = (1..=voters).collect();
         for id in &ids {
@@ -166,40 +128,6 @@
         self.step(id, ReplicaInput::Tick);
     }
 
-    /// Crashes a host; it restarts after a while.
-    pub fn crash(&mut self, id: ReplicaId) {
-        let restart_at = self.now + Duration::from_millis(self.random.random_range(1..600));
-        let Some(host) = self.hosts.get_mut(&id) else {
-            return;
-        };
-        if host.replica.take().is_none() {
-            return;
-        }
-        host.log = None;
-        host.persists.clear();
-        host.epoch += 1;
-        host.disk.crash(&mut self.random);
-        self.crashes += 1;
-        let epoch = host.epoch;
-        self.push(restart_at, Happening::Restart(id, epoch));
-    }
-
-    /// Stops a host for a while; everything it would do happens after it.
-    pub fn freeze(&mut self, id: ReplicaId, duration: Duration) {
-        if let Some(host) = self.hosts.get_mut(&id) {
-            host.frozen_until = self.now + duration;
-        }
-    }
-
-    /// Stops all faults and thaws all hosts.
-    pub fn heal(&mut self) {
-        self.faults = Faults::default();
-        self.cuts.clear();
-        for host in self.hosts.values_mut() {
-            host.frozen_until = self.now;
-        }
-    }
-
     /// Gets the leader with the largest term among the running hosts.
     pub fn leader(&self) -> Option<ReplicaId> {
         let running = self.hosts.iter();
@@ -260,39 +188,6 @@
         ids[self.random.random_range(0..ids.len())]
     }
 
-    /// Injects a fault now and then, into leaders above all.
-    pub fn disturb(&mut self) {
-        let any = self.any_host();
-        let leader = self.leader().unwrap_or(any);
-        let duration = Duration::from_millis(self.random.random_range(50..500));
-        match self.random.random_range(0..100) {
-            0 => self.crash(any),
-            1 => self.crash(leader),
-            2 => self.freeze(any, duration),
-            3 => self.freeze(leader, duration),
-            4 => {
-                self.cuts.insert((leader, any));
-            }
-            5 => self.split(|id| id == leader),
-            6 => {
-                let side = self.random.random::<u64>();
-                self.split(|id| side >> (id % 64) & 1 == 0);
-            }
-            7..10 => self.cuts.clear(),
-            _ => {}
-        }
-    }
-
-    /// Cuts the hosts on one side off from the others.
-    pub fn split(&mut self, is_inside: impl Fn(ReplicaId) -> bool) {
-        let ids: Vec<ReplicaId> = self.hosts.keys().copied().collect();
-        for (from, to) in ids.iter().flat_map(|a| ids.iter().map(move |b| (*a, *b))) {
-            if is_inside(from) != is_inside(to) {
-                self.cuts.insert((from, to));
-            }
-        }
-    }
-
     /// Gives an input to a replica and carries out its outputs.
     pub fn step(&mut self, id: ReplicaId, input: ReplicaInput) {
         let now = self.now;
@@ -307,7 +202,7 @@
         let wakeup = replica.next_wakeup().max(now + Duration::from_micros(1));
         self.elections += u64::from(!led_before && replica.is_leader());
         let epoch = host.epoch;
-        self.check(id);
+        self.checks.stepped(id, replica);
         self.push(wakeup, Happening::Tick(id, epoch));
         for output in outputs {
             self.carry_out(id, output);
@@ -324,18 +219,17 @@
             ReplicaOutput::ReadEnded(read, confirmed) => {
                 self.answers.push((id, Answer::Read(read, confirmed)));
             }
-            ReplicaOutput::Applied => self.check_state(id),
-            ReplicaOutput::Log(..) => {}
+            ReplicaOutput::Applied | ReplicaOutput::Log(..) => {}
         }
     }
 
-    fn push(&mut self, at: Duration, happening: Happening) {
+    pub fn push(&mut self, at: Duration, happening: Happening) {
         self.sequence += 1;
         self.queue.insert((at, self.sequence), happening);
     }
 
     fn send(&mut self, from: ReplicaId, to: ReplicaId, message: Message) {
-        self.note_sent(&message);
+        self.checks.sent(&message);
         if self.cuts.contains(&(from, to)) || self.random.random_bool(self.faults.loss) {
             return;
         }
@@ -379,8 +273,14 @@
             return;
         };
         if host.frozen_until > self.now {
-            // A thawed process handles what waits in any order.
-            let jitter = Duration::from_micros(self.random.random_range(0..5_000));
+            // A thawed process may see clients before anything that tells it
+            // that it no longer leads; the rest comes in any order.
+            let most_us = if matches!(happening, Happening::Ask(..)) {
+                1
+            } else {
+                5_000
+            };
+            let jitter = Duration::from_micros(self.random.random_range(0..most_us));
             let thawed_at = host.frozen_until + jitter;
             return self.push(thawed_at, happening);
         }
@@ -427,52 +327,4 @@
         }
         self.step(id, ReplicaInput::Persisted(request_id));
     }
-
-    /// Remembers the content of entries and which of them are committed.
-    fn note_sent(&mut self, message: &Message) {
-        if let Message::Snapshot { .. } = message {
-            self.snapshots_sent += 1;
-        }
-        let Message::Append {
-            entries, commit, ..
-        } = message
-        else {
-            return;
-        };
-        for entry in entries {
-            let key = (entry.index, entry.term);
-            let known = self
-                .contents
-                .entry(key)
-                .or_insert_with(|| entry.command.clone());
-            assert_eq!(*known, entry.command, "two entries at {key:?}");
-            if entry.index <= *commit {
-                let term = *self
-                    .committed_terms
-                    .entry(entry.index)
-                    .or_insert(entry.term);
-                assert_eq!(term, entry.term, "committed entry {} changed", entry.index);
-            }
-        }
-    }
-
-    fn check(&mut self, id: ReplicaId) {
-        let replica = self.replica(id).expect("a stepping host exists");
-        if replica.is_leader() {
-            let term = replica.term();
-            let first = *self.leaders.entry(term).or_insert(id);
-            assert_eq!(first, id, "two leaders in term {term}");
-        }
-    }
-
-    fn check_state(&mut self, id: ReplicaId) {
-        let replica = self.replica(id).expect("a stepping host exists");
-        let index = replica.commit_index();
-        let state = replica.state().encode().expect("a state encodes");
-        let first = self.states.entry(index).or_insert_with(|| state.clone());
-        assert!(
-            *first == state,
-            "replica {id} has another state at index {index}"
-        );
-    }
 }
--- a/crates/control/tests/common/mod.rs
+++ b/crates/control/tests/common/mod.rs
@@ -3,8 +3,10 @@
 // Justification: each test file uses only a part of this module.
 #![allow(dead_code)]
 
+pub mod checks;
 pub mod clients;
 pub mod cluster;
+pub mod faults;
 pub mod memory_files;
 
 use hornbeam_control::{ChangeCommand, Command};
--- a/crates/control/tests/consensus.rs
+++ b/crates/control/tests/consensus.rs
@@ -5,7 +5,8 @@
 use std::time::Duration;
 
 use common::clients::Clients;
-use common::cluster::{Answer, Cluster, FAULTS};
+use common::cluster::{Answer, Cluster};
+use common::faults::FAULTS;
 use common::{change_command, fixed_cases};
 use hornbeam_control::{ChangeResult, Command, CommandResult, ProposalEnd, Refusal, ReplicaInput};
 use hornbeam_core::ids::ReplicaId;
--- a/crates/control/tests/linearizable.rs
+++ b/crates/control/tests/linearizable.rs
@@ -5,7 +5,8 @@
 use std::time::Duration;
 
 use common::clients::{Clients, ConfigurationRegister, Operation};
-use common::cluster::{Cluster, FAULTS};
+use common::cluster::Cluster;
+use common::faults::FAULTS;
 use common::fixed_cases;
 use hornbeam_control::ChangeResult;
 use proptest::prelude::*;
--- a/crates/control/tests/session.rs
+++ b/crates/control/tests/session.rs
@@ -2,8 +2,8 @@
 
 mod common;
 
-use std::fmt::Write;
-use std::io::Write as _;
+use std::fmt::Display;
+use std::io::Write;
 use std::time::Duration;
 
 use common::change;
@@ -36,9 +36,13 @@
         self.cluster.leader().expect("a majority runs")
     }
 
+    fn line(&mut self, line: impl Display) {
+        self.text.push_str(&format!("{line}\n"));
+    }
+
     /// Notes what happens next, for the reader of the golden file.
     fn note(&mut self, what: &str) {
-        writeln!(self.text, "# {what}").expect("a string takes all");
+        self.line(format_args!("# {what}"));
     }
 
     /// Sends a change to the leader.
@@ -52,11 +56,9 @@
             ..
         } = change;
         let number = self.requests;
-        writeln!(
-            self.text,
+        self.line(format_args!(
             "{number} {operator}: {change_id} ({action}) on version {expected_version}"
-        )
-        .expect("a string takes all");
+        ));
         let leader = self.leader();
         let command = Command::Change(Box::new(change.clone()));
         self.cluster
@@ -68,7 +70,7 @@
         self.cluster.run(SETTLED);
         for (_, answer) in std::mem::take(&mut self.cluster.answers) {
             if let Answer::Proposal(request, end) = answer {
-                writeln!(self.text, "{request} -> {end:?}").expect("a string takes all");
+                self.line(format_args!("{request} -> {end:?}"));
             }
         }
     }
@@ -76,20 +78,23 @@
     /// Notes the state that every replica must have.
     fn state(&mut self) {
         let leader = self.leader();
-        let state = self.cluster.replica(leader).expect("it leads").state();
+        let state = self
+            .cluster
+            .replica(leader)
+            .expect("it leads")
+            .state()
+            .clone();
         for id in 1..=3 {
             let replica = self.cluster.replica(id).expect("all run");
-            assert_eq!(replica.state(), state, "replica {id} differs");
+            assert_eq!(*replica.state(), state, "replica {id} differs");
         }
         let site = &state.configuration().site;
-        writeln!(self.text, "version {}: {site}", state.version()).expect("a string takes all");
+        self.line(format_args!("version {}: {site}", state.version()));
         for line in state.audit() {
-            writeln!(
-                self.text,
+            self.line(format_args!(
                 "  version {} {} by {}: {}",
                 line.version, line.change_id, line.operator, line.action
-            )
-            .expect("a string takes all");
+            ));
         }
     }
 }
