--- /dev/null
+++ b/crates/control/tests/replica.rs
@@ -0,0 +1,118 @@
+//! Single replicas driven by hand through rare orders of messages.
+
+use std::time::Duration;
+
+use hornbeam_control::{
+    Command, ControlState, Entry, HardState, Message, Recovered, Replica, ReplicaInput,
+    ReplicaOptions, ReplicaOutput, SnapshotData,
+};
+
+const NOW: Duration = Duration::from_secs(1);
+
+/// Starts replica 1 of 3 with entries and no applied state.
+fn replica(term: u64, entries: Vec<Entry>) -> Replica {
+    let state = ControlState::default();
+    let snapshot = SnapshotData {
+        index: 0,
+        term: 0,
+        voters: vec![1, 2, 3],
+        state: state.encode().expect("a state encodes"),
+    };
+    let recovered = Recovered {
+        hard_state: HardState {
+            term,
+            voted_for: None,
+        },
+        snapshot: Some(snapshot),
+        entries,
+        ..Recovered::default()
+    };
+    let options = ReplicaOptions {
+        id: 1,
+        ..ReplicaOptions::default()
+    };
+    Replica::new(options, recovered, Duration::ZERO).expect("the snapshot decodes")
+}
+
+fn entry(index: u64, term: u64, command: Command) -> Entry {
+    Entry {
+        index,
+        term,
+        command,
+    }
+}
+
+/// Gives an input and syncs everything that the replica wants on disk.
+fn step(replica: &mut Replica, input: ReplicaInput) {
+    for output in replica.step(NOW, input) {
+        if let ReplicaOutput::Persist(request) = output {
+            step(replica, ReplicaInput::Persisted(request.id));
+        }
+    }
+}
+
+fn receive(replica: &mut Replica, from: u64, message: Message) {
+    step(replica, ReplicaInput::Received(from, Box::new(message)));
+}
+
+/// Guards against a leader that commits an entry of an earlier term because a
+/// quorum holds it; a later leader may still replace such an entry.
+#[test]
+fn entry_of_an_earlier_term_is_not_committed_by_counting() {
+    let mut leader = replica(2, vec![entry(1, 2, Command::Noop)]);
+    step(&mut leader, ReplicaInput::Tick);
+    receive(
+        &mut leader,
+        2,
+        Message::PreVoteAnswer {
+            term: 3,
+            granted: true,
+        },
+    );
+    receive(
+        &mut leader,
+        2,
+        Message::VoteAnswer {
+            term: 3,
+            granted: true,
+        },
+    );
+    assert!(leader.is_leader());
+    let answer = |index| Message::AppendAnswer {
+        term: 3,
+        success: true,
+        index,
+        round: 1,
+    };
+    receive(&mut leader, 2, answer(1));
+    assert_eq!(leader.commit_index(), 0);
+    receive(&mut leader, 2, answer(2));
+    assert_eq!(leader.commit_index(), 2);
+}
+
+/// Guards against a change of members that stays in force after its entry was
+/// replaced by another leader.
+#[test]
+fn replaced_change_of_members_is_undone() {
+    let mut follower = replica(1, Vec::new());
+    let append = |term, entries| Message::Append {
+        term,
+        previous_index: 0,
+        previous_term: 0,
+        entries,
+        commit: 0,
+        round: 1,
+    };
+    receive(
+        &mut follower,
+        2,
+        append(1, vec![entry(1, 1, Command::Members(vec![1, 2]))]),
+    );
+    assert_eq!(follower.voters(), [1, 2]);
+    receive(
+        &mut follower,
+        3,
+        append(2, vec![entry(1, 2, Command::Noop)]),
+    );
+    assert_eq!(follower.voters(), [1, 2, 3]);
+}
