--- a/crates/control/tests/linearizable.rs
+++ b/crates/control/tests/linearizable.rs
@@ -5,7 +5,8 @@
 use std::time::Duration;
 
 use common::clients::{Clients, ConfigurationRegister, Operation};
-use common::cluster::{Cluster, FAULTS};
+use common::cluster::Cluster;
+use common::faults::FAULTS;
 use common::fixed_cases;
 use hornbeam_control::ChangeResult;
 use proptest::prelude::*;
@@ -19,7 +20,9 @@
 type Actions = Vec<(usize, Action<Operation>)>;
 
 fn is_linearizable(actions: Actions) -> bool {
-    WGLChecker::<ConfigurationRegister>::is_linearizable(History::from_actions(actions))
+    // The checker takes no empty history, which faults without end leave.
+    actions.is_empty()
+        || WGLChecker::<ConfigurationRegister>::is_linearizable(History::from_actions(actions))
 }
 
 /// Runs racing clients under faults and gets their history.
