Claim requests by institution and request id

Cause: claims were kept by request id alone, so a request that is not repeatable was refused with already_claimed if a caller of another institution had used the same id, for example order-1. Nothing ran twice, but a valid request did not run at all. Ruled out: a collision within an institution, where the id is the caller's own promise. Before: two institutions with one id claimed the same key (read from the code).

--- a/crates/control/src/claims.rs
+++ b/crates/control/src/claims.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use hornbeam_core::ids::{JobId, RequestId};
+use hornbeam_core::ids::{ClaimKey, JobId};
 use serde::{Deserialize, Serialize};
 
 use crate::command::{ClaimCommand, ClaimResult};
@@ -19,8 +19,8 @@
 #[serde(deny_unknown_fields, rename_all = "snake_case")]
 pub(crate) struct Claims {
     clock_unix_ms: u64,
-    by_request: BTreeMap<RequestId, Claim>,
-    by_validity: BTreeSet<(u64, RequestId)>,
+    by_key: BTreeMap<ClaimKey, Claim>,
+    by_validity: BTreeSet<(u64, ClaimKey)>,
 }
 
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
@@ -33,7 +33,7 @@
 impl Claims {
     /// Gets the number of claims held.
     pub(crate) fn len(&self) -> usize {
-        self.by_request.len()
+        self.by_key.len()
     }
 
     /// Decides a claim.
@@ -43,7 +43,7 @@
         if command.valid_until_unix_ms <= self.clock_unix_ms {
             return ClaimResult::Expired;
         }
-        match self.by_request.get(&command.request_id) {
+        match self.by_key.get(&command.key) {
             Some(held) if held.token != command.token => ClaimResult::AlreadyClaimed,
             Some(held) => {
                 let held_until = held.valid_until_unix_ms;
@@ -56,14 +56,14 @@
     /// Records a claim until the later of the two validities.
     fn hold(&mut self, command: &ClaimCommand, held_until_unix_ms: u64) -> ClaimResult {
         let valid_until_unix_ms = command.valid_until_unix_ms.max(held_until_unix_ms);
-        let id = &command.request_id;
-        self.by_validity.remove(&(held_until_unix_ms, id.clone()));
-        self.by_validity.insert((valid_until_unix_ms, id.clone()));
+        let key = &command.key;
+        self.by_validity.remove(&(held_until_unix_ms, key.clone()));
+        self.by_validity.insert((valid_until_unix_ms, key.clone()));
         let claim = Claim {
             token: command.token.clone(),
             valid_until_unix_ms,
         };
-        self.by_request.insert(id.clone(), claim);
+        self.by_key.insert(key.clone(), claim);
         ClaimResult::Recorded
     }
 
@@ -72,8 +72,8 @@
             if valid_until_unix_ms.saturating_add(CLAIM_MARGIN_MS) > self.clock_unix_ms {
                 return;
             }
-            if let Some((_, id)) = self.by_validity.pop_first() {
-                self.by_request.remove(&id);
+            if let Some((_, key)) = self.by_validity.pop_first() {
+                self.by_key.remove(&key);
             }
         }
     }
--- a/crates/control/src/command.rs
+++ b/crates/control/src/command.rs
@@ -1,7 +1,7 @@
 //! Commands of the replicated log and their results.
 
 use hornbeam_core::config::Configuration;
-use hornbeam_core::ids::{ChangeId, ConfigVersion, JobId, OperatorId, ReplicaId, RequestId};
+use hornbeam_core::ids::{ChangeId, ClaimKey, ConfigVersion, JobId, OperatorId, ReplicaId};
 use serde::{Deserialize, Serialize};
 
 /// `Command` is the content of a log entry. It is encoded with `bincode`, so
@@ -61,7 +61,7 @@
 #[serde(deny_unknown_fields, rename_all = "snake_case")]
 pub struct ClaimCommand {
     /// Request to claim.
-    pub request_id: RequestId,
+    pub key: ClaimKey,
     /// Job that claims; the same job may claim again.
     pub token: JobId,
     /// From this time on the request must not start, in ms since the epoch.
--- a/crates/control/tests/common/clients.rs
+++ b/crates/control/tests/common/clients.rs
@@ -161,12 +161,12 @@
     /// Starts a claim that races with others for the same request.
     pub fn claim(&mut self, cluster: &mut Cluster) {
         self.requests += 1;
-        let request_id = format!("r{}", self.requests / 3);
+        let key = format!("r{}", self.requests / 3);
         let token = format!("job{}", self.requests);
         self.claims
-            .insert(self.requests, (request_id.clone(), token.clone()));
+            .insert(self.requests, (key.clone(), token.clone()));
         let command = Command::Claim(ClaimCommand {
-            request_id,
+            key,
             token,
             valid_until_unix_ms: u64::MAX / 2,
             now_unix_ms: cluster.now.as_millis() as u64,
--- a/crates/control/tests/state.rs
+++ b/crates/control/tests/state.rs
@@ -19,7 +19,7 @@
     let command =
         claim.prop_map(
             |(request, token, valid_until_unix_ms, now_unix_ms)| ClaimCommand {
-                request_id: format!("r{request}"),
+                key: format!("r{request}"),
                 token: format!("job{token}"),
                 valid_until_unix_ms,
                 now_unix_ms,
@@ -38,7 +38,7 @@
     if claim.valid_until_unix_ms <= clock_ms {
         return ClaimResult::Expired;
     }
-    let holder = held.entry(claim.request_id.clone());
+    let holder = held.entry(claim.key.clone());
     let (token, valid_until) = holder.or_insert_with(|| (claim.token.clone(), 0));
     if *token != claim.token {
         return ClaimResult::AlreadyClaimed;
--- a/crates/core/src/ids.rs
+++ b/crates/core/src/ids.rs
@@ -3,6 +3,11 @@
 /// `RequestId` is chosen by the caller and is echoed in every answer.
 pub type RequestId = String;
 
+/// `ClaimKey` names a request that is not repeatable across the system, as
+/// `<institution>/<request id>`. Callers of different institutions may choose
+/// the same request id.
+pub type ClaimKey = String;
+
 /// `JobId` names one submission. It is unique for the life of the system: an
 /// entry host builds it from its id, its start time and a counter.
 pub type JobId = String;
--- a/crates/dispatch/src/admission.rs
+++ b/crates/dispatch/src/admission.rs
@@ -137,7 +137,7 @@
         let timeout = Duration::from_millis(request.timeout_ms);
         let valid_until = request.valid_until_unix_ms;
         let claim = valid_until.filter(|_| !request.repeatable);
-        let request_id = request.request_id.clone();
+        let claim_key = format!("{}/{}", request.institution, request.request_id);
         let mut job = self.new_job(job_id.clone(), Origin::Caller(request), placement, timeout);
         if let Some(valid_until_unix_ms) = valid_until {
             job.start_until = self.start_limit(&job, valid_until_unix_ms);
@@ -150,7 +150,7 @@
         self.change_job(key, JobEvent::Claim);
         self.out.push(DispatchOutput::RecordClaim {
             job_id,
-            request_id,
+            claim_key,
             valid_until_unix_ms,
             within: timeout,
         });
--- a/crates/dispatch/src/io.rs
+++ b/crates/dispatch/src/io.rs
@@ -12,7 +12,7 @@
 use hornbeam_core::config::Configuration;
 use hornbeam_core::event::Event;
 use hornbeam_core::ids::{
-    ChunkId, ConfigVersion, ExchangeId, FailureDomainId, HostId, InstitutionId, JobId, RequestId,
+    ChunkId, ClaimKey, ConfigVersion, ExchangeId, FailureDomainId, HostId, InstitutionId, JobId,
     ServerId, ServiceId, TaskIndex, TeamId,
 };
 use serde::{Deserialize, Serialize};
@@ -71,7 +71,7 @@
         /// Job that waits for the claim; also the claim's token.
         job_id: JobId,
         /// Request to claim.
-        request_id: RequestId,
+        claim_key: ClaimKey,
         /// When the claim may be forgotten, in ms since the Unix epoch.
         valid_until_unix_ms: u64,
         /// How long the claim may take.
--- a/crates/dispatch/tests/model/incidents.rs
+++ b/crates/dispatch/tests/model/incidents.rs
@@ -62,7 +62,7 @@
         self.step(to, input, &Reply::Nobody);
     }
 
-    pub(super) fn record_claim(&mut self, from: HostRef, job: JobId, request: RequestId) {
+    pub(super) fn record_claim(&mut self, from: HostRef, job: JobId, request: ClaimKey) {
         let lost = self.faulty();
         let recorded = !lost || self.chance(500);
         let mut end = ClaimEnd::Unavailable;
--- a/crates/dispatch/tests/model/world.rs
+++ b/crates/dispatch/tests/model/world.rs
@@ -7,7 +7,7 @@
 use hornbeam_core::api::backend::{
     AnnounceAnswer, Announcement, CancelRequest, TaskBatch, TaskBatchAnswer, Withdrawal,
 };
-use hornbeam_core::ids::{ChunkId, ExchangeId, Incarnation, JobId, RequestId, TaskIndex};
+use hornbeam_core::ids::{ChunkId, ClaimKey, ExchangeId, Incarnation, JobId, TaskIndex};
 use hornbeam_dispatch::{
     CancelId, Chunk, ChunkAnswer, ChunkEnd, ChunkFate, ClaimEnd, DispatchInput, DispatchOptions,
     DispatchOutput, ExchangeEnd, PlacementPolicy,
@@ -100,7 +100,7 @@
     server_load: BTreeMap<(HostRef, usize, Incarnation), u32>,
     cancels: BTreeMap<(HostRef, CancelId), Vec<ExchangeRef>>,
     chunks: BTreeMap<(HostRef, ChunkId), (u32, bool)>,
-    claims: BTreeMap<RequestId, JobId>,
+    claims: BTreeMap<ClaimKey, JobId>,
     submitted: u32,
     /// What happened.
     pub history: Vec<Step>,
@@ -334,8 +334,8 @@
                 self.history.push(Step::Answered { job, answer });
             }
             DispatchOutput::RecordClaim {
-                job_id, request_id, ..
-            } => self.record_claim(from, job_id, request_id),
+                job_id, claim_key, ..
+            } => self.record_claim(from, job_id, claim_key),
             DispatchOutput::SendBatch {
                 exchange,
                 server_id,
--- a/crates/node/src/entry/claims.rs
+++ b/crates/node/src/entry/claims.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use hornbeam_control::ClaimCommand;
-use hornbeam_core::ids::{JobId, RequestId};
+use hornbeam_core::ids::{ClaimKey, JobId};
 use hornbeam_dispatch::ClaimEnd;
 use hornbeam_timer::TimerService;
 use hornbeam_transport::Link;
@@ -46,13 +46,13 @@
     /// out; that is safe because the claim carries its job as token.
     pub(crate) async fn record(
         &self,
-        request_id: RequestId,
+        key: ClaimKey,
         token: JobId,
         valid_until_unix_ms: u64,
         within: Duration,
     ) -> ClaimEnd {
         let command = ClaimCommand {
-            request_id,
+            key,
             token,
             valid_until_unix_ms,
             // The leader fills in its own clock.
--- a/crates/node/src/entry/exchange.rs
+++ b/crates/node/src/entry/exchange.rs
@@ -96,14 +96,14 @@
             }
             DispatchOutput::RecordClaim {
                 job_id,
-                request_id,
+                claim_key,
                 valid_until_unix_ms,
                 within,
             } => {
                 running.spawn(async move {
                     let claims = &this.claims;
                     let recording =
-                        claims.record(request_id, job_id.clone(), valid_until_unix_ms, within);
+                        claims.record(claim_key, job_id.clone(), valid_until_unix_ms, within);
                     let end = recording.await;
                     DispatchInput::ClaimEnded(job_id, end)
                 });
