--- a/crates/control/tests/disk.rs
+++ b/crates/control/tests/disk.rs
@@ -79,6 +79,7 @@
     /// Replaces up to this many entries and appends this many.
     Append(u64, u64),
     Compact(u64),
+    /// Installs a snapshot of another term, from 1 before the last index on.
     Install(u64),
 }
 
@@ -87,7 +88,7 @@
         2 => Just(Step::Vote),
         6 => (0..4u64, 1..5u64).prop_map(|(replaced, added)| Step::Append(replaced, added)),
         1 => (0..4u64).prop_map(Step::Compact),
-        1 => (1..4u64).prop_map(Step::Install),
+        1 => (1..6u64).prop_map(Step::Install),
     ];
     prop::collection::vec(step, 1..12)
 }
@@ -123,7 +124,11 @@
             let last = model.entries.get(position);
             request.snapshot = last.map(|last| snapshot(last.index, last.term));
         }
-        Step::Install(beyond) => request.snapshot = Some(snapshot(model.last_index() + beyond, 0)),
+        Step::Install(ahead) => {
+            let base = model.snapshot.as_ref().map_or(0, |held| held.index);
+            let index = (model.last_index() + ahead).saturating_sub(2).max(base + 1);
+            request.snapshot = Some(snapshot(index, 0));
+        }
     }
     request
 }
