Run crashes, pauses and cancellation waves against separate processes

The harness gains a relay, a recorded history with its checker, and a site with callers that resend lost requests. Stand-ins record the payload of each start, by which a test finds the submission, and may announce the address of a relay.

--- /dev/null
+++ b/crates/daemon/tests/crashes.rs
@@ -0,0 +1,193 @@
+//! Crashes, pauses, drains and bursts of cancellations in a site of separate
+//! processes.
+
+mod harness;
+
+use std::time::{Duration, Instant};
+
+use googletest::prelude::*;
+use harness::Layout;
+use harness::site::{Site, job};
+use harness::until;
+use hornbeam_core::api::caller::{Outcome, Reason, SubmitRequest};
+use hornbeam_core::api::operator::ControlStatus;
+use hornbeam_http::Reply;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+/// Time for which callers send jobs in a run.
+const LOAD_TIME: Duration = Duration::from_secs(3);
+const CALLERS: u64 = 60;
+const SLOTS: u32 = 8;
+/// Pause of a stopped process, above the 2 s of a lease.
+const PAUSE: Duration = Duration::from_millis(2_500);
+
+/// Guards against a task that starts twice, a wrong or partial answer, a false
+/// "not run" and a second run of a request that is not repeatable, when
+/// backend servers, entry hosts and control hosts crash under load and callers
+/// resend what was lost.
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn crashes_break_no_guarantee() {
+    for seed in [1, 2] {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let mut site = Site::start(&Layout::default(), 3, SLOTS).await;
+        let callers = site.start_callers(CALLERS, seed, LOAD_TIME);
+        for step in 0..4 {
+            tokio::time::sleep(Duration::from_millis(rng.random_range(200..600))).await;
+            match step {
+                0 | 2 => site.crash_server(rng.random_range(0..12)),
+                1 => site.system.entries[rng.random_range(0..4)].kill(),
+                _ => {
+                    let leader = leader(&site).await;
+                    site.system.controls[leader].kill();
+                }
+            }
+        }
+        let leaving = site
+            .servers
+            .iter()
+            .position(|server| server.standin.is_some());
+        site.withdraw_server(leaving.expect("a running server"))
+            .await;
+        let mut answered = 0;
+        for caller in callers {
+            answered += caller.await.expect("a joined caller");
+        }
+        expect_that!(answered, ge(CALLERS as usize));
+        expect_that!(site.finish().await, is_empty(), "seed {seed}");
+    }
+}
+
+/// Guards against an entry host or a control leader that was paused for
+/// longer than its lease and then acts on what it knew before.
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn paused_hosts_do_no_harm_when_they_resume() {
+    let site = Site::start(&Layout::default(), 3, SLOTS).await;
+    let callers = site.start_callers(CALLERS, 3, LOAD_TIME + PAUSE);
+    tokio::time::sleep(Duration::from_millis(400)).await;
+    let leader = leader(&site).await;
+    let entry = &site.system.entries[1];
+    entry.signal("STOP");
+    site.system.controls[leader].signal("STOP");
+    tokio::time::sleep(PAUSE).await;
+    let change = harness::site::change("while-paused", 1, "entry_hosts = 3");
+    site.decide((leader + 1) % 3, &change).await;
+    entry.signal("CONT");
+    site.system.controls[leader].signal("CONT");
+    for caller in callers {
+        expect_that!(caller.await.expect("a joined caller"), ge(1));
+    }
+    until("the version on the host that was paused", async || {
+        site.status(1).await.config_version == 2
+    })
+    .await;
+    site.wait_for_servers(12).await;
+    expect_that!(site.finish().await, is_empty());
+}
+
+/// Guards against a drain that cuts a request in flight, one of them longer
+/// than 30 s, or that takes new work meanwhile.
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_drain_by_sigterm_finishes_a_request_of_over_30_s() {
+    let layout = Layout {
+        controls: vec!["fd-a"],
+        entries: vec!["fd-a", "fd-a"],
+        relayed: false,
+    };
+    let mut site = Site::start(&layout, 1, SLOTS).await;
+    let entry = site.system.entries[0].http;
+    let submit = |request: SubmitRequest| {
+        let (recorder, client) = (site.recorder.clone(), site.system.client.clone());
+        tokio::spawn(async move { recorder.submit(&client, entry, &request).await })
+    };
+    let mut in_flight = Vec::new();
+    for (id, run_ms) in [("long", 30_500), ("short", 1_500)] {
+        in_flight.push(submit(SubmitRequest {
+            timeout_ms: 45_000,
+            ..job(id, 2, run_ms)
+        }));
+    }
+    until("starts", async || site.running_starts() == 4).await;
+    site.system.entries[0].terminate();
+    until("a refusal of new work", async || {
+        let reply = submit(job("late", 1, 1)).await.expect("a joined task");
+        reply.is_ok_and(|reply| reply.body.reason == Some(Reason::NotReady))
+    })
+    .await;
+    for request in in_flight {
+        let reply = request.await.expect("a joined task").expect("an answer");
+        expect_that!(reply.body.outcome, eq(Outcome::Complete));
+    }
+    let status = site.system.entries[0].ended().await;
+    expect_that!(status.code(), some(eq(0)));
+    expect_that!(site.finish().await, is_empty());
+}
+
+/// Guards against a burst of cancellations that stalls the jobs of other
+/// callers or leaves jobs behind.
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_wave_of_cancellations_does_not_stall_other_jobs() {
+    const WAVE: usize = 3_000;
+    const OTHERS: usize = 40;
+    let layout = Layout {
+        controls: vec!["fd-a"],
+        entries: vec!["fd-a", "fd-a"],
+        relayed: false,
+    };
+    let site = Site::start(&layout, 4, 64).await;
+    let entry = site.system.entries[0].http;
+    let start = |request: SubmitRequest| {
+        let (recorder, client) = (site.recorder.clone(), site.system.client.clone());
+        tokio::spawn(async move {
+            let began = Instant::now();
+            let reply = recorder.submit(&client, entry, &request).await;
+            (began.elapsed(), reply)
+        })
+    };
+    let wave = (0..WAVE).map(|number| start(job(&format!("wave-{number}"), 1, 5_000)));
+    let wave: Vec<_> = wave.collect();
+    until("the wave", async || {
+        site.status(0).await.jobs as usize >= WAVE * 9 / 10
+    })
+    .await;
+    wave.iter().for_each(|caller| caller.abort());
+    let mut worst = Duration::ZERO;
+    for number in 0..OTHERS {
+        let request = job(&format!("other-{number}"), 4, 20);
+        let (delay, reply) = start(request).await.expect("a joined task");
+        let answer = reply.expect("an answer").body;
+        expect_that!(answer.outcome, eq(Outcome::Complete), "{}", answer.message);
+        worst = worst.max(delay);
+    }
+    println!("worst response of 20 ms jobs in a wave of {WAVE} cancellations: {worst:?}");
+    expect_that!(worst, lt(Duration::from_secs(1)));
+    until("the end of all jobs", async || {
+        site.status(0).await.jobs == 0
+    })
+    .await;
+    expect_that!(site.finish().await, is_empty());
+}
+
+/// Gets the position of the control host that leads.
+async fn leader(site: &Site) -> usize {
+    let mut leader = None;
+    until("a leader", async || {
+        for (at, control) in site.system.controls.iter().enumerate() {
+            let client = &site.system.client;
+            let status = client
+                .get(control.http, "/v1/status", harness::PATIENCE)
+                .await;
+            let status: hornbeam_core::Result<Reply<ControlStatus>> = status;
+            if status.is_ok_and(|status| status.body.role == "leader") {
+                leader = Some(at);
+            }
+        }
+        leader.is_some()
+    })
+    .await;
+    leader.expect("a leader")
+}
--- /dev/null
+++ b/crates/daemon/tests/harness/history.rs
@@ -0,0 +1,221 @@
+//! The recorded history of a run and the guarantees that it must keep.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::time::Duration;
+
+use hornbeam_core::api::caller::{Outcome, SubmitAnswer};
+use hornbeam_core::ids::{ConfigVersion, HostId, RequestId, ServerId, TaskIndex};
+
+/// Longest time after which a withdrawn backend server may still get work.
+const WITHDRAWAL_LIMIT: Duration = Duration::from_secs(3);
+
+/// Number of one submission; a resend of a request is a new submission.
+pub type Submission = u64;
+
+/// `Event` is one thing that happened in a run.
+#[derive(Clone, Debug)]
+pub enum Event {
+    /// A caller sent a request.
+    Submitted {
+        submission: Submission,
+        request_id: RequestId,
+        tasks: usize,
+        repeatable: bool,
+    },
+    /// A caller got an answer.
+    Answered {
+        submission: Submission,
+        answer: SubmitAnswer,
+    },
+    /// A backend server started a task.
+    Started {
+        server: ServerId,
+        job: String,
+        submission: Submission,
+        index: TaskIndex,
+        /// Time since the run began.
+        at: Duration,
+    },
+    /// A backend server began to leave.
+    Withdrawn {
+        server: ServerId,
+        /// Time since the run began.
+        at: Duration,
+    },
+    /// A host reported the version it has in force.
+    Version {
+        host: HostId,
+        version: ConfigVersion,
+    },
+    /// An operator was told that a change made a version.
+    Accepted {
+        change: String,
+        version: ConfigVersion,
+    },
+}
+
+/// `Violation` is a guarantee that a history breaks.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub enum Violation {
+    /// G1: a task of a submission started twice.
+    StartedTwice,
+    /// G2: an answer holds some results, but not one per task in order.
+    PartialAnswer,
+    /// G2: a submission was answered twice.
+    AnsweredTwice,
+    /// G3: an answer belongs to another request.
+    AnswerOfAnother,
+    /// G3: a complete answer names a task that never started.
+    ResultWithoutStart,
+    /// G4: a refused submission started a task.
+    RefusedButStarted,
+    /// G5: a request that is not repeatable ran under two submissions.
+    RanAgain,
+    /// G6: work started on a server that left over 3 s before.
+    StartedAfterWithdrawal,
+    /// G8: a host went back to a lower version.
+    VersionWentBack,
+    /// G8: two changes were told the same version.
+    VersionGivenTwice,
+}
+
+/// Gets every guarantee that a history breaks.
+pub fn check(events: &[Event]) -> BTreeSet<Violation> {
+    let mut violations = BTreeSet::new();
+    let mut judge = |broken: bool, violation: Violation| {
+        if broken {
+            violations.insert(violation);
+        }
+    };
+    let submitted = submissions(events);
+    let started = starts(events);
+    let withdrawn = withdrawals(events);
+    let mut answered = BTreeSet::new();
+    let mut ran: HashMap<&RequestId, Submission> = HashMap::new();
+    let mut versions: HashMap<&HostId, ConfigVersion> = HashMap::new();
+    let mut changes: HashMap<ConfigVersion, &String> = HashMap::new();
+    for starts in started.values().flat_map(BTreeMap::values) {
+        judge(starts.len() > 1, Violation::StartedTwice);
+    }
+    for event in events {
+        match event {
+            Event::Answered { submission, answer } => {
+                let twice = !answered.insert(*submission);
+                judge(twice, Violation::AnsweredTwice);
+                let Some(asked) = submitted.get(submission) else {
+                    judge(true, Violation::AnswerOfAnother);
+                    continue;
+                };
+                let starts = started.get(submission);
+                let other = answer.request_id != *asked.request_id;
+                judge(other, Violation::AnswerOfAnother);
+                let refused = answer.outcome == Outcome::Refused && starts.is_some();
+                judge(refused, Violation::RefusedButStarted);
+                judge(is_partial(answer, asked.tasks), Violation::PartialAnswer);
+                for result in &answer.results {
+                    let start = starts.and_then(|starts| starts.get(&result.index));
+                    let known = start.and_then(|start| start.first());
+                    judge(known.is_none(), Violation::ResultWithoutStart);
+                    let own = known.is_none_or(|(job, server)| {
+                        result.output == format!("{job}/{}", result.index)
+                            && result.server_id == **server
+                    });
+                    judge(!own, Violation::AnswerOfAnother);
+                }
+            }
+            Event::Started {
+                submission,
+                server,
+                at,
+                ..
+            } => {
+                let late = withdrawn
+                    .get(server)
+                    .is_some_and(|left| *at > *left + WITHDRAWAL_LIMIT);
+                judge(late, Violation::StartedAfterWithdrawal);
+                let Some(asked) = submitted.get(submission) else {
+                    continue;
+                };
+                if !asked.repeatable {
+                    let first = *ran.entry(asked.request_id).or_insert(*submission);
+                    judge(first != *submission, Violation::RanAgain);
+                }
+            }
+            Event::Version { host, version } => {
+                let last = versions.insert(host, *version).unwrap_or(0);
+                judge(*version < last, Violation::VersionWentBack);
+            }
+            Event::Accepted { change, version } => {
+                let first = *changes.entry(*version).or_insert(change);
+                judge(first != change, Violation::VersionGivenTwice);
+            }
+            Event::Submitted { .. } | Event::Withdrawn { .. } => {}
+        }
+    }
+    violations
+}
+
+/// `Asked` is what a caller asked for.
+struct Asked<'a> {
+    request_id: &'a RequestId,
+    tasks: usize,
+    repeatable: bool,
+}
+
+/// Starts of one submission: the job and the server of each start by task.
+type Starts<'a> = BTreeMap<TaskIndex, Vec<(&'a String, &'a ServerId)>>;
+
+fn submissions(events: &[Event]) -> HashMap<Submission, Asked<'_>> {
+    let submitted = events.iter().filter_map(|event| match event {
+        Event::Submitted {
+            submission,
+            request_id,
+            tasks,
+            repeatable,
+        } => {
+            let asked = Asked {
+                request_id,
+                tasks: *tasks,
+                repeatable: *repeatable,
+            };
+            Some((*submission, asked))
+        }
+        _ => None,
+    });
+    submitted.collect()
+}
+
+fn starts(events: &[Event]) -> HashMap<Submission, Starts<'_>> {
+    let mut starts: HashMap<Submission, Starts<'_>> = HashMap::new();
+    for event in events {
+        if let Event::Started {
+            server,
+            job,
+            submission,
+            index,
+            ..
+        } = event
+        {
+            let tasks = starts.entry(*submission).or_default();
+            tasks.entry(*index).or_default().push((job, server));
+        }
+    }
+    starts
+}
+
+fn withdrawals(events: &[Event]) -> HashMap<&ServerId, Duration> {
+    let withdrawn = events.iter().filter_map(|event| match event {
+        Event::Withdrawn { server, at } => Some((server, *at)),
+        _ => None,
+    });
+    withdrawn.collect()
+}
+
+/// Whether an answer is neither whole nor empty, or empty although complete.
+fn is_partial(answer: &SubmitAnswer, tasks: usize) -> bool {
+    if answer.outcome != Outcome::Complete {
+        return !answer.results.is_empty();
+    }
+    let indexes = answer.results.iter().map(|result| result.index as usize);
+    !indexes.eq(0..tasks)
+}
--- a/crates/daemon/tests/harness/mod.rs
+++ b/crates/daemon/tests/harness/mod.rs
@@ -1,13 +1,19 @@
 //! Separate daemon processes and the requests that a test sends to them.
+#![allow(dead_code)] // Justification: each test file uses a part of it.
 
-use std::fs::File;
+pub mod history;
+pub mod relay;
+pub mod site;
+
+use std::fs::OpenOptions;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::atomic::{AtomicU8, Ordering};
 use std::time::Duration;
 
 use hornbeam_http::{ClientOptions, HttpClient, Reply};
+use relay::Relay;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use tempfile::TempDir;
@@ -19,10 +25,14 @@
 
 /// `Daemon` is one process of the built binary.
 pub struct Daemon {
+    /// Its host id.
+    pub host_id: String,
     /// Its HTTP address.
     pub http: SocketAddr,
     /// Its failure domain; empty for a control host.
     pub failure_domain: String,
+    flags: Vec<String>,
+    log: PathBuf,
     child: Child,
 }
 
@@ -36,20 +46,42 @@
 
     /// Sends SIGTERM to the process.
     pub fn terminate(&self) {
+        self.signal("TERM");
+    }
+
+    /// Sends a signal to the process.
+    pub fn signal(&self, name: &str) {
         let id = self.child.id().to_string();
-        let status = Command::new("kill").args(["-TERM", &id]).status();
+        let status = Command::new("kill")
+            .args([&format!("-{name}"), &id])
+            .status();
         assert!(status.expect("the kill command").success());
     }
 
+    /// Starts the ended process again with one flag changed.
+    pub fn restart_with(&mut self, flag: &str, value: &str) {
+        let at = self.flags.iter().position(|known| known == flag);
+        self.flags[at.expect("a known flag") + 1] = value.into();
+        self.child = run(&self.flags, &self.log);
+    }
+
     /// Waits until the process ends.
     pub async fn ended(&mut self) -> ExitStatus {
-        for _ in 0..1_000 {
-            if let Some(status) = self.child.try_wait().expect("a child to wait for") {
-                return status;
+        self.ended_within(PATIENCE).await
+    }
+
+    /// Waits until the process ends; fails the test if it does not in time.
+    pub async fn ended_within(&mut self, limit: Duration) -> ExitStatus {
+        let waiting = async {
+            loop {
+                if let Some(status) = self.child.try_wait().expect("a child to wait for") {
+                    return status;
+                }
+                tokio::time::sleep(Duration::from_millis(10)).await;
             }
-            tokio::time::sleep(Duration::from_millis(10)).await;
-        }
-        panic!("the process did not end in time");
+        };
+        let ended = tokio::time::timeout(limit, waiting).await;
+        ended.expect("the process did not end in time")
     }
 }
 
@@ -59,85 +91,155 @@
     }
 }
 
+/// `Layout` says which processes a system has.
+pub struct Layout {
+    /// Failure domain of each control host, for cuts between domains.
+    pub controls: Vec<&'static str>,
+    /// Failure domain of each entry host.
+    pub entries: Vec<&'static str>,
+    /// Whether a relay stands on every link between two hosts.
+    pub relayed: bool,
+}
+
+impl Default for Layout {
+    fn default() -> Self {
+        Self {
+            controls: vec!["fd-a", "fd-a", "fd-b"],
+            entries: vec!["fd-a", "fd-a", "fd-b", "fd-b"],
+            relayed: false,
+        }
+    }
+}
+
+/// `LinkRelay` stands on the link from one host to another.
+pub struct LinkRelay {
+    /// Failure domain of the host that connects.
+    pub from: &'static str,
+    /// Failure domain of the host that is connected to.
+    pub to: &'static str,
+    /// The relay.
+    pub relay: Relay,
+}
+
 /// `Processes` is a system of daemons, each a process of its own.
 pub struct Processes {
     /// Control hosts.
     pub controls: Vec<Daemon>,
     /// Entry hosts.
     pub entries: Vec<Daemon>,
+    /// Relays between the hosts.
+    pub relays: Vec<LinkRelay>,
     /// Sends requests with the operators' credential.
     pub client: HttpClient,
-    _folder: TempDir,
+    folder: TempDir,
 }
 
 impl Processes {
     /// Starts 3 control hosts, and 2 entry hosts in each of 2 failure domains.
     pub fn start() -> Self {
+        Self::start_layout(&Layout::default())
+    }
+
+    /// Starts the processes of a layout.
+    pub fn start_layout(layout: &Layout) -> Self {
         let folder = tempfile::tempdir().expect("a folder");
         let secret = |name: &str, text: &str| {
             let path = folder.path().join(name);
             std::fs::write(&path, text).expect("a written secret");
             path.display().to_string()
         };
-        let link_secret = secret("link.secret", "link-secret");
-        let operator_secret = secret("operator.secret", OPERATOR);
-        let control_links: Vec<_> = (1..=3).map(|_| free_address()).collect();
-        let entry_links: Vec<_> = (0..4).map(|_| free_address()).collect();
-        let hosts = control_links.iter().enumerate();
-        let hosts: Vec<_> = hosts
-            .map(|(at, link)| format!("{}={link}", at + 1))
-            .collect();
-        let common = [
-            ("--control-hosts", hosts.join(",")),
-            ("--link-credential-file", link_secret),
-            ("--operator-credential-file", operator_secret),
+        let common = vec![
+            (
+                "--link-credential-file",
+                secret("link.secret", "link-secret"),
+            ),
+            (
+                "--operator-credential-file",
+                secret("operator.secret", OPERATOR),
+            ),
             ("--log-format", "json".into()),
         ];
-        let control = |(at, link): (usize, &SocketAddr)| {
-            let data = folder.path().join(format!("data-{at}"));
-            let own = [
+        let options = ClientOptions {
+            credential: Some(OPERATOR.into()),
+            max_connections_per_address: 4_096,
+            ..ClientOptions::default()
+        };
+        let mut system = Self {
+            controls: Vec::new(),
+            entries: Vec::new(),
+            relays: Vec::new(),
+            client: HttpClient::new(options).expect("a client"),
+            folder,
+        };
+        let links = |domains: &[&'static str]| -> Vec<Place> {
+            let place = |domain: &&'static str| Place {
+                domain,
+                link: free_address(),
+            };
+            domains.iter().map(place).collect()
+        };
+        let (controls, entries) = (links(&layout.controls), links(&layout.entries));
+        for at in 0..controls.len() {
+            let mut flags = common.clone();
+            let hosts = system.control_hosts(&controls, controls[at], layout.relayed);
+            let data = system.data_folder(at);
+            flags.extend([
+                ("--control-hosts", hosts),
                 ("--role", "control".into()),
                 ("--replica-id", (at + 1).to_string()),
                 ("--new-group", "yes".into()),
                 ("--data-folder", data.display().to_string()),
-            ];
-            spawn(
-                folder.path(),
-                &format!("control-{at}"),
-                *link,
-                "",
-                &common,
-                &own,
-            )
-        };
-        let peers: Vec<_> = entry_links.iter().map(SocketAddr::to_string).collect();
-        let entry = |(at, link): (usize, &SocketAddr)| {
-            let domain = if at < 2 { "fd-a" } else { "fd-b" };
-            let own = [
+            ]);
+            let host_id = format!("control-{at}");
+            let daemon = spawn(system.folder.path(), &host_id, controls[at], &flags);
+            system.controls.push(daemon);
+        }
+        for (at, place) in entries.iter().enumerate() {
+            let mut flags = common.clone();
+            let hosts = system.control_hosts(&controls, *place, layout.relayed);
+            let others = entries.iter().filter(|other| other.link != place.link);
+            let peers: Vec<_> = others
+                .map(|other| system.reach(*place, *other, layout.relayed).to_string())
+                .collect();
+            flags.extend([
+                ("--control-hosts", hosts),
                 ("--role", "entry".into()),
-                ("--failure-domain", domain.into()),
+                ("--failure-domain", place.domain.into()),
                 ("--peers", peers.join(",")),
                 ("--seed", at.to_string()),
-            ];
-            spawn(
-                folder.path(),
-                &format!("entry-{at}"),
-                *link,
-                domain,
-                &common,
-                &own,
-            )
-        };
-        let options = ClientOptions {
-            credential: Some(OPERATOR.into()),
-            ..ClientOptions::default()
-        };
-        Self {
-            controls: control_links.iter().enumerate().map(control).collect(),
-            entries: entry_links.iter().enumerate().map(entry).collect(),
-            client: HttpClient::new(options).expect("a client"),
-            _folder: folder,
+            ]);
+            let daemon = spawn(system.folder.path(), &format!("entry-{at}"), *place, &flags);
+            system.entries.push(daemon);
         }
+        system
+    }
+
+    /// Gets the data folder of a control host.
+    pub fn data_folder(&self, at: usize) -> PathBuf {
+        self.folder.path().join(format!("data-{at}"))
+    }
+
+    /// Gets the address by which one host reaches another.
+    fn reach(&mut self, from: Place, to: Place, relayed: bool) -> SocketAddr {
+        if !relayed || from.link == to.link {
+            return to.link;
+        }
+        let relay = Relay::start(to.link);
+        let address = relay.address();
+        self.relays.push(LinkRelay {
+            from: from.domain,
+            to: to.domain,
+            relay,
+        });
+        address
+    }
+
+    fn control_hosts(&mut self, controls: &[Place], from: Place, relayed: bool) -> String {
+        let hosts = controls.iter().enumerate();
+        let hosts: Vec<_> = hosts
+            .map(|(at, to)| format!("{}={}", at + 1, self.reach(from, *to, relayed)))
+            .collect();
+        hosts.join(",")
     }
 
     /// Waits until a host says that it is ready.
@@ -160,6 +262,13 @@
     }
 }
 
+/// `Place` is where a host is.
+#[derive(Clone, Copy)]
+struct Place {
+    domain: &'static str,
+    link: SocketAddr,
+}
+
 /// Waits until a condition holds; fails the test if it does not in time.
 pub async fn until(what: &str, mut condition: impl AsyncFnMut() -> bool) {
     let waiting = async {
@@ -172,37 +281,42 @@
 }
 
 /// Starts one process; its log goes to a file in the folder.
-fn spawn(
-    folder: &Path,
-    host_id: &str,
-    link: SocketAddr,
-    failure_domain: &str,
-    common: &[(&str, String)],
-    own: &[(&str, String)],
-) -> Daemon {
+fn spawn(folder: &Path, host_id: &str, place: Place, settings: &[(&str, String)]) -> Daemon {
     let http = free_address();
-    let log = File::create(folder.join(format!("{host_id}.log"))).expect("a log file");
-    let mut command = Command::new(env!("CARGO_BIN_EXE_hornbeamd"));
-    command
-        .args(["--host-id", host_id])
-        .args(["--http-listen", &http.to_string()])
-        .args(["--link-listen", &link.to_string()])
-        .stdin(Stdio::null())
-        .stderr(Stdio::from(log));
-    for (flag, value) in common.iter().chain(own) {
-        command.args([*flag, value.as_str()]);
-    }
+    let log = folder.join(format!("{host_id}.log"));
+    let own = [
+        ("--host-id", host_id.to_owned()),
+        ("--http-listen", http.to_string()),
+        ("--link-listen", place.link.to_string()),
+    ];
+    let settings = own.iter().chain(settings);
+    let flags: Vec<String> = settings
+        .flat_map(|(flag, value)| [(*flag).to_owned(), value.clone()])
+        .collect();
     Daemon {
+        host_id: host_id.into(),
         http,
-        failure_domain: failure_domain.into(),
-        child: command.spawn().expect("a started process"),
+        failure_domain: place.domain.into(),
+        child: run(&flags, &log),
+        flags,
+        log,
     }
 }
 
+fn run(flags: &[String], log: &Path) -> Child {
+    let log = OpenOptions::new().create(true).append(true).open(log);
+    Command::new(env!("CARGO_BIN_EXE_hornbeamd"))
+        .args(flags)
+        .stdin(Stdio::null())
+        .stderr(Stdio::from(log.expect("a log file")))
+        .spawn()
+        .expect("a started process")
+}
+
 /// Gets an address that nothing listens on. Its IP address is derived from the
 /// process id, so tests in other processes and outgoing connections, which use
 /// 127.0.0.1, do not take the port before it is bound.
-fn free_address() -> SocketAddr {
+pub fn free_address() -> SocketAddr {
     static NEXT: AtomicU8 = AtomicU8::new(1);
     let [high, low, ..] = (std::process::id() as u16).to_be_bytes();
     let last = NEXT.fetch_add(1, Ordering::Relaxed);
--- /dev/null
+++ b/crates/daemon/tests/harness/site.rs
@@ -0,0 +1,465 @@
+//! A site under load: daemons, backend servers, callers and what they see.
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use hornbeam_core::Result;
+use hornbeam_core::api::backend::Announcement;
+use hornbeam_core::api::caller::{SubmitAnswer, SubmitRequest, TaskSpec};
+use hornbeam_core::api::operator::{
+    ChangeContent, ChangeOutcome, ChangeRequest, CheckRequest, EntryStatus, SourceFile,
+};
+use hornbeam_http::{HttpClient, Reply};
+use hornbeam_standin::{FaultPlan, StandinOptions, StandinServer, StartRecord};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use serde::Deserialize;
+use tokio::task::JoinHandle;
+
+use super::history::{Event, Submission, Violation, check};
+use super::relay::Relay;
+use super::{Layout, PATIENCE, Processes, until};
+
+/// Configuration of every site in the fault runs.
+pub const BASE: &str = r#"
+site = "test"
+failure_domains = ["fd-a", "fd-b"]
+entry_hosts = 4
+
+[services.parish-orders]
+institution = "wickmaratne"
+task_grace_ms = 1000
+
+[institutions.wickmaratne]
+max_queue_ms = 20000
+
+[institutions.wickmaratne.teams.orders]
+quota_slots = 40000
+"#;
+/// Time that a caller waits above the time that its job allows.
+const ANSWER_MARGIN: Duration = Duration::from_secs(3);
+/// Most times that a caller sends one request.
+const MAX_SENDS: usize = 6;
+/// Interval at which the versions of all entry hosts are read.
+const VERSION_INTERVAL: Duration = Duration::from_millis(50);
+
+/// `Recorder` collects the history of a run.
+#[derive(Clone)]
+pub struct Recorder {
+    began: Instant,
+    events: Arc<Mutex<Vec<Event>>>,
+}
+
+impl Recorder {
+    fn new() -> Self {
+        Self {
+            began: Instant::now(),
+            events: Arc::default(),
+        }
+    }
+
+    /// Adds an event.
+    pub fn note(&self, event: Event) {
+        self.events.lock().expect("the events").push(event);
+    }
+
+    /// Gets the events that a function picks.
+    pub fn pick<T>(&self, pick: impl FnMut(&Event) -> Option<T>) -> Vec<T> {
+        let events = self.events.lock().expect("the events");
+        events.iter().filter_map(pick).collect()
+    }
+
+    /// Checks the history.
+    pub fn violations(&self) -> Vec<Violation> {
+        let events = self.events.lock().expect("the events");
+        check(&events).into_iter().collect()
+    }
+
+    /// Submits a job once and records what becomes of it.
+    pub async fn submit(
+        &self,
+        client: &HttpClient,
+        entry: SocketAddr,
+        request: &SubmitRequest,
+    ) -> Result<Reply<SubmitAnswer>> {
+        let mut request = request.clone();
+        let submission = {
+            let mut events = self.events.lock().expect("the events");
+            let submission = events.len() as Submission + 1;
+            events.push(Event::Submitted {
+                submission,
+                request_id: request.request_id.clone(),
+                tasks: request.tasks.len(),
+                repeatable: request.repeatable,
+            });
+            submission
+        };
+        for task in &mut request.tasks {
+            task.payload = format!("{{\"run_ms\":{},\"submission\":{submission}}}", task.run_ms);
+        }
+        let within = Duration::from_millis(request.timeout_ms) + ANSWER_MARGIN;
+        let reply: Result<Reply<SubmitAnswer>> =
+            client.post(entry, "/v1/jobs", &request, within).await;
+        if let Ok(reply) = &reply {
+            self.note(Event::Answered {
+                submission,
+                answer: reply.body.clone(),
+            });
+        }
+        reply
+    }
+}
+
+/// `Server` is one backend server of a run.
+pub struct Server {
+    /// Its id.
+    pub id: String,
+    /// Relay between entry hosts and the server.
+    pub relay: Relay,
+    /// The stand-in; `None` after a crash.
+    pub standin: Option<StandinServer>,
+    began: Duration,
+}
+
+/// `Site` is a running site.
+pub struct Site {
+    /// The daemons.
+    pub system: Processes,
+    /// The backend servers.
+    pub servers: Vec<Server>,
+    /// History of the run.
+    pub recorder: Recorder,
+    watching: Vec<JoinHandle<()>>,
+}
+
+impl Site {
+    /// Starts the daemons and backend servers, `servers` for each entry host,
+    /// and puts the configuration in force.
+    pub async fn start(layout: &Layout, servers: usize, slots: u32) -> Self {
+        let system = Processes::start_layout(layout);
+        let mut site = Self {
+            system,
+            servers: Vec::new(),
+            recorder: Recorder::new(),
+            watching: Vec::new(),
+        };
+        site.put_in_force().await;
+        site.watch_versions();
+        for at in 0..site.system.entries.len() {
+            for number in 0..servers {
+                let id = format!("s-{at}-{number}");
+                site.start_server(&id, at, slots, 1).await;
+            }
+        }
+        site.wait_for_servers(site.servers.len()).await;
+        site
+    }
+
+    async fn put_in_force(&self) {
+        for control in &self.system.controls {
+            self.system.wait_ready(control.http).await;
+        }
+        let outcome = self.decide(0, &change("first", 0, "")).await;
+        assert_eq!(outcome, ChangeOutcome::Accepted { version: 1 });
+        for entry in &self.system.entries {
+            self.system.wait_ready(entry.http).await;
+        }
+    }
+
+    /// Sends a change to a control host until it is decided. The change id
+    /// makes a resend safe.
+    pub async fn decide(&self, control: usize, request: &ChangeRequest) -> ChangeOutcome {
+        let address = self.system.controls[control].http;
+        let client = &self.system.client;
+        decide(client, &[address], &self.recorder, request).await
+    }
+
+    /// Starts a backend server behind a relay. It announces itself to the
+    /// entry hosts of the failure domain of the given one.
+    pub async fn start_server(&mut self, id: &str, entry: usize, slots: u32, incarnation: u64) {
+        let domain = &self.system.entries[entry].failure_domain;
+        let near = self.system.entries.iter();
+        let near = near.filter(|host| host.failure_domain == *domain);
+        let relay = Relay::start(SocketAddr::from((Ipv4Addr::LOCALHOST, 1)));
+        let options = StandinOptions {
+            announcement: Announcement {
+                address: relay.address().to_string(),
+                incarnation,
+                slots,
+                ..announcement(id, domain)
+            },
+            listen: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)),
+            entry_hosts: near.map(|host| host.http).collect(),
+            latency: Duration::ZERO,
+            faults: FaultPlan::default(),
+            seed: self.servers.len() as u64,
+        };
+        let began = self.recorder.began.elapsed();
+        let standin = StandinServer::start(options).await.expect("a server");
+        relay.set_target(standin.address());
+        self.servers.push(Server {
+            id: id.into(),
+            relay,
+            standin: Some(standin),
+            began,
+        });
+    }
+
+    /// Ends a backend server at once, as a crash would.
+    pub fn crash_server(&mut self, at: usize) {
+        let server = &mut self.servers[at];
+        if let Some(standin) = server.standin.take() {
+            note_starts(&self.recorder, server, standin.starts());
+            // A relay would accept connections in place of the dead server.
+            server.relay = Relay::start(SocketAddr::from((Ipv4Addr::LOCALHOST, 1)));
+            standin.abort();
+        }
+    }
+
+    /// Lets a backend server withdraw and end.
+    pub async fn withdraw_server(&mut self, at: usize) {
+        let server = &mut self.servers[at];
+        let standin = server.standin.take().expect("a running server");
+        let event = Event::Withdrawn {
+            server: server.id.clone(),
+            at: self.recorder.began.elapsed(),
+        };
+        self.recorder.note(event);
+        let starts = standin.leave().await;
+        note_starts(&self.recorder, &self.servers[at], starts);
+    }
+
+    /// Gets the number of starts of all running servers.
+    pub fn running_starts(&self) -> usize {
+        let running = self
+            .servers
+            .iter()
+            .filter_map(|server| server.standin.as_ref());
+        running.map(|standin| standin.starts().len()).sum()
+    }
+
+    /// Waits until live entry hosts hold leases of so many servers.
+    pub async fn wait_for_servers(&self, count: usize) {
+        until("a lease of every server", async || {
+            let mut leased = 0;
+            for entry in &self.system.entries {
+                let client = &self.system.client;
+                let status = client.get(entry.http, "/v1/status", PATIENCE).await;
+                let status: Result<Reply<EntryStatus>> = status;
+                leased += status.map_or(0, |status| status.body.servers as usize);
+            }
+            leased == count
+        })
+        .await;
+    }
+
+    /// Gets the status of an entry host.
+    pub async fn status(&self, entry: usize) -> EntryStatus {
+        let address = self.system.entries[entry].http;
+        let status = self.system.client.get(address, "/v1/status", PATIENCE);
+        status.await.expect("a status").body
+    }
+
+    /// Submits one job and gets its answer.
+    pub async fn submit(&self, entry: usize, request: &SubmitRequest) -> Reply<SubmitAnswer> {
+        let address = self.system.entries[entry].http;
+        let reply = self.recorder.submit(&self.system.client, address, request);
+        reply.await.expect("an answer")
+    }
+
+    /// Starts callers that send jobs one after another until a time has
+    /// passed. A caller whose answer is lost sends the request again, under
+    /// the same id, to another entry host.
+    pub fn start_callers(&self, count: u64, seed: u64, length: Duration) -> Vec<JoinHandle<usize>> {
+        let entries: Vec<_> = self.system.entries.iter().map(|entry| entry.http).collect();
+        let start = |caller: u64| {
+            let (recorder, client) = (self.recorder.clone(), self.system.client.clone());
+            let entries = entries.clone();
+            let mut rng = ChaCha8Rng::seed_from_u64(seed * 1_000 + caller);
+            let until = Instant::now() + length;
+            tokio::spawn(async move {
+                let mut answered = 0;
+                for number in 0.. {
+                    if Instant::now() >= until {
+                        break;
+                    }
+                    let id = format!("r-{seed}-{caller}-{number}");
+                    let request = SubmitRequest {
+                        repeatable: rng.random_bool(0.5),
+                        ..job(&id, rng.random_range(1..=12), rng.random_range(10..=150))
+                    };
+                    answered += call(&recorder, &client, &entries, &request, &mut rng).await;
+                }
+                answered
+            })
+        };
+        (0..count).map(start).collect()
+    }
+
+    /// Collects every start and gets the violations of the whole run.
+    pub async fn finish(mut self) -> Vec<Violation> {
+        self.watching.drain(..).for_each(|task| task.abort());
+        for server in &mut self.servers {
+            server.relay.set(super::relay::Manner::Pass);
+            if let Some(standin) = server.standin.take() {
+                note_starts(&self.recorder, server, standin.leave().await);
+            }
+        }
+        self.recorder.violations()
+    }
+
+    fn watch_versions(&mut self) {
+        for entry in &self.system.entries {
+            let (recorder, client) = (self.recorder.clone(), self.system.client.clone());
+            let address = entry.http;
+            self.watching.push(tokio::spawn(async move {
+                loop {
+                    let status = client.get(address, "/v1/status", PATIENCE).await;
+                    let status: Result<Reply<EntryStatus>> = status;
+                    if let Ok(status) = status {
+                        recorder.note(Event::Version {
+                            host: status.body.host_id,
+                            version: status.body.config_version,
+                        });
+                    }
+                    tokio::time::sleep(VERSION_INTERVAL).await;
+                }
+            }));
+        }
+    }
+}
+
+impl Drop for Site {
+    fn drop(&mut self) {
+        self.watching.iter().for_each(JoinHandle::abort);
+    }
+}
+
+/// Sends a request until it is answered. Gets 1 if it was.
+async fn call(
+    recorder: &Recorder,
+    client: &HttpClient,
+    entries: &[SocketAddr],
+    request: &SubmitRequest,
+    rng: &mut ChaCha8Rng,
+) -> usize {
+    let first = rng.random_range(0..entries.len());
+    for send in 0..MAX_SENDS {
+        let entry = entries[(first + send) % entries.len()];
+        if recorder.submit(client, entry, request).await.is_ok() {
+            return 1;
+        }
+    }
+    0
+}
+
+/// Sends a change to control hosts in turn until it is decided.
+pub async fn decide(
+    client: &HttpClient,
+    controls: &[SocketAddr],
+    recorder: &Recorder,
+    request: &ChangeRequest,
+) -> ChangeOutcome {
+    let mut decided = None;
+    let mut next = controls.iter().cycle();
+    until("a decision on the change", async || {
+        let address = *next.next().expect("a control host");
+        let reply = client
+            .post(address, "/v1/config/changes", request, PATIENCE)
+            .await;
+        let reply: Result<Reply<ChangeOutcome>> = reply;
+        use ChangeOutcome::{Unavailable, Unknown};
+        decided = reply
+            .ok()
+            .map(|reply| reply.body)
+            .filter(|outcome| !matches!(outcome, Unavailable { .. } | Unknown { .. }));
+        decided.is_some()
+    })
+    .await;
+    let outcome = decided.expect("a decision");
+    if let ChangeOutcome::Accepted { version } = outcome {
+        recorder.note(Event::Accepted {
+            change: request.change_id.clone(),
+            version,
+        });
+    }
+    outcome
+}
+
+fn note_starts(recorder: &Recorder, server: &Server, starts: Vec<StartRecord>) {
+    /// Payload of the jobs of [`Recorder::submit`].
+    #[derive(Deserialize)]
+    struct Payload {
+        submission: Submission,
+    }
+    for start in starts {
+        let payload: Payload = serde_json::from_str(&start.payload).expect("a payload");
+        let (job, index) = start.task;
+        recorder.note(Event::Started {
+            server: server.id.clone(),
+            job,
+            submission: payload.submission,
+            index,
+            at: server.began + start.at,
+        });
+    }
+}
+
+/// Builds a repeatable job of equal tasks; its validity is far off.
+pub fn job(request_id: &str, tasks: usize, run_ms: u64) -> SubmitRequest {
+    let task = TaskSpec {
+        run_ms,
+        ..TaskSpec::default()
+    };
+    let now = SystemTime::now().duration_since(UNIX_EPOCH);
+    let valid_until = now.expect("a clock after 1970") + Duration::from_secs(60);
+    SubmitRequest {
+        request_id: request_id.into(),
+        institution: "wickmaratne".into(),
+        team: "orders".into(),
+        service: "parish-orders".into(),
+        repeatable: true,
+        timeout_ms: 8_000,
+        valid_until_unix_ms: Some(u64::try_from(valid_until.as_millis()).expect("a time")),
+        tasks: vec![task; tasks],
+    }
+}
+
+/// Builds a change to files that differ by their overlay.
+pub fn change(id: &str, expected_version: u64, overlay: &str) -> ChangeRequest {
+    let file = |name: &str, text: &str| SourceFile {
+        name: name.into(),
+        text: text.into(),
+    };
+    ChangeRequest {
+        expected_version,
+        change_id: id.into(),
+        operator: "nuwan".into(),
+        reason: "test".into(),
+        content: ChangeContent::Files(CheckRequest {
+            base: file("base.toml", BASE),
+            overlay: file("overlay.toml", overlay),
+        }),
+    }
+}
+
+/// Builds an announcement of a server of 8 slots.
+pub fn announcement(id: &str, failure_domain: &str) -> Announcement {
+    Announcement {
+        server_id: id.into(),
+        incarnation: 1,
+        grant: 1,
+        address: String::new(),
+        failure_domain: failure_domain.into(),
+        rack: "rack-1".into(),
+        worker_id: format!("worker-{id}"),
+        service: "parish-orders".into(),
+        slots: 8,
+        max_connections: 64,
+        cpu_milli: 8_000,
+        memory_mib: 8_192,
+        accelerators: 0,
+        shared: false,
+    }
+}
--- a/crates/standin/src/board.rs
+++ b/crates/standin/src/board.rs
@@ -79,7 +79,7 @@
     }
 
     /// Notes that a waiting task starts. False if it was cancelled meanwhile.
-    pub(crate) fn start(&self, id: &TaskId) -> bool {
+    pub(crate) fn start(&self, id: &TaskId, payload: &str) -> bool {
         let mut state = self.lock();
         if state.is_buried(id) {
             return false;
@@ -90,6 +90,7 @@
         state.starts.push(StartRecord {
             task: id.clone(),
             at: self.began.elapsed(),
+            payload: payload.into(),
         });
         true
     }
--- a/crates/standin/src/exchange.rs
+++ b/crates/standin/src/exchange.rs
@@ -221,7 +221,7 @@
             self.board.give_up(&planned.id);
             return not_started(&planned.task, "its start deadline has passed");
         }
-        if !self.board.start(&planned.id) {
+        if !self.board.start(&planned.id, &planned.task.payload) {
             self.board.give_up(&planned.id);
             return not_started(&planned.task, "it was cancelled");
         }
--- a/crates/standin/src/options.rs
+++ b/crates/standin/src/options.rs
@@ -29,7 +29,8 @@
 /// `StandinOptions` are the settings of a [`StandinServer`](crate::StandinServer).
 #[derive(Clone, Debug, PartialEq)]
 pub struct StandinOptions {
-    /// What the stand-in announces; `address` is filled in when it listens.
+    /// What the stand-in announces; an empty `address` is filled in when it
+    /// listens. Another one stands for a relay before the stand-in.
     pub announcement: Announcement,
     /// Address to listen on; default `127.0.0.1:0`.
     pub listen: SocketAddr,
@@ -52,4 +53,6 @@
     pub task: TaskId,
     /// Time since the stand-in began.
     pub at: Duration,
+    /// Payload of the task, by which a test finds the submission.
+    pub payload: String,
 }
--- a/crates/standin/src/server.rs
+++ b/crates/standin/src/server.rs
@@ -52,7 +52,9 @@
         let listener = TcpListener::bind(options.listen).await?;
         let address = listener.local_addr()?;
         let mut announcement = options.announcement;
-        announcement.address = address.to_string();
+        if announcement.address.is_empty() {
+            announcement.address = address.to_string();
+        }
         announcement.grant = announcement.grant.max(1);
         let server_options = HttpServerOptions {
             max_connections: announcement.max_connections as usize,
