--- /dev/null
+++ b/crates/daemon/tests/links.rs
@@ -0,0 +1,283 @@
+//! Cut, silent and slow links of a site of separate processes.
+
+mod harness;
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::time::Duration;
+
+use googletest::prelude::*;
+use harness::Layout;
+use harness::relay::Manner;
+use harness::site::{Site, announcement, change, job};
+use harness::until;
+use hornbeam_core::api::caller::{Outcome, Reason, SubmitRequest};
+use hornbeam_core::api::operator::ChangeOutcome;
+use hornbeam_standin::{FaultPlan, StandinOptions, StandinServer};
+use rand::seq::IndexedRandom;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+/// Time for which callers send jobs in a run.
+const LOAD_TIME: Duration = Duration::from_secs(4);
+const CALLERS: u64 = 40;
+const SLOTS: u32 = 8;
+/// Time that a caller gives a job whose answer comes too late.
+const SHORT_TIMEOUT_MS: u64 = 500;
+
+/// Faults of the random run, each on the link to one backend server.
+const MANNERS: [Manner; 10] = [
+    Manner::Cut,
+    Manner::Silent,
+    Manner::SilentToServer,
+    Manner::SilentToClient,
+    Manner::DelayToClient(Duration::from_millis(200)),
+    Manner::CutToServerAfter(0),
+    Manner::CutToServerAfter(60),
+    Manner::CutToServerAfter(500),
+    Manner::CutToClientAfter(0),
+    Manner::CutToClientAfter(100),
+];
+
+/// Starts one entry host and two backend servers.
+async fn small_site() -> Site {
+    let layout = Layout {
+        controls: vec!["fd-a"],
+        entries: vec!["fd-a"],
+        relayed: false,
+    };
+    Site::start(&layout, 2, SLOTS).await
+}
+
+/// Sets what becomes of the links to all backend servers.
+fn set_all(site: &Site, manner: Manner) {
+    site.servers
+        .iter()
+        .for_each(|server| server.relay.set(manner));
+}
+
+/// Cuts one connection to each backend server.
+fn cut_once(site: &Site, manner: Manner) {
+    site.servers
+        .iter()
+        .for_each(|server| server.relay.set_once(manner));
+}
+
+/// Submits a job of one task and expects how it fails; `None` for a whole
+/// answer.
+async fn expect_end(site: &Site, request_id: &str, reason: Option<Reason>) {
+    let reply = site.submit(0, &job(request_id, 1, 50)).await;
+    let message = &reply.body.message;
+    expect_that!(reply.body.reason, eq(reason), "{request_id}: {message}");
+    let outcome = match reason {
+        Some(_) => Outcome::Failed,
+        None => Outcome::Complete,
+    };
+    expect_that!(reply.body.outcome, eq(outcome), "{request_id}: {message}");
+}
+
+/// Guards against a refused connection that fails a job although its tasks
+/// were never sent.
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_refused_connection_lets_the_task_run_elsewhere() {
+    let mut site = small_site().await;
+    site.crash_server(0);
+    let reply = site.submit(0, &job("refused-connection", 6, 20)).await;
+    let message = &reply.body.message;
+    expect_that!(reply.body.outcome, eq(Outcome::Complete), "{message}");
+    expect_that!(site.running_starts(), eq(6));
+    expect_that!(site.finish().await, is_empty());
+}
+
+/// Guards against a second send of a task whose request may have arrived, and
+/// against a failed job although its server says that the task never started.
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_cut_exchange_is_sent_again_only_if_it_never_started() {
+    let site = small_site().await;
+    for bytes in [0, 1, 60, 200] {
+        cut_once(&site, Manner::CutToServerAfter(bytes));
+        let before = site.running_starts();
+        expect_end(&site, &format!("cut-request-{bytes}"), None).await;
+        expect_that!(site.running_starts(), eq(before + 1));
+        set_all(&site, Manner::Pass);
+    }
+    for bytes in [0, 1, 60, 100] {
+        cut_once(&site, Manner::CutToClientAfter(bytes));
+        let before = site.running_starts();
+        let id = format!("cut-answer-{bytes}");
+        expect_end(&site, &id, Some(Reason::OutcomeUnknown)).await;
+        expect_that!(site.running_starts(), eq(before + 1));
+        set_all(&site, Manner::Pass);
+    }
+    expect_end(&site, "after", None).await;
+    expect_that!(site.finish().await, is_empty());
+}
+
+/// Guards against a task that is sent again although nothing is known of it:
+/// the query is lost, or the server that answers it started later.
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_query_that_proves_nothing_fails_the_job() {
+    let site = small_site().await;
+    for (id, manner) in [
+        ("lost-query", Manner::CutToClientAfter(0)),
+        ("silent", Manner::Silent),
+        ("silent-answers", Manner::SilentToClient),
+    ] {
+        set_all(&site, manner);
+        expect_end(&site, id, Some(Reason::OutcomeUnknown)).await;
+        set_all(&site, Manner::Pass);
+    }
+    let decoy = StandinOptions {
+        announcement: hornbeam_core::api::backend::Announcement {
+            incarnation: 2,
+            ..announcement("decoy", "fd-a")
+        },
+        listen: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)),
+        entry_hosts: Vec::new(),
+        latency: Duration::ZERO,
+        faults: FaultPlan::default(),
+        seed: 0,
+    };
+    let decoy = StandinServer::start(decoy).await.expect("a server");
+    // Opens the connection that stays with the first start of the server.
+    expect_end(&site, "before", None).await;
+    let before = site.running_starts();
+    cut_once(&site, Manner::CutToClientAfter(0));
+    let (recorder, client) = (site.recorder.clone(), site.system.client.clone());
+    let entry = site.system.entries[0].http;
+    let request = job("other-incarnation", 1, 500);
+    let asked = tokio::spawn(async move { recorder.submit(&client, entry, &request).await });
+    until("a start", async || site.running_starts() > before).await;
+    for server in &site.servers {
+        server.relay.set_target(decoy.address());
+    }
+    let reply = asked.await.expect("a joined task").expect("an answer");
+    expect_that!(reply.body.reason, some(eq(Reason::OutcomeUnknown)));
+    expect_that!(decoy.starts(), is_empty());
+    decoy.abort();
+    expect_that!(site.finish().await, is_empty());
+}
+
+/// Guards against an answer that is taken for another exchange, and against
+/// a late answer that is given to another job.
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn wrong_and_late_answers_reach_no_caller() {
+    let site = small_site().await;
+    let set_wrong = |wrong_answer| {
+        for server in &site.servers {
+            let standin = server.standin.as_ref().expect("a running server");
+            standin.set_faults(FaultPlan {
+                wrong_answer,
+                ..FaultPlan::default()
+            });
+        }
+    };
+    set_wrong(1.0);
+    expect_end(&site, "wrong-answer", Some(Reason::OutcomeUnknown)).await;
+    set_wrong(0.0);
+    set_all(&site, Manner::DelayToClient(Duration::from_millis(1_500)));
+    let late = SubmitRequest {
+        timeout_ms: SHORT_TIMEOUT_MS,
+        ..job("late", 4, 50)
+    };
+    let reply = site.submit(0, &late).await;
+    expect_that!(reply.body.reason, some(eq(Reason::DeadlineExceeded)));
+    set_all(&site, Manner::Pass);
+    for number in 0..20 {
+        let request = job(&format!("after-late-{number}"), 4, 100);
+        let reply = site.submit(0, &request).await;
+        let message = &reply.body.message;
+        expect_that!(reply.body.outcome, eq(Outcome::Complete), "{message}");
+    }
+    expect_that!(site.finish().await, is_empty());
+}
+
+/// Guards against every broken guarantee when links to backend servers are
+/// cut, fall silent or slow down at random points under load.
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn random_link_faults_break_no_guarantee() {
+    for seed in [11, 12] {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let site = Site::start(&Layout::default(), 3, SLOTS).await;
+        let callers = site.start_callers(CALLERS, seed, LOAD_TIME);
+        while callers.iter().any(|caller| !caller.is_finished()) {
+            let server = site.servers.choose(&mut rng).expect("a server");
+            let manner = *MANNERS.choose(&mut rng).expect("a manner");
+            if rng.random_bool(0.5) {
+                server.relay.set_once(manner);
+            } else {
+                server.relay.set(manner);
+            }
+            tokio::time::sleep(Duration::from_millis(60)).await;
+            let healed = site.servers.choose(&mut rng).expect("a server");
+            healed.relay.set(Manner::Pass);
+        }
+        for caller in callers {
+            caller.await.expect("a joined caller");
+        }
+        set_all(&site, Manner::Pass);
+        expect_that!(site.finish().await, is_empty(), "seed {seed}");
+    }
+}
+
+/// Guards against a failure domain that stops serving when it is cut off, runs
+/// a request that is not repeatable without a quorum, or stays on its old
+/// configuration after the cut.
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_failure_domain_that_is_cut_off_serves_and_catches_up() {
+    let layout = Layout {
+        relayed: true,
+        ..Layout::default()
+    };
+    let site = Site::start(&layout, 3, SLOTS).await;
+    let set_cut = |manner| {
+        let relays = site.system.relays.iter();
+        let across = relays.filter(|link| link.from != link.to);
+        across.for_each(|link| link.relay.set(manner));
+    };
+    for (round, manner) in [(1, Manner::Cut), (2, Manner::Silent)] {
+        set_cut(manner);
+        until("the loss of peers", async || {
+            site.status(0).await.peers.len() == 1 && site.status(2).await.peers.len() == 1
+        })
+        .await;
+        for at in 0..4 {
+            let request = job(&format!("side-{round}-{at}"), 8, 20);
+            let answer = site.submit(at, &request).await.body;
+            expect_that!(answer.outcome, eq(Outcome::Complete), "{}", answer.message);
+        }
+        // The change waits for a leader on the side that has a quorum.
+        let next = change(
+            &format!("cut-{round}"),
+            round,
+            &format!("entry_hosts = {round}"),
+        );
+        let accepted = ChangeOutcome::Accepted { version: round + 1 };
+        expect_that!(site.decide(0, &next).await, eq(&accepted));
+        let once = |id: &str| SubmitRequest {
+            repeatable: false,
+            timeout_ms: 1_500,
+            ..job(id, 2, 20)
+        };
+        let refused = site.submit(2, &once(&format!("once-b-{round}"))).await.body;
+        expect_that!(refused.outcome, eq(Outcome::Refused));
+        expect_that!(refused.reason, some(eq(Reason::ClaimUnavailable)));
+        let served = site.submit(0, &once(&format!("once-a-{round}"))).await.body;
+        expect_that!(served.outcome, eq(Outcome::Complete), "{}", served.message);
+        expect_that!(site.status(2).await.config_version, eq(round));
+        set_cut(Manner::Pass);
+        for at in 0..4 {
+            until("the newest version", async || {
+                site.status(at).await.config_version == round + 1
+            })
+            .await;
+        }
+        site.wait_for_peers().await;
+    }
+    expect_that!(site.finish().await, is_empty());
+}
--- /dev/null
+++ b/crates/daemon/tests/operators.rs
@@ -0,0 +1,178 @@
+//! Racing operators and lost disks of control hosts in separate processes.
+
+mod harness;
+
+use std::time::{Duration, Instant};
+
+use googletest::prelude::*;
+use harness::history::Event;
+use harness::site::{Site, change, decide, job};
+use harness::{Layout, PATIENCE, until};
+use hornbeam_core::api::caller::{Outcome, Reason, SubmitRequest};
+use hornbeam_core::api::operator::{AuditEntry, ChangeOutcome, ControlStatus};
+use hornbeam_http::Reply;
+use tokio::task::JoinSet;
+
+/// Operators that send a change for the same version.
+const OPERATORS: usize = 3;
+/// Races, one of them with a crash of the leader.
+const ROUNDS: u64 = 6;
+/// Time within which an accepted change is in force on each entry host.
+const IN_FORCE: Duration = Duration::from_secs(2);
+
+/// Gets the status of a control host if it answers.
+async fn status(site: &Site, at: usize) -> Option<ControlStatus> {
+    let address = site.system.controls[at].http;
+    let client = &site.system.client;
+    let status = client.get(address, "/v1/status", PATIENCE).await;
+    let status: hornbeam_core::Result<Reply<ControlStatus>> = status;
+    status.ok().map(|reply| reply.body)
+}
+
+/// Waits for the position of the control host that leads.
+async fn leader(site: &Site) -> usize {
+    let mut leader = None;
+    until("a leader", async || {
+        for at in 0..site.system.controls.len() {
+            let role = status(site, at).await.map(|status| status.role);
+            leader = leader.or((role.as_deref() == Some("leader")).then_some(at));
+        }
+        leader.is_some()
+    })
+    .await;
+    leader.expect("a leader")
+}
+
+/// Guards against two changes that win for one version, a version that is lost
+/// with the leader, and an entry host that goes back or lags.
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn one_of_racing_changes_wins_while_the_leader_crashes() {
+    let mut site = Site::start(&Layout::default(), 0, 1).await;
+    let controls: Vec<_> = site.system.controls.iter().map(|host| host.http).collect();
+    for version in 1..=ROUNDS {
+        let mut race = JoinSet::new();
+        for operator in 0..OPERATORS {
+            let mut controls = controls.clone();
+            controls.rotate_left(operator);
+            let (client, recorder) = (site.system.client.clone(), site.recorder.clone());
+            let overlay = format!("entry_hosts = {}", operator + 1);
+            let request = change(&format!("c-{version}-{operator}"), version, &overlay);
+            race.spawn(async move {
+                let outcome = decide(&client, &controls, &recorder, &request).await;
+                (request.change_id, outcome)
+            });
+        }
+        if version == ROUNDS / 2 {
+            let leader = leader(&site).await;
+            site.system.controls[leader].kill();
+        }
+        let decided = race.join_all().await;
+        let winners: Vec<_> = decided
+            .iter()
+            .filter(|(_, outcome)| {
+                *outcome
+                    == ChangeOutcome::Accepted {
+                        version: version + 1,
+                    }
+            })
+            .map(|(id, _)| id.clone())
+            .collect();
+        assert_that!(winners, len(eq(1)));
+        for (_, outcome) in decided {
+            if let ChangeOutcome::Conflict {
+                winner_change_id, ..
+            } = outcome
+            {
+                expect_that!(winners, contains(eq(&winner_change_id)));
+            }
+        }
+    }
+    let accepted = Instant::now();
+    for at in 0..site.system.entries.len() {
+        until("the newest version", async || {
+            site.status(at).await.config_version == ROUNDS + 1
+        })
+        .await;
+    }
+    expect_that!(accepted.elapsed(), lt(IN_FORCE));
+    expect_that!(site.finish().await, is_empty());
+}
+
+/// Guards against accepted changes and claims that are lost when a host comes
+/// back without its disk and another host is lost right after the repair.
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn nothing_accepted_is_lost_with_a_disk_and_a_second_host() {
+    let mut site = Site::start(&Layout::default(), 2, 8).await;
+    for version in 1..4 {
+        let request = change(&format!("c-{version}"), version, "");
+        let accepted = ChangeOutcome::Accepted {
+            version: version + 1,
+        };
+        expect_that!(site.decide(0, &request).await, eq(&accepted));
+    }
+    let once = SubmitRequest {
+        repeatable: false,
+        ..job("once", 2, 20)
+    };
+    let first = site.submit(0, &once).await.body;
+    expect_that!(first.outcome, eq(Outcome::Complete), "{}", first.message);
+
+    let folder = site.system.data_folder(2);
+    site.system.controls[2].kill();
+    std::fs::remove_dir_all(&folder).expect("a removed folder");
+    site.system.controls[2].restart_with("--new-group", "no");
+    let mut new_id = 0;
+    until("a learner with the state", async || {
+        let learner = status(&site, 2).await;
+        let learner = learner.filter(|status| status.role == "learner");
+        new_id = learner
+            .filter(|status| status.config_version == 4)
+            .map_or(0, |s| s.replica_id);
+        new_id != 0
+    })
+    .await;
+    expect_that!(new_id, not(eq(3)));
+    for voters in [vec![1, 2, 3, new_id], vec![1, 2, new_id]] {
+        let request = serde_json::json!({ "voters": voters });
+        until("a change of members", async || {
+            let address = site.system.controls[0].http;
+            let client = &site.system.client;
+            let reply = client
+                .post(address, "/v1/members", &request, PATIENCE)
+                .await;
+            reply.is_ok_and(|reply: Reply<serde_json::Value>| reply.status == 200)
+        })
+        .await;
+    }
+
+    // Only with the new member is there a quorum now.
+    site.system.controls[1].kill();
+    let request = change("after", 4, "");
+    let accepted = ChangeOutcome::Accepted { version: 5 };
+    expect_that!(site.decide(0, &request).await, eq(&accepted));
+    expect_that!(site.decide(2, &request).await, eq(&accepted));
+    let address = site.system.controls[2].http;
+    let history = site
+        .system
+        .client
+        .get(address, "/v1/config/history", PATIENCE);
+    let history: Reply<Vec<AuditEntry>> = history.await.expect("the history");
+    let kept: Vec<_> = history
+        .body
+        .iter()
+        .map(|entry| entry.change_id.as_str())
+        .collect();
+    for id in ["first", "c-1", "c-2", "c-3", "after"] {
+        expect_that!(kept, contains(eq(&id)));
+    }
+    let resent = site.submit(2, &once).await.body;
+    expect_that!(resent.reason, some(eq(Reason::AlreadyClaimed)));
+    let versions = site.recorder.pick(|event| match event {
+        Event::Version { version, .. } => Some(*version),
+        _ => None,
+    });
+    expect_that!(versions, not(is_empty()));
+    expect_that!(site.finish().await, is_empty());
+}
