--- a/crates/daemon/tests/harness/mod.rs
+++ b/crates/daemon/tests/harness/mod.rs
@@ -2,7 +2,9 @@
 #![allow(dead_code)] // Justification: each test file uses a part of it.
 
 pub mod history;
+pub mod recorder;
 pub mod relay;
+pub mod requests;
 pub mod site;
 
 use std::fs::OpenOptions;
--- /dev/null
+++ b/crates/daemon/tests/harness/recorder.rs
@@ -0,0 +1,106 @@
+//! Collects the history of a run.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use hornbeam_core::Result;
+use hornbeam_core::api::caller::{SubmitAnswer, SubmitRequest};
+use hornbeam_http::{HttpClient, Reply};
+use hornbeam_standin::StartRecord;
+use serde::Deserialize;
+
+use super::history::{Event, Submission, Violation, check};
+
+/// Time that a caller waits above the time that its job allows.
+const ANSWER_MARGIN: Duration = Duration::from_secs(3);
+
+/// Payload of the tasks of [`Recorder::submit`].
+#[derive(Deserialize)]
+struct Payload {
+    submission: Submission,
+}
+
+/// `Recorder` collects the history of a run.
+#[derive(Clone)]
+pub struct Recorder {
+    /// Time from which the history counts.
+    pub began: Instant,
+    events: Arc<Mutex<Vec<Event>>>,
+}
+
+impl Recorder {
+    /// Starts a history.
+    pub fn new() -> Self {
+        Self {
+            began: Instant::now(),
+            events: Arc::default(),
+        }
+    }
+
+    /// Adds an event.
+    pub fn note(&self, event: Event) {
+        self.events.lock().expect("the events").push(event);
+    }
+
+    /// Gets the events that a function picks.
+    pub fn pick<T>(&self, pick: impl FnMut(&Event) -> Option<T>) -> Vec<T> {
+        let events = self.events.lock().expect("the events");
+        events.iter().filter_map(pick).collect()
+    }
+
+    /// Checks the history.
+    pub fn violations(&self) -> Vec<Violation> {
+        let events = self.events.lock().expect("the events");
+        check(&events).into_iter().collect()
+    }
+
+    /// Records the starts of one server, which began at a time of the run.
+    pub fn record_starts(&self, id: &str, began: Duration, starts: Vec<StartRecord>) {
+        for start in starts {
+            let payload: Payload = serde_json::from_str(&start.payload).expect("a payload");
+            let (job, index) = start.task;
+            self.note(Event::Started {
+                server: id.into(),
+                job,
+                submission: payload.submission,
+                index,
+                at: began + start.at,
+            });
+        }
+    }
+
+    /// Submits a job once and records what becomes of it.
+    pub async fn submit(
+        &self,
+        client: &HttpClient,
+        entry: SocketAddr,
+        request: &SubmitRequest,
+    ) -> Result<Reply<SubmitAnswer>> {
+        let mut request = request.clone();
+        let submission = {
+            let mut events = self.events.lock().expect("the events");
+            let submission = events.len() as Submission + 1;
+            events.push(Event::Submitted {
+                submission,
+                request_id: request.request_id.clone(),
+                tasks: request.tasks.len(),
+                repeatable: request.repeatable,
+            });
+            submission
+        };
+        for task in &mut request.tasks {
+            task.payload = format!("{{\"run_ms\":{},\"submission\":{submission}}}", task.run_ms);
+        }
+        let within = Duration::from_millis(request.timeout_ms) + ANSWER_MARGIN;
+        let reply: Result<Reply<SubmitAnswer>> =
+            client.post(entry, "/v1/jobs", &request, within).await;
+        if let Ok(reply) = &reply {
+            self.note(Event::Answered {
+                submission,
+                answer: reply.body.clone(),
+            });
+        }
+        reply
+    }
+}
--- /dev/null
+++ b/crates/daemon/tests/harness/requests.rs
@@ -0,0 +1,128 @@
+//! Jobs, changes and announcements of the fault runs.
+
+use std::net::SocketAddr;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use hornbeam_core::Result;
+use hornbeam_core::api::backend::Announcement;
+use hornbeam_core::api::caller::{SubmitRequest, TaskSpec};
+use hornbeam_core::api::operator::{
+    ChangeContent, ChangeOutcome, ChangeRequest, CheckRequest, SourceFile,
+};
+use hornbeam_http::{HttpClient, Reply};
+
+use super::PATIENCE;
+use super::history::Event;
+use super::recorder::Recorder;
+
+/// Configuration of every site in the fault runs.
+pub const BASE: &str = r#"
+site = "test"
+failure_domains = ["fd-a", "fd-b"]
+entry_hosts = 4
+
+[services.parish-orders]
+institution = "wickmaratne"
+task_grace_ms = 1000
+
+[institutions.wickmaratne]
+max_queue_ms = 20000
+
+[institutions.wickmaratne.teams.orders]
+quota_slots = 40000
+"#;
+/// Pause before an operator sends a change again.
+const RESEND_PAUSE: Duration = Duration::from_millis(20);
+/// Longest wait for a decision on a change, in which a control host may be
+/// silent for all of [`PATIENCE`].
+const DECISION_LIMIT: Duration = Duration::from_secs(30);
+
+/// Sends a change to control hosts in turn until it is decided.
+pub async fn decide(
+    client: &HttpClient,
+    controls: &[SocketAddr],
+    recorder: &Recorder,
+    request: &ChangeRequest,
+) -> ChangeOutcome {
+    let sending = async {
+        for address in controls.iter().cycle() {
+            let path = "/v1/config/changes";
+            let reply = client.post(*address, path, request, PATIENCE).await;
+            let reply: Result<Reply<ChangeOutcome>> = reply;
+            use ChangeOutcome::{Unavailable, Unknown};
+            match reply.map(|reply| reply.body) {
+                Ok(Unavailable { .. } | Unknown { .. }) | Err(_) => {}
+                Ok(outcome) => return outcome,
+            }
+            tokio::time::sleep(RESEND_PAUSE).await;
+        }
+        panic!("no control host is given")
+    };
+    let outcome = tokio::time::timeout(DECISION_LIMIT, sending).await;
+    let outcome = outcome.expect("no decision on the change in time");
+    if let ChangeOutcome::Accepted { version } = outcome {
+        recorder.note(Event::Accepted {
+            change: request.change_id.clone(),
+            version,
+        });
+    }
+    outcome
+}
+
+/// Builds a repeatable job of equal tasks; its validity is far off.
+pub fn job(request_id: &str, tasks: usize, run_ms: u64) -> SubmitRequest {
+    let task = TaskSpec {
+        run_ms,
+        ..TaskSpec::default()
+    };
+    let now = SystemTime::now().duration_since(UNIX_EPOCH);
+    let valid_until = now.expect("a clock after 1970") + Duration::from_secs(60);
+    SubmitRequest {
+        request_id: request_id.into(),
+        institution: "wickmaratne".into(),
+        team: "orders".into(),
+        service: "parish-orders".into(),
+        repeatable: true,
+        timeout_ms: 8_000,
+        valid_until_unix_ms: Some(u64::try_from(valid_until.as_millis()).expect("a time")),
+        tasks: vec![task; tasks],
+    }
+}
+
+/// Builds a change to files that differ by their overlay.
+pub fn change(id: &str, expected_version: u64, overlay: &str) -> ChangeRequest {
+    let file = |name: &str, text: &str| SourceFile {
+        name: name.into(),
+        text: text.into(),
+    };
+    ChangeRequest {
+        expected_version,
+        change_id: id.into(),
+        operator: "nuwan".into(),
+        reason: "test".into(),
+        content: ChangeContent::Files(CheckRequest {
+            base: file("base.toml", BASE),
+            overlay: file("overlay.toml", overlay),
+        }),
+    }
+}
+
+/// Builds an announcement of a server of 8 slots.
+pub fn announcement(id: &str, failure_domain: &str) -> Announcement {
+    Announcement {
+        server_id: id.into(),
+        incarnation: 1,
+        grant: 1,
+        address: String::new(),
+        failure_domain: failure_domain.into(),
+        rack: "rack-1".into(),
+        worker_id: format!("worker-{id}"),
+        service: "parish-orders".into(),
+        slots: 8,
+        max_connections: 64,
+        cpu_milli: 8_000,
+        memory_mib: 8_192,
+        accelerators: 0,
+        shared: false,
+    }
+}
--- a/crates/daemon/tests/operators.rs
+++ b/crates/daemon/tests/operators.rs
@@ -6,7 +6,8 @@
 
 use googletest::prelude::*;
 use harness::history::Event;
-use harness::site::{Site, change, decide, job};
+use harness::requests::{change, decide, job};
+use harness::site::Site;
 use harness::{Layout, PATIENCE, until};
 use hornbeam_core::api::caller::{Outcome, Reason, SubmitRequest};
 use hornbeam_core::api::operator::{AuditEntry, ChangeOutcome, ControlStatus};
--- a/crates/daemon/tests/sessions.rs
+++ b/crates/daemon/tests/sessions.rs
@@ -8,7 +8,8 @@
 
 use goldenfile::Mint;
 use googletest::prelude::*;
-use harness::site::{Site, announcement, change, job};
+use harness::requests::{announcement, change, job};
+use harness::site::Site;
 use harness::{Layout, PATIENCE, until};
 use hornbeam_core::api::operator::{ChangeContent, ChangeRequest};
 use hornbeam_http::{HttpClient, Reply};
