--- /dev/null
+++ b/crates/daemon/tests/crashes.rs
@@ -0,0 +1,299 @@
+//! Crashes, pauses, drains and bursts of cancellations in a site of separate
+//! processes.
+
+mod harness;
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::time::{Duration, Instant};
+
+use googletest::prelude::*;
+use harness::Layout;
+use harness::requests::{announcement, job};
+use harness::site::Site;
+use harness::until;
+use hornbeam_core::api::backend::{AnnounceAnswer, Withdrawal};
+use hornbeam_core::api::caller::{Outcome, Reason, SubmitRequest};
+use hornbeam_core::api::operator::ControlStatus;
+use hornbeam_http::Reply;
+use hornbeam_standin::{FaultPlan, StandinOptions, StandinServer};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+/// Time for which callers send jobs in a run.
+const LOAD_TIME: Duration = Duration::from_secs(3);
+const CALLERS: u64 = 60;
+const SLOTS: u32 = 8;
+/// Pause of a stopped process, above the 2 s of a lease.
+const PAUSE: Duration = Duration::from_millis(2_500);
+
+/// Guards against a task that starts twice, a wrong or partial answer, a false
+/// "not run" and a second run of a request that is not repeatable, when
+/// backend servers, entry hosts and control hosts crash under load and callers
+/// resend what was lost.
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn crashes_break_no_guarantee() {
+    for seed in [1, 2] {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let mut site = Site::start(&Layout::default(), 3, SLOTS).await;
+        let callers = site.start_callers(CALLERS, seed, LOAD_TIME);
+        for step in 0..4 {
+            tokio::time::sleep(Duration::from_millis(rng.random_range(200..600))).await;
+            match step {
+                0 | 2 => site.crash_server(rng.random_range(0..12)),
+                1 => site.system.entries[rng.random_range(0..4)].kill(),
+                _ => {
+                    let leader = leader(&site).await;
+                    site.system.controls[leader].kill();
+                }
+            }
+        }
+        let leaving = site
+            .servers
+            .iter()
+            .position(|server| server.standin.is_some());
+        site.withdraw_server(leaving.expect("a running server"))
+            .await;
+        let mut answered = 0;
+        for caller in callers {
+            answered += caller.await.expect("a joined caller");
+        }
+        expect_that!(answered, ge(CALLERS as usize));
+        expect_that!(site.finish().await, is_empty(), "seed {seed}");
+    }
+}
+
+/// Guards against an entry host or a control leader that was paused for
+/// longer than its lease and then acts on what it knew before.
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn paused_hosts_do_no_harm_when_they_resume() {
+    let site = Site::start(&Layout::default(), 3, SLOTS).await;
+    let callers = site.start_callers(CALLERS, 3, LOAD_TIME + PAUSE);
+    tokio::time::sleep(Duration::from_millis(400)).await;
+    let leader = leader(&site).await;
+    let entry = &site.system.entries[1];
+    entry.signal("STOP");
+    site.system.controls[leader].signal("STOP");
+    tokio::time::sleep(PAUSE).await;
+    let change = harness::requests::change("while-paused", 1, "entry_hosts = 3");
+    site.decide((leader + 1) % 3, &change).await;
+    entry.signal("CONT");
+    site.system.controls[leader].signal("CONT");
+    for caller in callers {
+        expect_that!(caller.await.expect("a joined caller"), ge(1));
+    }
+    until("the version on the host that was paused", async || {
+        site.status(1).await.config_version == 2
+    })
+    .await;
+    site.wait_for_servers(12).await;
+    expect_that!(site.finish().await, is_empty());
+}
+
+/// Guards against a drain that cuts a request in flight, one of them longer
+/// than 30 s, or that takes new work meanwhile.
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_drain_by_sigterm_finishes_a_request_of_over_30_s() {
+    let layout = Layout {
+        controls: vec!["fd-a"],
+        entries: vec!["fd-a", "fd-a"],
+        relayed: false,
+    };
+    let mut site = Site::start(&layout, 1, SLOTS).await;
+    let mut at = 0;
+    while site.status(at).await.servers == 0 {
+        at += 1;
+    }
+    let entry = site.system.entries[at].http;
+    let submit = |request: SubmitRequest| {
+        let (recorder, client) = (site.recorder.clone(), site.system.client.clone());
+        tokio::spawn(async move { recorder.submit(&client, entry, &request).await })
+    };
+    let mut in_flight = Vec::new();
+    for (id, run_ms) in [("long", 30_500), ("short", 1_500)] {
+        in_flight.push(submit(SubmitRequest {
+            timeout_ms: 45_000,
+            ..job(id, 2, run_ms)
+        }));
+    }
+    until("starts", async || site.running_starts() == 4).await;
+    site.system.entries[at].terminate();
+    until("a refusal of new work", async || {
+        let reply = submit(job("late", 1, 1)).await.expect("a joined task");
+        reply.is_ok_and(|reply| reply.body.reason == Some(Reason::NotReady))
+    })
+    .await;
+    for request in in_flight {
+        let reply = request.await.expect("a joined task").expect("an answer");
+        expect_that!(reply.body.outcome, eq(Outcome::Complete));
+    }
+    let status = site.system.entries[at].ended().await;
+    expect_that!(status.code(), some(eq(0)));
+    expect_that!(site.finish().await, is_empty());
+}
+
+/// Guards against a chunk that is run again, or a caller that waits for all of
+/// its time, when the entry host that runs the chunk crashes or is paused.
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_chunk_of_a_lost_peer_fails_its_job() {
+    for signal in ["KILL", "STOP"] {
+        let layout = Layout {
+            controls: vec!["fd-a"],
+            entries: vec!["fd-a", "fd-b"],
+            relayed: false,
+        };
+        let mut site = Site::start(&layout, 0, SLOTS).await;
+        site.start_server("s-0", 0, SLOTS, 1).await;
+        site.wait_for_servers(1).await;
+        let (recorder, client) = (site.recorder.clone(), site.system.client.clone());
+        let entry = site.system.entries[1].http;
+        // Until the peer's status tells of its server, nothing can be sent.
+        until("a status of the peer", async || {
+            let request = job("first", 1, 10);
+            let reply = recorder.submit(&client, entry, &request).await;
+            reply.is_ok_and(|reply| reply.body.outcome == Outcome::Complete)
+        })
+        .await;
+        let before = site.running_starts();
+        let request = job("lost", 4, 5_000);
+        let asked = tokio::spawn(async move { recorder.submit(&client, entry, &request).await });
+        until("starts", async || site.running_starts() == before + 4).await;
+        site.system.entries[0].signal(signal);
+        let reply = asked.await.expect("a joined task").expect("an answer");
+        let answer = reply.body;
+        expect_that!(answer.outcome, eq(Outcome::Failed), "{}", answer.message);
+        expect_that!(answer.reason, some(eq(Reason::OutcomeUnknown)), "{signal}");
+        expect_that!(site.finish().await, is_empty(), "{signal}");
+    }
+}
+
+/// Guards against work for a server after its withdrawal was answered. The
+/// server here would still accept it.
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_withdrawn_server_is_sent_nothing() {
+    let layout = Layout {
+        controls: vec!["fd-a"],
+        entries: vec!["fd-a"],
+        relayed: false,
+    };
+    let site = Site::start(&layout, 1, SLOTS).await;
+    let entry = site.system.entries[0].http;
+    let mut announcement = announcement("s-leaving", "fd-a");
+    let options = StandinOptions {
+        announcement: announcement.clone(),
+        listen: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)),
+        entry_hosts: Vec::new(),
+        latency: Duration::ZERO,
+        faults: FaultPlan::default(),
+        seed: 0,
+    };
+    let leaving = StandinServer::start(options).await.expect("a server");
+    announcement.address = leaving.address().to_string();
+    let path = "/v1/backend/announce";
+    let answer: Reply<AnnounceAnswer> = site.system.post(entry, path, &announcement).await;
+    expect_that!(answer.body.accepted, eq(true));
+    // The tasks need the slots of both servers.
+    let job_of = |id: String| job(&id, 2 * SLOTS as usize, 50);
+    let reply = site.submit(0, &job_of("before".into())).await;
+    expect_that!(reply.body.outcome, eq(Outcome::Complete));
+    let before = leaving.starts().len();
+    expect_that!(before, ge(1));
+    let withdrawal = Withdrawal {
+        server_id: announcement.server_id,
+        incarnation: announcement.incarnation,
+    };
+    let path = "/v1/backend/withdraw";
+    let _: Reply<serde_json::Value> = site.system.post(entry, path, &withdrawal).await;
+    for number in 0..10 {
+        let reply = site.submit(0, &job_of(format!("after-{number}"))).await;
+        expect_that!(reply.body.outcome, eq(Outcome::Complete));
+    }
+    expect_that!(leaving.starts().len(), eq(before));
+    let starts = leaving.starts();
+    site.recorder
+        .record_starts("s-leaving", Duration::ZERO, starts);
+    leaving.abort();
+    expect_that!(site.finish().await, is_empty());
+}
+
+/// Guards against a burst of cancellations that stalls the jobs of other
+/// callers or leaves jobs behind.
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_wave_of_cancellations_does_not_stall_other_jobs() {
+    const WAVE: usize = 2_500;
+    const GROUP: usize = 100;
+    const OTHERS: usize = 40;
+    /// Time of the other jobs. Unoptimised daemons on a busy machine need
+    /// several seconds for the wave, optimised ones a tenth of a second.
+    const OTHERS_TIMEOUT_MS: u64 = 20_000;
+    let layout = Layout {
+        controls: vec!["fd-a"],
+        entries: vec!["fd-a", "fd-a"],
+        relayed: false,
+    };
+    let site = Site::start(&layout, 4, 64).await;
+    let entry = site.system.entries[0].http;
+    let start = |request: SubmitRequest| {
+        let (recorder, client) = (site.recorder.clone(), site.system.client.clone());
+        tokio::spawn(async move {
+            let began = Instant::now();
+            let reply = recorder.submit(&client, entry, &request).await;
+            (began.elapsed(), reply)
+        })
+    };
+    let mut wave = Vec::new();
+    // The backlog of the listener bounds the connections that are made at once.
+    while wave.len() < WAVE {
+        let numbers = wave.len()..wave.len() + GROUP;
+        wave.extend(numbers.map(|number| start(job(&format!("wave-{number}"), 1, 1_400))));
+        // Tasks that have ended leave the count.
+        let least = (wave.len() / 2).min(WAVE / 3);
+        until("the wave", async || {
+            site.status(0).await.jobs as usize >= least
+        })
+        .await;
+    }
+    wave.iter().for_each(|caller| caller.abort());
+    let mut worst = Duration::ZERO;
+    for number in 0..OTHERS {
+        let request = SubmitRequest {
+            timeout_ms: OTHERS_TIMEOUT_MS,
+            ..job(&format!("other-{number}"), 4, 20)
+        };
+        let (delay, reply) = start(request).await.expect("a joined task");
+        let answer = reply.expect("an answer").body;
+        expect_that!(answer.outcome, eq(Outcome::Complete), "{}", answer.message);
+        worst = worst.max(delay);
+    }
+    println!("worst response of 20 ms jobs in a wave of {WAVE} cancellations: {worst:?}");
+    until("the end of all jobs", async || {
+        site.status(0).await.jobs == 0
+    })
+    .await;
+    expect_that!(site.finish().await, is_empty());
+}
+
+/// Gets the position of the control host that leads.
+async fn leader(site: &Site) -> usize {
+    let mut leader = None;
+    until("a leader", async || {
+        for (at, control) in site.system.controls.iter().enumerate() {
+            let client = &site.system.client;
+            let status = client
+                .get(control.http, "/v1/status", harness::PATIENCE)
+                .await;
+            let status: hornbeam_core::Result<Reply<ControlStatus>> = status;
+            if status.is_ok_and(|status| status.body.role == "leader") {
+                leader = Some(at);
+            }
+        }
+        leader.is_some()
+    })
+    .await;
+    leader.expect("a leader")
+}
