Add members, export and import to the command line

A change of members carries an operator, a reason and a change id, gets the leader's time and an entry of its own in the audit trail. The texts of changes are bounded, because the audit trail keeps them in memory. An answer that is not JSON keeps its status, so a refused credential needs no second request.

--- a/crates/control/src/command.rs
+++ b/crates/control/src/command.rs
@@ -15,8 +15,8 @@
     Change(Box<ChangeCommand>),
     /// Claims a request that is not repeatable.
     Claim(ClaimCommand),
-    /// Replaces the set of voting members; it differs by one member at most.
-    Members(Vec<ReplicaId>),
+    /// Replaces the set of voting members.
+    Members(MembersCommand),
 }
 
 /// `ChangeCommand` puts a configuration in force if the version matches.
@@ -39,6 +39,23 @@
     pub configuration: Configuration,
 }
 
+/// `MembersCommand` replaces the set of voting members. It differs from the
+/// present one by exactly one member.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields, rename_all = "snake_case")]
+pub struct MembersCommand {
+    /// Voting members from now on.
+    pub voters: Vec<ReplicaId>,
+    /// Identity of the change in the audit trail.
+    pub change_id: ChangeId,
+    /// Who makes the change.
+    pub operator: OperatorId,
+    /// Why.
+    pub reason: String,
+    /// Wall clock of the proposer, in ms since the Unix epoch.
+    pub proposed_unix_ms: u64,
+}
+
 /// `ChangeResult` is the outcome of a [`ChangeCommand`].
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "snake_case")]
--- a/crates/control/src/io.rs
+++ b/crates/control/src/io.rs
@@ -1,5 +1,6 @@
 //! Inputs, outputs and messages of a replica.
 
+use std::fmt;
 use std::time::Duration;
 
 use hornbeam_core::event::Event;
@@ -235,3 +236,14 @@
     /// The encoded command exceeds [`MAX_ENTRY_BYTES`](crate::MAX_ENTRY_BYTES).
     TooLarge,
 }
+
+impl fmt::Display for Refusal {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::MembersPending => "an earlier change of members is not committed yet",
+            Self::NotOneMember => "the members must differ from the present ones by exactly one",
+            Self::NotCaughtUp => "the member to add does not hold the whole log yet",
+            Self::TooLarge => "the change is too large for one log entry",
+        })
+    }
+}
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -45,7 +45,9 @@
 mod state;
 
 pub use claims::CLAIM_MARGIN_MS;
-pub use command::{ChangeCommand, ChangeResult, ClaimCommand, ClaimResult, Command, CommandResult};
+pub use command::{
+    ChangeCommand, ChangeResult, ClaimCommand, ClaimResult, Command, CommandResult, MembersCommand,
+};
 pub use disk::{DiskLog, Recovered};
 pub use files::{Files, FolderFiles};
 pub use io::{
--- a/crates/control/src/log.rs
+++ b/crates/control/src/log.rs
@@ -126,10 +126,10 @@
     /// Appends an entry at the next index.
     pub(crate) fn append(&mut self, entry: Entry) {
         let bytes = codec::encoded_bytes(&entry);
-        if let Command::Members(voters) = &entry.command {
+        if let Command::Members(members) = &entry.command {
             self.members.push(MembersAt {
                 index: entry.index,
-                voters: voters.clone(),
+                voters: members.voters.clone(),
             });
         }
         self.bytes_after_snapshot += bytes;
--- a/crates/control/src/members.rs
+++ b/crates/control/src/members.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeSet;
 
+use hornbeam_core::api::operator::LearnerStatus;
 use hornbeam_core::ids::ReplicaId;
 
 use crate::io::{Message, Refusal};
@@ -33,6 +34,23 @@
         behind.then_some(Refusal::NotCaughtUp)
     }
 
+    /// Gets the learners that this leader sends its log to, each with the last
+    /// log entry that it is known to hold; none at another replica.
+    pub fn learners(&self) -> Vec<LearnerStatus> {
+        let Role::Leader(leadership) = &self.role else {
+            return Vec::new();
+        };
+        let voters = self.log.voters();
+        let tracked = leadership.progress.iter();
+        tracked
+            .filter(|(id, _)| !voters.contains(id))
+            .map(|(id, progress)| LearnerStatus {
+                replica_id: *id,
+                match_index: progress.match_index,
+            })
+            .collect()
+    }
+
     /// Starts to track voters that a change of members added.
     pub(crate) fn track_voters(&mut self) {
         let next_index = self.log.last_index() + 1;
--- a/crates/control/src/replica.rs
+++ b/crates/control/src/replica.rs
@@ -268,7 +268,7 @@
             return Some(Refusal::TooLarge);
         }
         match command {
-            Command::Members(voters) => self.members_refusal(voters),
+            Command::Members(members) => self.members_refusal(&members.voters),
             _ => None,
         }
     }
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -5,13 +5,13 @@
 use hornbeam_core::Result;
 use hornbeam_core::api::operator::AuditEntry;
 use hornbeam_core::config::Configuration;
-use hornbeam_core::ids::{ChangeId, ConfigVersion, OperatorId, ReplicaId};
+use hornbeam_core::ids::{ChangeId, ConfigVersion, OperatorId};
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
 
 use crate::claims::Claims;
 use crate::codec;
-use crate::command::{ChangeCommand, ChangeResult, Command, CommandResult};
+use crate::command::{ChangeCommand, ChangeResult, Command, CommandResult, MembersCommand};
 
 /// Earlier configurations that are kept for a rollback. A configuration of
 /// 720 teams has some 60 KB, so they take about 4 MB.
@@ -88,8 +88,8 @@
             Command::Noop => CommandResult::Noop,
             Command::Change(change) => CommandResult::Change(self.apply_change(change)),
             Command::Claim(claim) => CommandResult::Claim(self.claims.apply(claim)),
-            Command::Members(voters) => {
-                self.record(members_line(voters));
+            Command::Members(members) => {
+                self.record(members_line(members));
                 CommandResult::Members
             }
         }
@@ -176,13 +176,13 @@
     }
 }
 
-fn members_line(voters: &[ReplicaId]) -> AuditEntry {
+fn members_line(members: &MembersCommand) -> AuditEntry {
     AuditEntry {
         version: 0,
-        change_id: ChangeId::new(),
-        operator: OperatorId::new(),
-        reason: String::new(),
-        proposed_unix_ms: 0,
-        action: format!("members {voters:?}"),
+        change_id: members.change_id.clone(),
+        operator: members.operator.clone(),
+        reason: members.reason.clone(),
+        proposed_unix_ms: members.proposed_unix_ms,
+        action: format!("members {:?}", members.voters),
     }
 }
--- a/crates/control/tests/consensus.rs
+++ b/crates/control/tests/consensus.rs
@@ -7,7 +7,9 @@
 use common::clients::Clients;
 use common::cluster::{Answer, Cluster, FAULTS};
 use common::{change_command, fixed_cases};
-use hornbeam_control::{ChangeResult, Command, CommandResult, ProposalEnd, Refusal, ReplicaInput};
+use hornbeam_control::{
+    ChangeResult, Command, CommandResult, MembersCommand, ProposalEnd, Refusal, ReplicaInput,
+};
 use hornbeam_core::ids::ReplicaId;
 use proptest::prelude::*;
 
@@ -54,14 +56,19 @@
             return true;
         }
         self.asked += 1;
-        cluster.step(
-            leader,
-            ReplicaInput::Propose(self.asked, Command::Members(voters)),
-        );
+        cluster.step(leader, ReplicaInput::Propose(self.asked, members(voters)));
         false
     }
 }
 
+/// Builds a change of the voting members.
+fn members(voters: Vec<ReplicaId>) -> Command {
+    Command::Members(MembersCommand {
+        voters,
+        ..MembersCommand::default()
+    })
+}
+
 /// Runs a group under faults, heals it and checks everything.
 fn check_group(seed: u64, size: u64, replaces: bool) {
     let mut cluster = Cluster::new(size, seed, 25);
@@ -244,19 +251,13 @@
         (vec![], Refusal::NotOneMember),
     ];
     for (voters, refusal) in proposals {
-        cluster.step(leader, ReplicaInput::Propose(9, Command::Members(voters)));
+        cluster.step(leader, ReplicaInput::Propose(9, members(voters)));
         let end = Answer::Proposal(9, ProposalEnd::Refused(refusal));
         assert_eq!(cluster.answers.pop(), Some((leader, end)));
     }
     let kept: Vec<ReplicaId> = (1..=3).filter(|id| *id != leader).collect();
-    cluster.step(
-        leader,
-        ReplicaInput::Propose(10, Command::Members(kept.clone())),
-    );
-    cluster.step(
-        leader,
-        ReplicaInput::Propose(11, Command::Members(vec![1, 2, 3])),
-    );
+    cluster.step(leader, ReplicaInput::Propose(10, members(kept.clone())));
+    cluster.step(leader, ReplicaInput::Propose(11, members(vec![1, 2, 3])));
     let end = Answer::Proposal(11, ProposalEnd::Refused(Refusal::MembersPending));
     assert_eq!(cluster.answers.pop(), Some((leader, end)));
 
--- a/crates/core/src/api/operator.rs
+++ b/crates/core/src/api/operator.rs
@@ -106,6 +106,48 @@
     pub configuration: Configuration,
 }
 
+/// `MembersRequest` is the body of `POST /v1/members`.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields, rename_all = "snake_case")]
+pub struct MembersRequest {
+    /// Voting members from now on; they differ from the present ones by one.
+    pub voters: Vec<ReplicaId>,
+    /// Finds the change in the audit trail when its answer is lost.
+    pub change_id: ChangeId,
+    /// Who makes the change.
+    pub operator: OperatorId,
+    /// Why, for the audit trail.
+    pub reason: String,
+}
+
+/// `MembersOutcome` is the answer to a [`MembersRequest`].
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case", tag = "outcome")]
+pub enum MembersOutcome {
+    /// The change is synced on a quorum (200).
+    Accepted,
+    /// The request is not as documented; nothing was changed (400).
+    Invalid {
+        /// All problems of the request.
+        findings: Findings,
+    },
+    /// The change is not allowed now; nothing was changed (409).
+    Refused {
+        /// Explanation.
+        message: String,
+    },
+    /// No leader can be reached now; nothing was changed (503).
+    Unavailable {
+        /// Explanation.
+        message: String,
+    },
+    /// The change may or may not be recorded; the audit trail shows it (504).
+    Unknown {
+        /// Explanation.
+        message: String,
+    },
+}
+
 /// `AuditEntry` is one line of the audit trail.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(deny_unknown_fields, rename_all = "snake_case")]
@@ -125,6 +167,16 @@
     pub action: String,
 }
 
+/// `LearnerStatus` is a replica that follows the leader without a vote.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields, rename_all = "snake_case")]
+pub struct LearnerStatus {
+    /// Its replica id.
+    pub replica_id: ReplicaId,
+    /// Last log entry that it is known to hold.
+    pub match_index: u64,
+}
+
 /// `ControlStatus` answers `GET /v1/status` at a control host.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 #[serde(deny_unknown_fields, rename_all = "snake_case")]
@@ -149,6 +201,8 @@
     pub claims: u64,
     /// Voting members.
     pub voters: Vec<ReplicaId>,
+    /// Replicas without a vote that follow this leader; none at other hosts.
+    pub learners: Vec<LearnerStatus>,
     /// Size of the data folder in bytes.
     pub disk_bytes: u64,
 }
--- a/crates/ctl/src/cli.rs
+++ b/crates/ctl/src/cli.rs
@@ -4,7 +4,8 @@
 use eyre::Result;
 
 use crate::commands::{
-    apply, check, demo, diff, drain, history, load, rollback, show, standin, status, submit,
+    apply, check, demo, diff, drain, export, history, import, load, members, rollback, show,
+    standin, status, submit,
 };
 use crate::exit::{EXIT_CODES_HELP, Exit};
 use crate::globals::Globals;
@@ -24,6 +25,12 @@
     History(history::History),
     /// Puts an earlier version in force.
     Rollback(rollback::Rollback),
+    /// Writes the configuration and the audit trail.
+    Export(export::Export),
+    /// Puts an exported configuration in force.
+    Import(import::Import),
+    /// Shows or changes the members of the control group.
+    Members(members::Members),
     /// Shows the state of hosts.
     Status(status::Status),
     /// Drains hosts.
@@ -48,6 +55,9 @@
             Self::Diff(command) => &command.globals,
             Self::History(command) => &command.globals,
             Self::Rollback(command) => &command.globals,
+            Self::Export(command) => &command.globals,
+            Self::Import(command) => &command.globals,
+            Self::Members(command) => &command.globals,
             Self::Status(command) => &command.globals,
             Self::Drain(command) => &command.globals,
             Self::Submit(command) => &command.globals,
@@ -69,6 +79,9 @@
             Self::Diff(command) => command.run().await,
             Self::History(command) => command.run().await,
             Self::Rollback(command) => command.run().await,
+            Self::Export(command) => command.run().await,
+            Self::Import(command) => command.run().await,
+            Self::Members(command) => command.run().await,
             Self::Status(command) => command.run().await,
             Self::Drain(command) => command.run().await,
             Self::Submit(command) => command.run().await,
@@ -87,6 +100,9 @@
     let diff = diff::parser().map(Command::Diff);
     let history = history::parser().map(Command::History);
     let rollback = rollback::parser().map(Command::Rollback);
+    let export = export::parser().map(Command::Export);
+    let import = import::parser().map(Command::Import);
+    let members = members::parser().map(Command::Members);
     let status = status::parser().map(Command::Status);
     let drain = drain::parser().map(Command::Drain);
     let submit = submit::parser().map(|command| Command::Submit(Box::new(command)));
@@ -94,7 +110,8 @@
     let standin = standin::parser().map(|command| Command::Standin(Box::new(command)));
     let demo = demo::parser().map(Command::Demo);
     construct!([
-        check, apply, show, diff, history, rollback, status, drain, submit, load, standin, demo
+        check, apply, show, diff, history, rollback, export, import, members, status, drain,
+        submit, load, standin, demo
     ])
     .to_options()
     .version(env!("CARGO_PKG_VERSION"))
--- a/crates/ctl/src/client.rs
+++ b/crates/ctl/src/client.rs
@@ -8,7 +8,6 @@
 use hornbeam_http::{HttpClient, Reply};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
-use serde_json::Value;
 
 use crate::change::ChangeSender;
 
@@ -97,30 +96,21 @@
         Q: Serialize + Sync,
         A: DeserializeOwned,
     {
-        let sent = self.client.post(address, path, body, self.within).await;
-        let reply: Reply<Value> = match sent {
-            Err(Error::Codec(cause)) => return Err(self.explain(address, &cause).await),
-            other => other?,
-        };
+        // Error answers are often plain text, so the body is decoded here.
+        let sent = self.client.post_text(address, path, body, self.within);
+        let reply = sent.await.map_err(|error| match error {
+            Error::Codec(cause) => {
+                Error::unknown(format!("{address} gave no usable answer: {cause}"))
+            }
+            other => other,
+        })?;
         let status = reply.status;
-        let description = describe(address, status, &reply.body.to_string());
-        match serde_json::from_value(reply.body) {
+        match serde_json::from_str(&reply.body) {
             Ok(body) => Ok(Reply { status, body }),
-            Err(_) if status < SERVER_ERROR && status != OK => Err(Error::refused(description)),
-            Err(_) => Err(Error::unknown(description)),
-        }
-    }
-
-    /// Finds out why an answer was not JSON. The client does not report the
-    /// status of such an answer, so a read with the same credential shows
-    /// whether the host refuses the credential.
-    async fn explain(&self, address: SocketAddr, cause: &str) -> Error {
-        let read = self.client.get_text(address, "/v1/status", self.within);
-        match read.await {
-            Ok(reply) if is_credential_refused(reply.status) => {
-                Error::refused(describe(address, reply.status, &reply.body))
+            Err(_) if status < SERVER_ERROR && status != OK => {
+                Err(Error::refused(describe(address, status, &reply.body)))
             }
-            _ => Error::unknown(format!("{address} gave no usable answer: {cause}")),
+            Err(_) => Err(Error::unknown(describe(address, status, &reply.body))),
         }
     }
 
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -26,8 +26,8 @@
 
 /// Names of all commands, in the order of the help text.
 pub const COMMANDS: &[&str] = &[
-    "check", "apply", "show", "diff", "history", "rollback", "status", "drain", "submit", "load",
-    "standin", "demo",
+    "check", "apply", "show", "diff", "history", "rollback", "export", "import", "members",
+    "status", "drain", "submit", "load", "standin", "demo",
 ];
 
 /// Widest line of a message about the arguments, in characters.
--- a/crates/ctl/tests/cli.rs
+++ b/crates/ctl/tests/cli.rs
@@ -69,7 +69,13 @@
     expect_that!(listed, eq(&COMMANDS.to_vec()));
     expect_that!(overview, contains_substring("Exit codes: 0 done"));
     expect_that!(overview, contains_substring("Example:"));
-    let nested = [vec!["load", "run"], vec!["load", "compare"]];
+    let nested = [
+        vec!["load", "run"],
+        vec!["load", "compare"],
+        vec!["members", "replace"],
+        vec!["members", "add"],
+        vec!["members", "remove"],
+    ];
     for command in COMMANDS.iter().map(|name| vec![*name]).chain(nested) {
         let (before, example) = help_of(&command).split_once("Example:").map_or_else(
             || panic!("{command:?} has no example"),
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -120,17 +120,26 @@
         Q: Serialize + Sync,
         A: DeserializeOwned,
     {
-        let body = serde_json::to_vec(body).map_err(Error::not_sent)?;
-        let outgoing = Outgoing {
-            address,
-            method: Method::POST,
-            path,
-            body: body.into(),
-            within,
-        };
+        let outgoing = Outgoing::post(address, path, body, within)?;
         decode(self.exchange(outgoing).await?)
     }
 
+    /// Sends `POST path` with a JSON body and gets the answer's body as text,
+    /// for callers that want the status of answers that are not JSON.
+    ///
+    /// # Errors
+    /// As [`HttpClient::post`].
+    pub async fn post_text<Q: Serialize + Sync>(
+        &self,
+        address: SocketAddr,
+        path: &str,
+        body: &Q,
+        within: Duration,
+    ) -> Result<Reply<String>> {
+        let outgoing = Outgoing::post(address, path, body, within)?;
+        text(self.exchange(outgoing).await?)
+    }
+
     /// Sends `GET path` and decodes the JSON answer.
     ///
     /// # Errors
@@ -154,12 +163,7 @@
         path: &str,
         within: Duration,
     ) -> Result<Reply<String>> {
-        let reply = self.exchange(Outgoing::get(address, path, within)).await?;
-        let body = String::from_utf8(reply.body.into()).map_err(Error::codec)?;
-        Ok(Reply {
-            status: reply.status,
-            body,
-        })
+        text(self.exchange(Outgoing::get(address, path, within)).await?)
     }
 
     /// Closes the idle connections to an address and makes busy ones close
@@ -259,6 +263,22 @@
 }
 
 impl<'a> Outgoing<'a> {
+    fn post<Q: Serialize>(
+        address: SocketAddr,
+        path: &'a str,
+        body: &Q,
+        within: Duration,
+    ) -> Result<Self> {
+        let body = serde_json::to_vec(body).map_err(Error::not_sent)?;
+        Ok(Self {
+            address,
+            method: Method::POST,
+            path,
+            body: body.into(),
+            within,
+        })
+    }
+
     fn get(address: SocketAddr, path: &'a str, within: Duration) -> Self {
         Self {
             address,
@@ -297,9 +317,16 @@
 }
 
 fn decode<A: DeserializeOwned>(reply: Reply<Bytes>) -> Result<Reply<A>> {
-    let body = serde_json::from_slice(&reply.body).map_err(Error::codec)?;
-    Ok(Reply {
-        status: reply.status,
-        body,
-    })
+    let status = reply.status;
+    let named = |cause| Error::codec(format!("the answer with status {status}: {cause}"));
+    let body = serde_json::from_slice(&reply.body).map_err(named)?;
+    Ok(Reply { status, body })
+}
+
+fn text(reply: Reply<Bytes>) -> Result<Reply<String>> {
+    let status = reply.status;
+    let body = String::from_utf8(reply.body.into());
+    let named = |cause| Error::codec(format!("the answer with status {status}: {cause}"));
+    let body = body.map_err(named)?;
+    Ok(Reply { status, body })
 }
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -7,6 +7,7 @@
 mod links;
 mod members;
 mod metrics;
+mod note;
 mod outbox;
 mod outboxes;
 mod replicas;
--- a/crates/node/src/control/changes.rs
+++ b/crates/node/src/control/changes.rs
@@ -9,10 +9,15 @@
 
 use super::input::ControlInput;
 use super::leader::LeaderCalls;
+use super::note;
 use crate::wire::ApplyAnswer;
 
 /// Checks a change and brings it to the leader.
 pub(crate) async fn apply(leader: &LeaderCalls, request: ChangeRequest) -> ChangeOutcome {
+    let findings = note::check(&request.change_id, &request.operator, &request.reason);
+    if !findings.is_empty() {
+        return ChangeOutcome::Invalid { findings };
+    }
     let (action, configuration) = match content(leader, &request.content).await {
         Ok(content) => content,
         Err(outcome) => return *outcome,
--- a/crates/node/src/control/leader.rs
+++ b/crates/node/src/control/leader.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use hornbeam_control::{
-    ChangeCommand, ClaimCommand, ClaimResult, Command, CommandResult, ProposalEnd,
+    ChangeCommand, ClaimCommand, ClaimResult, Command, CommandResult, MembersCommand, ProposalEnd,
 };
 use hornbeam_core::Error;
 use hornbeam_core::ids::ReplicaId;
@@ -61,7 +61,7 @@
             ProposalEnd::Applied(CommandResult::Change(result)) => ApplyAnswer::Decided(result),
             ProposalEnd::NotLeader(leader) => ApplyAnswer::NotLeader(leader),
             ProposalEnd::Refused(cause) => {
-                ApplyAnswer::Refused(format!("The change is refused: {cause:?}."))
+                ApplyAnswer::Refused(format!("The change is refused: {cause}."))
             }
             ProposalEnd::Applied(_) | ProposalEnd::Unknown => ApplyAnswer::Unknown,
         }
@@ -109,10 +109,10 @@
     }
 
     /// Changes the voting members at this host or at the leader.
-    pub(crate) async fn members(&self, voters: Vec<ReplicaId>) -> MembersAnswer {
-        match self.members_here(voters.clone()).await {
+    pub(crate) async fn members(&self, command: MembersCommand) -> MembersAnswer {
+        match self.members_here(command.clone()).await {
             MembersAnswer::NotLeader(Some(leader)) => {
-                match self.forward(leader, &Request::Members(voters)).await {
+                match self.forward(leader, &Request::Members(command)).await {
                     Ok(RequestAnswer::Members(answer)) => answer,
                     Err(Error::NotSent(_) | Error::Refused(_)) => MembersAnswer::NotLeader(None),
                     Ok(_) | Err(_) => MembersAnswer::Unknown,
@@ -123,10 +123,10 @@
     }
 
     /// Changes the voting members only if this host leads.
-    pub(crate) async fn members_here(&self, voters: Vec<ReplicaId>) -> MembersAnswer {
-        match self.propose(Command::Members(voters)).await {
+    pub(crate) async fn members_here(&self, command: MembersCommand) -> MembersAnswer {
+        match self.propose(Command::Members(command)).await {
             ProposalEnd::Applied(CommandResult::Members) => MembersAnswer::Accepted,
-            ProposalEnd::Refused(cause) => MembersAnswer::Refused(format!("{cause:?}")),
+            ProposalEnd::Refused(cause) => MembersAnswer::Refused(cause.to_string()),
             ProposalEnd::NotLeader(leader) => MembersAnswer::NotLeader(leader),
             ProposalEnd::Applied(_) | ProposalEnd::Unknown => MembersAnswer::Unknown,
         }
--- a/crates/node/src/control/links.rs
+++ b/crates/node/src/control/links.rs
@@ -87,8 +87,8 @@
                 let answer = self.leader.change_here(*command).await;
                 Ok(RequestAnswer::Change(answer))
             }
-            Request::Members(voters) => {
-                let answer = self.leader.members_here(voters).await;
+            Request::Members(command) => {
+                let answer = self.leader.members_here(command).await;
                 Ok(RequestAnswer::Members(answer))
             }
             _ => Err(Error::refused(
--- a/crates/node/src/control/members.rs
+++ b/crates/node/src/control/members.rs
@@ -1,28 +1,58 @@
 //! Changes of the control group's voting members.
 
-use hornbeam_core::ids::ReplicaId;
-use serde::Deserialize;
-use volo_http::response::Response;
+use hornbeam_control::MembersCommand;
+use hornbeam_core::Findings;
+use hornbeam_core::api::operator::{MembersOutcome, MembersRequest};
 
 use super::leader::LeaderCalls;
-use crate::reply;
+use super::note;
 use crate::wire::MembersAnswer;
 
-/// `MembersRequest` is the body of `POST /v1/members`.
-#[derive(Clone, Debug, Deserialize, PartialEq)]
-#[serde(deny_unknown_fields, rename_all = "snake_case")]
-pub(crate) struct MembersRequest {
-    /// Voting members from now on; they differ from the present ones by one.
-    voters: Vec<ReplicaId>,
+/// Brings a change to the leader. A replica that is added must hold the whole
+/// log before; an operator sees that in the leader's status.
+pub(crate) async fn change(leader: &LeaderCalls, request: MembersRequest) -> MembersOutcome {
+    let findings = check(&request);
+    if !findings.is_empty() {
+        return MembersOutcome::Invalid { findings };
+    }
+    let command = MembersCommand {
+        voters: request.voters,
+        change_id: request.change_id,
+        operator: request.operator,
+        reason: request.reason,
+        // The leader fills in its own clock.
+        proposed_unix_ms: 0,
+    };
+    match leader.members(command).await {
+        MembersAnswer::Accepted => MembersOutcome::Accepted,
+        MembersAnswer::Refused(cause) => MembersOutcome::Refused {
+            message: format!("The change is refused: {cause}."),
+        },
+        MembersAnswer::NotLeader(_) => unavailable("No leader can be reached."),
+        MembersAnswer::Unknown => MembersOutcome::Unknown {
+            message: "The leader was lost; the audit trail shows if the change is recorded.".into(),
+        },
+    }
 }
 
-/// Brings a change to the leader. A replica that is added must hold the whole
-/// log before; an operator sees that in its status.
-pub(crate) async fn change(leader: &LeaderCalls, request: MembersRequest) -> Response {
-    match leader.members(request.voters).await {
-        MembersAnswer::Accepted => reply::json(200, &serde_json::json!({})),
-        MembersAnswer::Refused(cause) => reply::text(409, format!("Refused: {cause}.")),
-        MembersAnswer::NotLeader(_) => reply::text(503, "No leader can be reached."),
-        MembersAnswer::Unknown => reply::text(504, "The change may or may not be recorded."),
+/// Builds the outcome of a change that was recorded nowhere.
+pub(crate) fn unavailable(message: &str) -> MembersOutcome {
+    MembersOutcome::Unavailable {
+        message: message.to_owned(),
     }
 }
+
+/// Gets the HTTP status that carries an outcome.
+pub(crate) const fn http_status(outcome: &MembersOutcome) -> u16 {
+    match outcome {
+        MembersOutcome::Accepted => 200,
+        MembersOutcome::Invalid { .. } => 400,
+        MembersOutcome::Refused { .. } => 409,
+        MembersOutcome::Unavailable { .. } => 503,
+        MembersOutcome::Unknown { .. } => 504,
+    }
+}
+
+fn check(request: &MembersRequest) -> Findings {
+    note::check(&request.change_id, &request.operator, &request.reason)
+}
--- a/crates/node/src/control/routes.rs
+++ b/crates/node/src/control/routes.rs
@@ -114,10 +114,12 @@
             Ok(request) => request,
             Err(response) => return *response,
         };
-        if self.life.state() != LifeState::Ready {
-            return reply::text(503, "This control host is draining.");
-        }
-        members::change(&self.leader, request).await
+        let outcome = if self.life.state() == LifeState::Ready {
+            members::change(&self.leader, request).await
+        } else {
+            members::unavailable("This control host is draining.")
+        };
+        reply::json(members::http_status(&outcome), &outcome)
     }
 
     async fn config(&self, request: Request) -> Response {
--- a/crates/node/src/control/shell.rs
+++ b/crates/node/src/control/shell.rs
@@ -250,6 +250,7 @@
             config_version: state.version(),
             claims: state.claims() as u64,
             voters: self.replica.voters().to_vec(),
+            learners: self.replica.learners(),
             disk_bytes: self.disk_bytes,
         }
     }
@@ -261,6 +262,7 @@
     match command {
         Command::Change(change) => change.proposed_unix_ms = unix_ms,
         Command::Claim(claim) => claim.now_unix_ms = unix_ms,
-        Command::Noop | Command::Members(_) => {}
+        Command::Members(members) => members.proposed_unix_ms = unix_ms,
+        Command::Noop => {}
     }
 }
--- a/crates/node/src/wire.rs
+++ b/crates/node/src/wire.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use hornbeam_control::{ChangeCommand, ChangeResult, ClaimCommand, Message};
+use hornbeam_control::{ChangeCommand, ChangeResult, ClaimCommand, MembersCommand, Message};
 use hornbeam_core::config::Configuration;
 use hornbeam_core::ids::{ChunkId, ConfigVersion, HostId, ReplicaId};
 use hornbeam_dispatch::{Chunk, ChunkAnswer, ChunkFate, ClaimEnd, PeerStatus};
@@ -51,7 +51,7 @@
     /// Control host to the leader: a change that an operator sent.
     Apply(Box<ChangeCommand>),
     /// Control host to the leader: a change of the voting members.
-    Members(Vec<ReplicaId>),
+    Members(MembersCommand),
     /// Control host to the leader: confirm that the leader leads and get the
     /// commit index to read at.
     Read,
--- a/crates/node/tests/system.rs
+++ b/crates/node/tests/system.rs
@@ -8,7 +8,7 @@
 use harness::{MAX_BODY_BYTES, PATIENCE, System, job, job_once, submit_at, until};
 use hornbeam_core::Error;
 use hornbeam_core::api::caller::{Outcome, Reason, SubmitAnswer, SubmitRequest};
-use hornbeam_core::api::operator::ChangeOutcome;
+use hornbeam_core::api::operator::{ChangeOutcome, MembersOutcome, MembersRequest};
 use hornbeam_http::{ClientOptions, HttpClient, Reply};
 
 /// Checks that an answer is complete and that its results are in order.
@@ -336,14 +336,19 @@
     let new_id = system.control_status(2).await.replica_id;
     expect_that!(new_id, not(eq(3)));
     for voters in [vec![1, 2, 3, new_id], vec![1, 2, new_id]] {
-        let request = serde_json::json!({ "voters": voters });
+        let request = MembersRequest {
+            voters,
+            change_id: "replace".into(),
+            operator: "aigerim".into(),
+            reason: "lost disk".into(),
+        };
         until("a change of members", async || {
             let address = system.controls[0].http_address();
             let reply = system
                 .client
                 .post(address, "/v1/members", &request, PATIENCE)
                 .await;
-            reply.is_ok_and(|reply: Reply<serde_json::Value>| reply.status == 200)
+            reply.is_ok_and(|reply: Reply<MembersOutcome>| reply.status == 200)
         })
         .await;
     }
