--- a/crates/ctl/src/commands/demo/cluster.rs
+++ b/crates/ctl/src/commands/demo/cluster.rs
@@ -120,6 +120,7 @@
             link_credential: None,
             operator_credential: None,
             max_body_bytes: MAX_BODY_BYTES,
+            max_bodies_bytes: 64 << 20,
             max_connections_per_server: MAX_CONNECTIONS_PER_SERVER,
         }
     }
--- a/crates/ctl/tests/common/mod.rs
+++ b/crates/ctl/tests/common/mod.rs
@@ -116,6 +116,7 @@
             link_credential: None,
             operator_credential: None,
             max_body_bytes: 1 << 20,
+            max_bodies_bytes: 16 << 20,
             max_connections_per_server: 4,
         };
         self.runtime.block_on(EntryHost::start(options)).unwrap()
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -117,6 +117,7 @@
         &flags.operator_credential_file,
     );
     let seed = reader.number(names::seed, &flags.seed);
+    check_exposure(reader, link_listen, &flags.link_credential_file);
     Some(Common {
         host_id: host_id?,
         http_listen: http_listen?,
@@ -128,6 +129,15 @@
     })
 }
 
+/// Reports links that other hosts can reach and that ask for no credential.
+fn check_exposure(reader: &mut Reader, listen: Option<SocketAddr>, credential: &Option<String>) {
+    let is_exposed = listen.is_some_and(|address| !address.ip().is_loopback());
+    if is_exposed && credential.is_none() {
+        let message = "It is required unless --link-listen is a loopback address.";
+        reader.report(names::link_credential_file, message);
+    }
+}
+
 /// Reads an address to listen on. Other processes are told this address, so
 /// it must be one that they can reach.
 fn listen(reader: &mut Reader, name: Setting, text: &Option<String>) -> Option<SocketAddr> {
--- a/crates/daemon/tests/processes.rs
+++ b/crates/daemon/tests/processes.rs
@@ -163,6 +163,24 @@
 }
 
 /// Puts the first configuration in force and waits for it everywhere.
+/// Guards against links that other hosts reach without a credential.
+#[gtest]
+fn exposed_links_need_a_credential() {
+    let run = |listen: &str| {
+        let output = std::process::Command::new(env!("CARGO_BIN_EXE_hornbeamd"))
+            .env_clear()
+            .args(["--role", "entry", "--host-id", "e", "--seed", "none"])
+            .args(["--failure-domain", "fd-a", "--http-listen", "127.0.0.1:0"])
+            .args(["--link-listen", listen])
+            .output()
+            .expect("the binary runs");
+        String::from_utf8_lossy(&output.stderr).into_owned()
+    };
+    let place = "--link-credential-file";
+    expect_that!(run("192.0.2.1:7000"), contains_substring(place));
+    expect_that!(run("127.0.0.1:7000"), not(contains_substring(place)));
+}
+
 async fn put_in_force(system: &Processes) {
     for control in &system.controls {
         system.wait_ready(control.http).await;
--- a/crates/http/tests/client.rs
+++ b/crates/http/tests/client.rs
@@ -274,6 +274,33 @@
     expect_that!(seen.connections.load(Ordering::SeqCst), eq(3));
 }
 
+/// Guards against an answer that is not JSON and loses its status, so that a
+/// refused credential looks like an unknown outcome.
+#[gtest]
+#[tokio::test]
+async fn an_answer_of_plain_text_keeps_its_status() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        let answer = b"HTTP/1.1 401 Unauthorized\r\ncontent-length: 5\r\n\r\nwrong";
+        for _ in 0..2 {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            let _ = stream.read(&mut [0; 1000]).await.unwrap();
+            stream.write_all(answer).await.unwrap();
+        }
+    });
+    let client = client(4);
+    let within = Duration::from_secs(1);
+    let reply = client.post_text(address, "/", &1, within).await.unwrap();
+    expect_that!(reply.status, eq(401));
+    expect_that!(reply.body, eq("wrong"));
+    client.drop_connections(address);
+    let Err(Error::Codec(cause)) = post(&client, address).await else {
+        panic!("plain text is not JSON");
+    };
+    expect_that!(cause, contains_substring("401"));
+}
+
 /// Guards against an answer that fills the memory, and against success for an
 /// answer that cannot be decoded.
 #[gtest]
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -39,6 +39,7 @@
 use crate::config_watch::ConfigWatch;
 use crate::lifecycle::{LifeEvent, Lifecycle};
 use crate::link_server;
+use crate::reply::BodyBudget;
 
 /// Connections that a backend server accepts in all.
 const SERVER_CONNECTIONS: usize = 64;
@@ -68,6 +69,9 @@
     pub operator_credential: Option<String>,
     /// Largest body of a job in bytes; default 40 MiB.
     pub max_body_bytes: usize,
+    /// Most bytes of the bodies of all jobs without an answer; a job without
+    /// room is refused; default 256 MiB.
+    pub max_bodies_bytes: usize,
     /// Connections to one server that are kept back for cancels; default 16.
     pub max_connections_per_server: usize,
 }
@@ -84,6 +88,7 @@
             link_credential: None,
             operator_credential: None,
             max_body_bytes: 40 << 20,
+            max_bodies_bytes: 256 << 20,
             max_connections_per_server: 16,
         }
     }
@@ -277,6 +282,7 @@
             job_ids: JobIds::new(self.host_id.clone(), self.timer.unix_ms()),
             operator_credential: options.operator_credential.clone(),
             max_body_bytes: options.max_body_bytes,
+            bodies: BodyBudget::new(options.max_bodies_bytes),
         }
     }
 
--- a/crates/node/src/entry/routes.rs
+++ b/crates/node/src/entry/routes.rs
@@ -20,7 +20,7 @@
 use crate::credential;
 use crate::lifecycle::{LifeEvent, LifeState, Lifecycle};
 use crate::metrics::MessageKind;
-use crate::reply::{self, BodyError};
+use crate::reply::{self, BodyBudget, BodyError};
 
 /// Largest body of a message of a backend server, in bytes.
 const MAX_BACKEND_BODY_BYTES: usize = 64 << 10;
@@ -46,6 +46,8 @@
     pub(crate) operator_credential: Option<String>,
     /// Largest body of a job, in bytes.
     pub(crate) max_body_bytes: usize,
+    /// Room for the bodies of all jobs.
+    pub(crate) bodies: BodyBudget,
 }
 
 /// Defines a handler that calls a method of the shared routes.
@@ -71,9 +73,12 @@
 
 impl Routes {
     async fn submit(&self, request: Request) -> Response {
-        let body = reply::read_body(&self.timer, request, self.max_body_bytes).await;
+        let reading = reply::read_body(&self.timer, request, self.max_body_bytes, &self.bodies);
+        let body = reading.await;
         let answer = match body {
-            Ok(body) => self.run_job(&body).await,
+            // The body's part of the budget is held until the job ends, because
+            // its tasks hold as much memory.
+            Ok(body) => self.run_job(&body.bytes).await,
             Err(cause) => self.refuse_body(cause),
         };
         reply::json(status_of(&answer), &answer)
@@ -100,6 +105,10 @@
                 let message = format!("The body is larger than {} bytes.", self.max_body_bytes);
                 (Reason::TooLarge, prefix, message)
             }
+            BodyError::NoRoom(prefix) => {
+                let message = "The host holds too many bodies now.".to_owned();
+                (Reason::Overloaded, prefix, message)
+            }
             BodyError::Late => {
                 let message = "The body did not arrive in time.".to_owned();
                 (Reason::BadRequest, Vec::new(), message)
--- a/crates/node/src/entry/submission.rs
+++ b/crates/node/src/entry/submission.rs
@@ -11,6 +11,15 @@
 
 /// Longest request id, in characters.
 const MAX_REQUEST_ID_CHARS: usize = 64;
+/// Most tasks of a job that any configuration allows. A longer list is refused
+/// before the dispatcher sees it.
+const MAX_TASKS: usize = 570;
+/// Largest body whose problems are all listed, in bytes. The list is made from
+/// a tree of values, which takes many times the memory of the text; of larger
+/// bodies only the first problem is found.
+const MAX_EXPLAINED_BYTES: usize = 1 << 20;
+/// Most findings in one answer.
+const MAX_FINDINGS: usize = 100;
 /// Fields of a job; others are findings.
 const FIELDS: &[&str] = &[
     "institution",
@@ -108,6 +117,10 @@
     if request.tasks.is_empty() {
         report("tasks", "A job needs at least one task.");
     }
+    if request.tasks.len() > MAX_TASKS {
+        let message = format!("A job has at most {MAX_TASKS} tasks.");
+        report("tasks", &message);
+    }
     if !request.repeatable && request.valid_until_unix_ms.is_none() {
         let message = "It is required when `repeatable` is false.";
         report("valid_until_unix_ms", message);
@@ -122,10 +135,13 @@
 
 /// Finds every problem of a body that does not decode.
 fn explain(body: &[u8]) -> Findings {
-    let findings = match serde_json::from_slice::<Value>(body) {
-        Ok(Value::Object(fields)) => explain_fields(&fields),
-        _ => Findings::new(),
-    };
+    let mut findings = Findings::new();
+    if body.len() <= MAX_EXPLAINED_BYTES
+        && let Ok(Value::Object(fields)) = serde_json::from_slice(body)
+    {
+        findings = explain_fields(&fields);
+        findings.truncate(MAX_FINDINGS);
+    }
     if !findings.is_empty() {
         return findings;
     }
@@ -154,7 +170,7 @@
     }
     match fields.get("tasks") {
         Some(Value::Array(tasks)) => {
-            for (index, task) in tasks.iter().enumerate() {
+            for (index, task) in tasks.iter().enumerate().take(MAX_TASKS) {
                 expect::<TaskSpec>(&mut findings, &format!("tasks[{index}]"), Some(task));
             }
         }
--- a/crates/node/tests/harness/mod.rs
+++ b/crates/node/tests/harness/mod.rs
@@ -1,5 +1,8 @@
 //! Hosts of one system with real loopback sockets in the test's process.
 
+// Justification: each test binary uses a part of this module.
+#![allow(dead_code)]
+
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
 use std::sync::atomic::{AtomicU8, Ordering};
 use std::time::Duration;
@@ -25,6 +28,8 @@
 
 /// Largest body of a job in tests.
 pub const MAX_BODY_BYTES: usize = 256 << 10;
+/// Most bytes of the bodies of all jobs at an entry host in tests.
+pub const MAX_BODIES_BYTES: usize = 1 << 20;
 
 const BASE: &str = r#"
 site = "test"
@@ -111,6 +116,7 @@
                 link_credential: Some("link-secret".into()),
                 operator_credential: Some(OPERATOR.into()),
                 max_body_bytes: MAX_BODY_BYTES,
+                max_bodies_bytes: MAX_BODIES_BYTES,
                 ..EntryOptions::default()
             };
             let entry = EntryHost::start(options).await.expect("an entry host");
