--- a/crates/dispatch/src/leases.rs
+++ b/crates/dispatch/src/leases.rs
@@ -20,6 +20,15 @@
 /// Renewals within one lease, so that one lost renewal does not end it.
 const RENEWALS_PER_LEASE: u32 = 3;
 
+/// Most records of servers and, apart from them, of withdrawals. Announcements
+/// carry no credential, so their number is bounded; it is above three times
+/// the number of servers of the largest site.
+pub const MAX_SERVERS: usize = 8_192;
+
+/// Most services that announcements may name. A configuration has at most
+/// 1,000.
+const MAX_SERVICES: usize = 2_048;
+
 /// Time for which the incarnation of a server that left is remembered, so
 /// that a delayed announcement does not bring it back.
 const FORGET_AFTER: Duration = Duration::from_secs(60);
@@ -59,8 +68,18 @@
             incarnation,
         } = withdrawal;
         let timer = Timer::ForgetWithdrawal(server_id.clone(), incarnation);
-        self.timers.set(self.now + FORGET_AFTER, timer);
-        self.withdrawn.insert((server_id, incarnation));
+        // A withdrawal that finds no room has no lease here, and a lease that a
+        // delayed announcement takes ends by itself.
+        if self.withdrawn.len() < MAX_SERVERS {
+            self.timers.set(self.now + FORGET_AFTER, timer);
+            self.withdrawn.insert((server_id, incarnation));
+        }
+    }
+
+    fn has_room_for(&self, announcement: &Announcement) -> bool {
+        let is_known = self.pools.contains_key(&announcement.service);
+        let has_service = is_known || self.pools.len() < MAX_SERVICES;
+        has_service && self.servers.len() < MAX_SERVERS
     }
 
     fn has_withdrawn(&self, announcement: &Announcement) -> bool {
@@ -176,6 +195,9 @@
         if announcement.shared && self.options.placement == PlacementPolicy::Leased {
             return self.refuse_lease(None);
         }
+        if !self.has_room_for(&announcement) {
+            return self.refuse_lease(None);
+        }
         if !announcement.shared
             && let Some(peer) = self.less_loaded_peer(&announcement.failure_domain)
         {
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -44,4 +44,5 @@
     CancelId, Chunk, ChunkAnswer, ChunkEnd, ChunkFate, ChunkTask, ClaimEnd, DispatchInput,
     DispatchOutput, ExchangeEnd, PeerStatus, ServiceLoad,
 };
+pub use leases::MAX_SERVERS;
 pub use options::{DispatchOptions, PlacementPolicy};
--- a/crates/dispatch/src/server.rs
+++ b/crates/dispatch/src/server.rs
@@ -215,6 +215,11 @@
         self.last_key
     }
 
+    /// Gets the number of records.
+    pub(crate) fn len(&self) -> usize {
+        self.records.len()
+    }
+
     /// Gets the key of the newest record of an id.
     pub(crate) fn find(&self, id: &str) -> Option<ServerKey> {
         self.newest.get(id).copied()
--- a/crates/dispatch/tests/servers.rs
+++ b/crates/dispatch/tests/servers.rs
@@ -9,7 +9,7 @@
 use hornbeam_core::event::Event;
 use hornbeam_dispatch::{
     Chunk, ChunkAnswer, ChunkEnd, ChunkTask, DispatchInput, DispatchOptions, DispatchOutput,
-    ExchangeEnd, PeerStatus, PlacementPolicy, ServiceLoad,
+    ExchangeEnd, MAX_SERVERS, PeerStatus, PlacementPolicy, ServiceLoad,
 };
 
 fn announced(outputs: &[DispatchOutput]) -> AnnounceAnswer {
@@ -322,6 +322,23 @@
     expect_that!(batches(&outputs), is_empty());
 }
 
+/// Guards against announcements of invented servers that fill the memory, and
+/// against a known server that is refused because of them.
+#[gtest]
+fn announced_servers_are_bounded() {
+    let mut host = Host::named("e1");
+    let known = announcement("known");
+    expect_that!(announced(&host.announce(known.clone())).accepted, eq(true));
+    for server in 1..MAX_SERVERS {
+        let mut invented = announcement(&format!("s{server}"));
+        invented.service = format!("service-{}", server % 1_000);
+        expect_that!(announced(&host.announce(invented)).accepted, eq(true));
+    }
+    let more = announcement("one more");
+    expect_that!(announced(&host.announce(more)).accepted, eq(false));
+    expect_that!(announced(&host.announce(known)).accepted, eq(true));
+}
+
 /// Guards against servers that pile up at one host, and against a draining
 /// host that takes servers or keeps those it does not need.
 #[gtest]
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -1,6 +1,7 @@
 //! The entry host: HTTP routes, backend exchanges and peers around the
 //! dispatcher.
 
+mod announcement;
 mod claims;
 mod exchange;
 mod follower;
--- a/crates/node/src/entry/routes.rs
+++ b/crates/node/src/entry/routes.rs
@@ -4,6 +4,7 @@
 
 use hornbeam_core::api::backend::{Announcement, Withdrawal};
 use hornbeam_core::api::caller::{Outcome, Reason, SubmitAnswer};
+use hornbeam_core::api::operator::CheckAnswer;
 use hornbeam_core::ids::JobId;
 use hornbeam_core::{Error, Finding, Place};
 use hornbeam_timer::TimerService;
@@ -12,6 +13,7 @@
 use volo_http::server::Router;
 use volo_http::server::route::{get, post};
 
+use super::announcement;
 use super::input::{ShellHandle, ShellInput};
 use super::job_ids::JobIds;
 use super::metrics::EntryMetrics;
@@ -26,6 +28,8 @@
 const MAX_BACKEND_BODY_BYTES: usize = 64 << 10;
 /// HTTP status of a complete job.
 const OK: u16 = 200;
+/// HTTP status of input that is not as documented.
+const BAD_REQUEST: u16 = 400;
 
 /// `Routes` answers the HTTP requests of an entry host.
 #[derive(Debug)]
@@ -128,12 +132,9 @@
                 Ok(announcement) => announcement,
                 Err(response) => return *response,
             };
-        if announcement
-            .address
-            .parse::<std::net::SocketAddr>()
-            .is_err()
-        {
-            return reply::text(400, "The address must have the form ip:port.");
+        let findings = announcement::check(&announcement);
+        if !findings.is_empty() {
+            return reply::json(BAD_REQUEST, &CheckAnswer { findings });
         }
         let announce = |answer| ShellInput::Announce(announcement, answer);
         match self.shell.ask(announce).await {
--- a/crates/node/tests/hostile.rs
+++ b/crates/node/tests/hostile.rs
@@ -123,6 +123,16 @@
     bad.chain([(too_large, 413)]).collect()
 }
 
+fn announcement_of(slots: u32, server_id: &str) -> Vec<u8> {
+    let body = serde_json::json!({
+        "server_id": server_id, "incarnation": 1, "grant": 1, "address": "127.0.0.1:9",
+        "failure_domain": "fd-a", "rack": "r", "worker_id": "w", "service": "subscribe",
+        "slots": slots, "max_connections": 64, "cpu_milli": 1, "memory_mib": 1,
+        "accelerators": 0,
+    });
+    body.to_string().into_bytes()
+}
+
 async fn send_bad_jobs(address: SocketAddr) {
     for (body, expected) in bad_jobs() {
         let (status, answer) = post(address, "/v1/jobs", "", &body).await;
@@ -133,6 +143,13 @@
     }
     let (status, _) = post(address, "/v1/backend/announce", "", b"{\"slots\": -1}").await;
     assert_eq!(status, 400);
+    let unlimited = announcement_of(u32::MAX, "s");
+    let long = announcement_of(8, &"s".repeat(10_000));
+    for body in [unlimited, long] {
+        let (status, answer) = post(address, "/v1/backend/announce", "", &body).await;
+        assert_eq!(status, 400, "{answer}");
+        assert!(answer.contains("findings"), "{answer}");
+    }
     let (status, _) = post(address, "/v1/backend/withdraw", "", &[b' '; 128 << 10]).await;
     assert_eq!(status, 413);
 }
