--- a/crates/node/src/entry/routes.rs
+++ b/crates/node/src/entry/routes.rs
@@ -4,6 +4,7 @@
 
 use hornbeam_core::api::backend::{Announcement, Withdrawal};
 use hornbeam_core::api::caller::{Outcome, Reason, SubmitAnswer};
+use hornbeam_core::api::operator::CheckAnswer;
 use hornbeam_core::ids::JobId;
 use hornbeam_core::{Error, Finding, Place};
 use hornbeam_timer::TimerService;
@@ -12,6 +13,7 @@
 use volo_http::server::Router;
 use volo_http::server::route::{get, post};
 
+use super::announcement;
 use super::input::{ShellHandle, ShellInput};
 use super::job_ids::JobIds;
 use super::metrics::EntryMetrics;
@@ -20,12 +22,14 @@
 use crate::credential;
 use crate::lifecycle::{LifeEvent, LifeState, Lifecycle};
 use crate::metrics::MessageKind;
-use crate::reply::{self, BodyError};
+use crate::reply::{self, BodyBudget, BodyError};
 
 /// Largest body of a message of a backend server, in bytes.
 const MAX_BACKEND_BODY_BYTES: usize = 64 << 10;
 /// HTTP status of a complete job.
 const OK: u16 = 200;
+/// HTTP status of input that is not as documented.
+const BAD_REQUEST: u16 = 400;
 
 /// `Routes` answers the HTTP requests of an entry host.
 #[derive(Debug)]
@@ -46,6 +50,8 @@
     pub(crate) operator_credential: Option<String>,
     /// Largest body of a job, in bytes.
     pub(crate) max_body_bytes: usize,
+    /// Room for the bodies of all jobs.
+    pub(crate) bodies: BodyBudget,
 }
 
 /// Defines a handler that calls a method of the shared routes.
@@ -71,9 +77,12 @@
 
 impl Routes {
     async fn submit(&self, request: Request) -> Response {
-        let body = reply::read_body(&self.timer, request, self.max_body_bytes).await;
+        let reading = reply::read_body(&self.timer, request, self.max_body_bytes, &self.bodies);
+        let body = reading.await;
         let answer = match body {
-            Ok(body) => self.run_job(&body).await,
+            // The body's part of the budget is held until the job ends, because
+            // its tasks hold as much memory.
+            Ok(body) => self.run_job(&body.bytes).await,
             Err(cause) => self.refuse_body(cause),
         };
         reply::json(status_of(&answer), &answer)
@@ -100,6 +109,10 @@
                 let message = format!("The body is larger than {} bytes.", self.max_body_bytes);
                 (Reason::TooLarge, prefix, message)
             }
+            BodyError::NoRoom(prefix) => {
+                let message = "The host holds too many bodies now.".to_owned();
+                (Reason::Overloaded, prefix, message)
+            }
             BodyError::Late => {
                 let message = "The body did not arrive in time.".to_owned();
                 (Reason::BadRequest, Vec::new(), message)
@@ -119,12 +132,9 @@
                 Ok(announcement) => announcement,
                 Err(response) => return *response,
             };
-        if announcement
-            .address
-            .parse::<std::net::SocketAddr>()
-            .is_err()
-        {
-            return reply::text(400, "The address must have the form ip:port.");
+        let findings = announcement::check(&announcement);
+        if !findings.is_empty() {
+            return reply::json(BAD_REQUEST, &CheckAnswer { findings });
         }
         let announce = |answer| ShellInput::Announce(announcement, answer);
         match self.shell.ask(announce).await {
