Keep a stand-in's connection between renewals

Cause: the stand-in's client closed a connection after 0.5 s without traffic (half of the default idle timeout of 1 s), and renewals come every 667 ms, so every renewal opened a connection. Ruled out: the entry host closes idle connections only after 5 s.

--- a/crates/standin/src/server.rs
+++ b/crates/standin/src/server.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use hornbeam_core::Result;
 use hornbeam_http::{ClientOptions, HttpClient, HttpServer, HttpServerOptions};
@@ -17,6 +18,12 @@
 use crate::exchange::Backend;
 use crate::options::{FaultPlan, StandinOptions, StartRecord};
 
+/// Time after which a connection to an entry host that carries nothing is
+/// closed. Half of it exceeds the interval of renewals (667 ms with a lease of
+/// 2 s), so that a renewal finds the connection of the one before; all of it is
+/// below the 5 s after which an entry host closes an idle connection.
+const ANNOUNCE_IDLE_TIMEOUT: Duration = Duration::from_secs(4);
+
 /// `StandinServer` is a running stand-in. It runs a task for as long as its
 /// payload says: `{"run_ms":120}` overrides the declared run time, which lets
 /// a test declare a false one; other payloads run for the declared time. The
@@ -61,7 +68,10 @@
         let chance = Chance::new(options.faults, options.seed);
         let backend = Arc::new(Backend::new(announcement, options.latency, chance));
         let http = HttpServer::start_on(listener, routes(&backend), server_options)?;
-        let client = HttpClient::new(ClientOptions::default())?;
+        let client = HttpClient::new(ClientOptions {
+            idle_timeout: ANNOUNCE_IDLE_TIMEOUT,
+            ..ClientOptions::default()
+        })?;
         let (owner_sender, owner) = watch::channel(None);
         let announcer = Announcer {
             backend: backend.clone(),
--- a/crates/standin/tests/announce.rs
+++ b/crates/standin/tests/announce.rs
@@ -2,9 +2,10 @@
 
 mod common;
 
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use common::{Caller, FakeEntry, LEASE, Manner, eventually, standin};
+use common::{Caller, FakeEntry, LEASE, Manner, counting_relay, eventually, standin};
 use googletest::prelude::*;
 use hornbeam_core::api::backend::TaskStatus;
 use hornbeam_standin::FaultPlan;
@@ -100,3 +101,15 @@
     sleep(Duration::from_millis(120)).await;
     expect_that!(entry.grants.lock().unwrap().len(), eq(renewals));
 }
+
+/// Guards against a connection per renewal, which at 2,400 servers costs an
+/// entry host 3,600 new connections a second.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn renewals_share_one_connection() {
+    let entry = FakeEntry::start(Manner::AcceptAsEntryHost).await;
+    let (relay, connections) = counting_relay(entry.address()).await;
+    let _server = standin(2, false, FaultPlan::default(), vec![relay]).await;
+    eventually(|| entry.grants.lock().unwrap().len() >= 4).await;
+    expect_that!(connections.load(Ordering::SeqCst), eq(1));
+}
--- a/crates/standin/tests/common/mod.rs
+++ b/crates/standin/tests/common/mod.rs
@@ -2,6 +2,7 @@
 #![allow(dead_code)] // Justification: each test file uses a part of it.
 
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -14,6 +15,8 @@
     BodyLimits, ClientOptions, HttpClient, HttpServer, HttpServerOptions, json_answer, read_json,
 };
 use hornbeam_standin::{FaultPlan, StandinOptions, StandinServer};
+use tokio::io::copy_bidirectional;
+use tokio::net::{TcpListener, TcpStream};
 use tokio::time::Instant;
 use volo_http::request::Request;
 use volo_http::server::Router;
@@ -119,6 +122,8 @@
 #[derive(Clone, Debug)]
 pub enum Manner {
     Accept,
+    /// Accepts with the lease and the interval of renewals of an entry host.
+    AcceptAsEntryHost,
     Decline,
     Redirect(SocketAddr),
 }
@@ -173,11 +178,15 @@
 }
 
 fn answer(manner: Manner) -> AnnounceAnswer {
+    let (lease, renew_ms) = match manner {
+        Manner::AcceptAsEntryHost => (Duration::from_secs(2), 667),
+        _ => (LEASE, 50),
+    };
     AnnounceAnswer {
         host_id: "e1".into(),
-        accepted: matches!(manner, Manner::Accept),
-        lease_ms: u64::try_from(LEASE.as_millis()).unwrap(),
-        renew_ms: 50,
+        accepted: matches!(manner, Manner::Accept | Manner::AcceptAsEntryHost),
+        lease_ms: u64::try_from(lease.as_millis()).unwrap(),
+        renew_ms,
         redirect: match manner {
             Manner::Redirect(to) => Some(to.to_string()),
             _ => None,
@@ -185,6 +194,24 @@
     }
 }
 
+/// Relays connections to an address and counts them.
+pub async fn counting_relay(to: SocketAddr) -> (SocketAddr, Arc<AtomicUsize>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let count = Arc::new(AtomicUsize::new(0));
+    let counted = count.clone();
+    tokio::spawn(async move {
+        while let Ok((mut caller, _)) = listener.accept().await {
+            counted.fetch_add(1, Ordering::SeqCst);
+            tokio::spawn(async move {
+                let mut server = TcpStream::connect(to).await?;
+                copy_bidirectional(&mut caller, &mut server).await
+            });
+        }
+    });
+    (address, count)
+}
+
 /// Waits until a condition holds.
 pub async fn eventually(mut condition: impl FnMut() -> bool) {
     let give_up = Instant::now() + WITHIN;
