--- a/crates/control/src/snapshot.rs
+++ b/crates/control/src/snapshot.rs
@@ -12,6 +12,12 @@
 /// few they are. It bounds the memory that large configurations take.
 const SNAPSHOT_LOG_BYTES: u64 = 16 << 20;
 
+/// Encoded bytes of the newest snapshot above which the next one waits until
+/// the log has grown by as much. A snapshot holds every claim of some 90 s, so
+/// at thousands of claims a second one every `snapshot_entries` entries writes
+/// many times the bytes of the log and delays the entries behind it.
+const SMALL_SNAPSHOT_BYTES: u64 = 1 << 20;
+
 /// Part of the entries of a snapshot that stay in memory, so that a follower
 /// that is a little behind does not need the snapshot.
 const TRAILING_PART: u64 = 16;
@@ -22,7 +28,7 @@
         let applied = self.commit_index - self.log.snapshot().index;
         let is_long = applied >= self.options.snapshot_entries.max(1);
         let is_large = applied > 0 && self.log.bytes_after_snapshot() >= SNAPSHOT_LOG_BYTES;
-        if !is_long && !is_large {
+        if !is_long && !is_large || !self.log_outweighs_snapshot() {
             return;
         }
         let Ok(state) = codec::encode(&self.state) else {
@@ -41,6 +47,12 @@
         self.log_event(Event::SnapshotWritten, format!("snapshot at index {index}"));
     }
 
+    /// Whether the log after the newest snapshot is worth a new one.
+    fn log_outweighs_snapshot(&self) -> bool {
+        let snapshot_bytes = self.log.snapshot().state.len() as u64;
+        snapshot_bytes <= SMALL_SNAPSHOT_BYTES || self.log.bytes_after_snapshot() >= snapshot_bytes
+    }
+
     pub(crate) fn on_snapshot(
         &mut self,
         from: ReplicaId,
