Let entry hosts borrow unused quota

Cause: each host enforced a fixed share of every team's quota (27 slots of 240), so a job of up to 20 tasks waited for its own host's share while half of the quota was unused.

Change: limits per team in PeerStatus, bounded raises out of the unused part of the shares of the hosts heard from, and DispatchOutput::SendStatus after a raise. Statuses carry a sequence number; late and doubled ones are dropped.

Ruled out: slots and forwarding.

The statuses under overload are the next thing to repair.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -118,9 +118,11 @@
         self.timers.first()
     }
 
-    /// Gets the status for peers. The shell fills in the addresses.
-    pub fn peer_status(&self, now: Duration) -> PeerStatus {
-        let _ = now;
+    /// Gets the status for peers. The shell fills in the addresses and sends
+    /// it: the limits of teams are lowered to what the status says.
+    pub fn peer_status(&mut self, now: Duration) -> PeerStatus {
+        self.now = self.now.max(now);
+        self.lower_limits();
         self.status_for_peers()
     }
 
@@ -189,6 +191,7 @@
                 }
                 Timer::Deadline(job) => self.deadline_passed(job),
                 Timer::Peer(peer) => self.peer_lost(&peer),
+                Timer::Quota(team) => self.retry_blocked(team),
                 Timer::ForgetChunk(peer, chunk) => self.received.forget(&peer, chunk),
             }
         }
--- a/crates/dispatch/src/io.rs
+++ b/crates/dispatch/src/io.rs
@@ -132,6 +132,8 @@
     },
     /// Answer the chunk cancellation of this step.
     AnswerChunkCancel(Vec<ChunkFate>),
+    /// Send this host's status to its peers now.
+    SendStatus,
     /// Write a numbered log event.
     Log(Event, String),
     /// A drain is complete: no job and no exchange is left.
@@ -228,12 +230,16 @@
     Unanswered(String),
 }
 
-/// `PeerStatus` is what entry hosts tell each other 4 times a second.
+/// `PeerStatus` is what entry hosts tell each other 4 times a second, and at
+/// once when [`DispatchOutput::SendStatus`] says so.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 #[serde(deny_unknown_fields, rename_all = "snake_case")]
 pub struct PeerStatus {
     /// Host that reports.
     pub host_id: HostId,
+    /// Number that rises with each status of the host, so that a late one does
+    /// not replace a newer one.
+    pub sequence: u64,
     /// Its failure domain.
     pub failure_domain: FailureDomainId,
     /// Its HTTP address for backend servers, as `ip:port`.
@@ -248,6 +254,21 @@
     pub servers: u32,
     /// Load by service.
     pub services: Vec<ServiceLoad>,
+    /// Limits of the teams whose limit is not half of the host's share.
+    pub team_limits: Vec<TeamLimit>,
+}
+
+/// `TeamLimit` is the part of a team's quota that one entry host holds.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields, rename_all = "snake_case")]
+pub struct TeamLimit {
+    /// Institution of the team.
+    pub institution: InstitutionId,
+    /// Team.
+    pub team: TeamId,
+    /// Slots that the host may use at once for the team, and those above that
+    /// are still in use.
+    pub limit_slots: u32,
 }
 
 /// `ServiceLoad` is the load of one service at one entry host.
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -7,6 +7,7 @@
 #![forbid(unsafe_code)]
 
 mod admission;
+mod borrowing;
 mod cancels;
 mod charts;
 mod chunks_received;
@@ -42,6 +43,6 @@
 pub use dispatcher::Dispatcher;
 pub use io::{
     CancelId, Chunk, ChunkAnswer, ChunkEnd, ChunkFate, ChunkTask, ClaimEnd, DispatchInput,
-    DispatchOutput, ExchangeEnd, PeerStatus, ServiceLoad,
+    DispatchOutput, ExchangeEnd, PeerStatus, ServiceLoad, TeamLimit,
 };
 pub use options::{DispatchOptions, PlacementPolicy};
--- a/crates/dispatch/src/peers.rs
+++ b/crates/dispatch/src/peers.rs
@@ -1,5 +1,6 @@
 //! Peer entry hosts: their statuses, their loss, and redirects to them.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use hornbeam_core::event::Event;
@@ -7,6 +8,7 @@
 
 use crate::dispatcher::Dispatcher;
 use crate::io::PeerStatus;
+use crate::keys::TeamKey;
 use crate::timers::Timer;
 
 /// Servers by which this host may exceed twice a peer's before it redirects
@@ -18,11 +20,27 @@
 pub(crate) struct Peer {
     /// The status, less what this host has sent there since.
     pub(crate) status: PeerStatus,
+    limits: BTreeMap<TeamKey, u32>,
     lost_at: Duration,
     alive: bool,
 }
 
 impl Peer {
+    /// Whether the last status is not overdue.
+    pub(crate) fn alive(&self) -> bool {
+        self.alive
+    }
+
+    /// Gets the time at which the last status is overdue.
+    pub(crate) fn lost_at(&self) -> Duration {
+        self.lost_at
+    }
+
+    /// Gets a team's limit at the peer; `None` for half of the share.
+    pub(crate) fn limit_slots(&self, team: TeamKey) -> Option<u32> {
+        self.limits.get(&team).copied()
+    }
+
     fn usable(&self) -> bool {
         self.alive && !self.status.draining
     }
@@ -49,8 +67,12 @@
         if id == self.options.host_id {
             return;
         }
+        if self.is_outdated(&status) {
+            return;
+        }
         let lost_at = self.now + self.options.peer_timeout;
         let peer = Peer {
+            limits: self.limits_by_team(&status.team_limits),
             status,
             lost_at,
             alive: true,
@@ -63,9 +85,19 @@
         if !before.is_some_and(|peer| peer.alive) {
             self.log(Event::PeerFound, format!("peer {id} sent its status"));
         }
+        for (pool, flow) in self.quotas.take_blocked() {
+            self.activate(pool, flow);
+        }
         self.change_waiting_pools();
     }
 
+    /// Whether a newer status of the host has arrived. A host whose status is
+    /// overdue may have started again with a clock that was set back.
+    fn is_outdated(&self, status: &PeerStatus) -> bool {
+        let known = self.peers.get(&status.host_id);
+        known.is_some_and(|peer| peer.alive && peer.status.sequence >= status.sequence)
+    }
+
     /// Stops using a peer whose status is overdue, asks for the chunks it has
     /// and cancels those that it had forwarded.
     pub(crate) fn peer_lost(&mut self, id: &HostId) {
--- a/crates/dispatch/src/queueing.rs
+++ b/crates/dispatch/src/queueing.rs
@@ -39,7 +39,9 @@
         pool.queued_work_ms += work_ms;
         pool.queue.add(job.flow, job.weights, key, work_ms);
         if !job.flow.foreign {
-            self.quotas.team(job.flow.team).queued_work_ms += work_ms;
+            let team = self.quotas.team(job.flow.team);
+            team.queued_tasks += tasks;
+            team.queued_work_ms += work_ms;
         }
         self.changed_pools.insert(job.pool);
     }
@@ -84,7 +86,9 @@
         pool.queued_work_ms -= work_ms;
         pool.queue.subtract_work(flow, work_ms);
         if !flow.foreign {
-            self.quotas.team(flow.team).queued_work_ms -= work_ms;
+            let team = self.quotas.team(flow.team);
+            team.queued_tasks -= tasks;
+            team.queued_work_ms -= work_ms;
         }
     }
 }
--- a/crates/dispatch/src/quota.rs
+++ b/crates/dispatch/src/quota.rs
@@ -1,24 +1,34 @@
-//! Quotas of teams. Each entry host enforces its share over the tasks of the
+//! Quotas of teams. Each entry host enforces its limit over the tasks of the
 //! jobs that it admitted.
 
 use std::collections::BTreeSet;
+use std::time::Duration;
 
 use hornbeam_core::config::Configuration;
 use hornbeam_core::ids::{InstitutionId, TeamId};
 use indexmap::{IndexMap, IndexSet};
 
 use crate::fair_queue::FlowKey;
+use crate::io::TeamLimit;
 use crate::keys::{InstitutionKey, PoolKey, TeamKey};
 
-/// `TeamQuota` is the use of one team's share.
+/// `TeamQuota` is this host's part of one team's quota.
 #[derive(Debug, Default)]
 pub(crate) struct TeamQuota {
-    /// Slots that this host may use at once for the team.
+    /// Slots of the quota that belong to this host.
     pub(crate) share_slots: u32,
+    /// Slots that this host keeps whatever its peers need.
+    pub(crate) floor_slots: u32,
+    /// Slots that this host may use at once for the team now.
+    pub(crate) limit_slots: u32,
     /// Slots in use for jobs that this host admitted.
     pub(crate) used_slots: u32,
+    /// Queued tasks of the team's jobs that this host admitted.
+    pub(crate) queued_tasks: u32,
     /// Estimated run time of the team's queued tasks, in ms.
     pub(crate) queued_work_ms: u64,
+    /// Time before which the limit is not raised again.
+    pub(crate) raise_at: Duration,
     /// Flows that wait for room, by pool.
     blocked: BTreeSet<(PoolKey, FlowKey)>,
 }
@@ -26,7 +36,31 @@
 impl TeamQuota {
     /// Gets the slots that the team may still use.
     pub(crate) fn room(&self) -> u32 {
-        self.share_slots.saturating_sub(self.used_slots)
+        self.limit_slots.saturating_sub(self.used_slots)
+    }
+
+    /// Gets the slots that peers must leave to this host: after a limit was
+    /// lowered, the tasks above it still run.
+    pub(crate) fn reserved_slots(&self) -> u32 {
+        self.limit_slots.max(self.used_slots)
+    }
+
+    fn configure(&mut self, quota_slots: u32, hosts: u32) {
+        self.share_slots = quota_slots.div_ceil(hosts);
+        self.floor_slots = floor_of(self.share_slots, hosts);
+        let floors = u64::from(hosts - 1) * u64::from(self.floor_slots);
+        let most = u64::from(hosts) * u64::from(self.share_slots) - floors;
+        let most = u32::try_from(most).unwrap_or(u32::MAX);
+        self.limit_slots = self.limit_slots.clamp(self.floor_slots, most);
+    }
+}
+
+/// Gets the part of a share that is never lent. A single host has nobody to
+/// lend to.
+fn floor_of(share_slots: u32, hosts: u32) -> u32 {
+    match hosts {
+        1 => share_slots,
+        _ => share_slots.div_ceil(2),
     }
 }
 
@@ -55,6 +89,11 @@
         &mut self.teams[key]
     }
 
+    /// Gets the keys of all teams.
+    pub(crate) fn keys(&self) -> std::ops::Range<TeamKey> {
+        0..self.teams.len()
+    }
+
     /// Takes over the shares of a configuration and returns the flows that may
     /// have room now.
     pub(crate) fn configure(&mut self, configuration: &Configuration) -> Vec<(PoolKey, FlowKey)> {
@@ -62,18 +101,28 @@
         for (institution, terms) in &configuration.institutions {
             for (team, limits) in &terms.teams {
                 let (_, key) = self.key(institution, team);
-                self.teams[key].share_slots = limits.quota_slots.div_ceil(hosts);
+                self.teams[key].configure(limits.quota_slots, hosts);
             }
         }
+        self.take_blocked()
+    }
+
+    /// Records a flow that waits for room.
+    pub(crate) fn block(&mut self, pool: PoolKey, flow: FlowKey) {
+        self.teams[flow.team].blocked.insert((pool, flow));
+    }
+
+    /// Returns the flows of every team that wait for room.
+    pub(crate) fn take_blocked(&mut self) -> Vec<(PoolKey, FlowKey)> {
         let blocked = self.teams.values_mut();
         blocked
             .flat_map(|team| std::mem::take(&mut team.blocked))
             .collect()
     }
 
-    /// Records a flow that waits for room.
-    pub(crate) fn block(&mut self, pool: PoolKey, flow: FlowKey) {
-        self.teams[flow.team].blocked.insert((pool, flow));
+    /// Returns the flows of one team that wait for room.
+    pub(crate) fn take_blocked_of(&mut self, key: TeamKey) -> BTreeSet<(PoolKey, FlowKey)> {
+        std::mem::take(&mut self.teams[key].blocked)
     }
 
     /// Counts slots as used.
@@ -85,6 +134,20 @@
     pub(crate) fn release(&mut self, key: TeamKey, slots: u32) -> BTreeSet<(PoolKey, FlowKey)> {
         let team = &mut self.teams[key];
         team.used_slots = team.used_slots.saturating_sub(slots);
-        std::mem::take(&mut team.blocked)
+        self.take_blocked_of(key)
+    }
+
+    /// Gets the limits that differ from half a share, for a status.
+    pub(crate) fn limits(&self) -> Vec<TeamLimit> {
+        let teams = self.teams.iter();
+        let changed = teams.filter(|(_, team)| team.reserved_slots() != team.floor_slots);
+        let limit = |((institution, name), team): (&(InstitutionKey, TeamId), &TeamQuota)| {
+            Some(TeamLimit {
+                institution: self.institutions.get_index(*institution)?.clone(),
+                team: name.clone(),
+                limit_slots: team.reserved_slots(),
+            })
+        };
+        changed.filter_map(limit).collect()
     }
 }
--- a/crates/dispatch/src/scheduling.rs
+++ b/crates/dispatch/src/scheduling.rs
@@ -30,6 +30,9 @@
             let Some((flow, job)) = self.pools[pool].queue.pick() else {
                 break;
             };
+            if !flow.foreign {
+                self.raise_limit(flow.team);
+            }
             if !flow.foreign && self.quotas.team(flow.team).room() == 0 {
                 self.pools[pool].queue.set_aside(flow);
                 self.quotas.block(pool, flow);
--- a/crates/dispatch/src/status.rs
+++ b/crates/dispatch/src/status.rs
@@ -10,15 +10,17 @@
 
 impl Dispatcher {
     /// Gets the status for peers, without addresses.
-    pub(crate) fn status_for_peers(&self) -> PeerStatus {
+    pub(crate) fn status_for_peers(&mut self) -> PeerStatus {
         let load = |pool: &Pool| ServiceLoad {
             service: pool.service.clone(),
             free_slots: pool.free_slots,
             slots: pool.slots,
             queued_tasks: pool.queued_tasks,
         };
+        let sequence = self.next_id();
         PeerStatus {
             host_id: self.options.host_id.clone(),
+            sequence,
             failure_domain: self.options.failure_domain.clone(),
             http_address: String::new(),
             link_address: String::new(),
@@ -26,6 +28,7 @@
             draining: self.draining,
             servers: self.pools.values().map(|pool| pool.servers).sum(),
             services: self.pools.values().map(load).collect(),
+            team_limits: self.quotas.limits(),
         }
     }
 
--- a/crates/dispatch/src/timers.rs
+++ b/crates/dispatch/src/timers.rs
@@ -5,7 +5,7 @@
 
 use hornbeam_core::ids::{ChunkId, HostId, Incarnation, ServerId};
 
-use crate::keys::{JobKey, ServerKey};
+use crate::keys::{JobKey, ServerKey, TeamKey};
 
 /// `Timer` is what to do at a time.
 #[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
@@ -22,6 +22,8 @@
     Deadline(JobKey),
     /// The status of a peer is overdue.
     Peer(HostId),
+    /// The limit of a team may be raised again.
+    Quota(TeamKey),
     /// The record of a chunk that a peer had forwarded is dropped.
     ForgetChunk(HostId, ChunkId),
 }
--- a/crates/dispatch/src/waits.rs
+++ b/crates/dispatch/src/waits.rs
@@ -68,12 +68,12 @@
 
     /// Estimates the wait under the team's quota alone.
     fn wait_for_quota(&mut self, at: &Placement, work: Work) -> Wait {
-        let team = self.quotas.team(at.flow.team);
-        let share = u64::from(team.share_slots);
-        let over_share = |work_ms: u64| work_ms.checked_div(share).unwrap_or(u64::MAX);
+        let slots = self.reachable_slots(at.flow.team);
+        let queued_ms = self.quotas.team(at.flow.team).queued_work_ms;
+        let over_slots = |work_ms: u64| work_ms.checked_div(slots).unwrap_or(u64::MAX);
         Wait {
-            start_ms: over_share(team.queued_work_ms),
-            done_ms: over_share(team.queued_work_ms + work.sum_ms),
+            start_ms: over_slots(queued_ms),
+            done_ms: over_slots(queued_ms + work.sum_ms),
         }
     }
 
--- a/crates/dispatch/tests/model/incidents.rs
+++ b/crates/dispatch/tests/model/incidents.rs
@@ -116,16 +116,20 @@
 
     pub(super) fn exchange_statuses(&mut self) {
         self.after(STATUS_EVERY_MS, Event::Statuses);
-        let now = Duration::from_millis(self.now_ms);
         for from in 0..self.entries.len() {
-            let mut status = self.entries[from].host.dispatcher.peer_status(now);
-            status.http_address = format!("e{from}");
-            for to in (0..self.entries.len()).filter(|to| *to != from) {
-                if self.connected(from, to) {
-                    let input = DispatchInput::PeerStatusReceived(status.clone());
-                    let (delay, to) = (self.latency(), self.current(to));
-                    self.input(delay, to, input);
-                }
+            self.send_status(from);
+        }
+    }
+
+    pub(super) fn send_status(&mut self, from: usize) {
+        let now = Duration::from_millis(self.now_ms);
+        let mut status = self.entries[from].host.dispatcher.peer_status(now);
+        status.http_address = format!("e{from}");
+        for to in (0..self.entries.len()).filter(|to| *to != from) {
+            if self.connected(from, to) {
+                let input = DispatchInput::PeerStatusReceived(status.clone());
+                let (delay, to) = (self.latency(), self.current(to));
+                self.input(delay, to, input);
             }
         }
     }
--- a/crates/dispatch/tests/model/world.rs
+++ b/crates/dispatch/tests/model/world.rs
@@ -365,6 +365,7 @@
                 answer,
             } => self.answer_chunk(from, &peer, chunk_id, answer),
             DispatchOutput::AnswerChunkCancel(fates) => self.answer_chunk_cancel(fates, reply),
+            DispatchOutput::SendStatus => self.send_status(from.host),
             DispatchOutput::DropConnections(_)
             | DispatchOutput::Log(..)
             | DispatchOutput::Drained => {}
--- a/crates/dispatch/tests/servers.rs
+++ b/crates/dispatch/tests/servers.rs
@@ -2,6 +2,8 @@
 
 mod common;
 
+use std::sync::atomic::{AtomicU64, Ordering};
+
 use common::{Host, SentBatch, announcement, answers, batches, configuration, request};
 use googletest::prelude::*;
 use hornbeam_core::api::backend::{AnnounceAnswer, TaskStatus, Withdrawal};
@@ -33,9 +35,13 @@
     outputs.iter().filter(is_event).count()
 }
 
+/// Number of the next status.
+static SEQUENCE: AtomicU64 = AtomicU64::new(1);
+
 fn status(host_id: &str, failure_domain: &str, servers: u32, free_slots: u32) -> DispatchInput {
     DispatchInput::PeerStatusReceived(PeerStatus {
         host_id: host_id.into(),
+        sequence: SEQUENCE.fetch_add(1, Ordering::Relaxed),
         failure_domain: failure_domain.into(),
         http_address: format!("{host_id}:80"),
         link_address: format!("{host_id}:81"),
@@ -48,6 +54,7 @@
             slots: 8 * servers,
             queued_tasks: 0,
         }],
+        team_limits: Vec::new(),
     })
 }
 
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -289,6 +289,7 @@
         StatusSender {
             shell: shell.clone(),
             addresses,
+            peers: Arc::clone(&self.peers),
             links: options.peers.iter().map(|at| self.link(*at)).collect(),
             timer: self.timer.clone(),
             metrics: Arc::clone(&self.metrics),
--- a/crates/node/src/entry/peers.rs
+++ b/crates/node/src/entry/peers.rs
@@ -9,7 +9,7 @@
 use hornbeam_dispatch::PeerStatus;
 use hornbeam_timer::TimerService;
 use hornbeam_transport::{Link, LinkOptions};
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 use tokio::task::JoinSet;
 
 use super::input::{ShellHandle, ShellInput};
@@ -20,6 +20,8 @@
 
 /// Interval of statuses: 4 a second.
 const STATUS_INTERVAL: Duration = Duration::from_millis(250);
+/// Shortest time between two statuses, which bounds their cost.
+const STATUS_SPACING: Duration = Duration::from_millis(20);
 /// Time within which a status must be answered. It is below the 1 s after
 /// which a peer counts as lost, so that a new attempt is made before.
 const STATUS_TIMEOUT: Duration = Duration::from_millis(500);
@@ -37,6 +39,7 @@
     options: LinkOptions,
     peers: Mutex<HashMap<HostId, Peer>>,
     newest: watch::Sender<ConfigVersion>,
+    status_due: Notify,
 }
 
 impl PeerTable {
@@ -46,6 +49,7 @@
             options,
             peers: Mutex::default(),
             newest: watch::Sender::new(0),
+            status_due: Notify::new(),
         }
     }
 
@@ -75,6 +79,11 @@
         });
     }
 
+    /// Makes the next status go out before its time.
+    pub(crate) fn hasten_status(&self) {
+        self.status_due.notify_one();
+    }
+
     /// Gets the link to a peer.
     pub(crate) fn link(&self, peer: &HostId) -> Option<Link> {
         self.lock().get(peer).map(|peer| peer.link.clone())
@@ -112,6 +121,8 @@
     pub(crate) shell: ShellHandle,
     /// Addresses that the status carries.
     pub(crate) addresses: Addresses,
+    /// Says when a status is due before its time.
+    pub(crate) peers: Arc<PeerTable>,
     /// Links to the peers of the settings.
     pub(crate) links: Vec<Link>,
     /// The time.
@@ -159,7 +170,11 @@
             status.http_address = self.addresses.http.to_string();
             status.link_address = self.addresses.link.to_string();
             statuses.send_replace(Some(status));
-            ticks.next().await;
+            self.timer.sleep(STATUS_SPACING).await;
+            tokio::select! {
+                _ = ticks.next() => {}
+                () = self.peers.status_due.notified() => {}
+            }
         }
     }
 }
--- a/crates/node/src/entry/shell.rs
+++ b/crates/node/src/entry/shell.rs
@@ -203,6 +203,7 @@
                     let _ = waiter.send(fates);
                 }
             }
+            DispatchOutput::SendStatus => self.peers.hasten_status(),
             DispatchOutput::Log(event, message) => self.log(event, &message),
             DispatchOutput::Drained => {
                 self.life.on(LifeEvent::Drained);
