Send statuses early when they matter to a peer

Cause: a status every 250 ms lets tasks wait at one host while slots are free at another.

Limits are lowered at most every 200 ms, and raised only for tasks that a slot is free for.

--- a/crates/dispatch/src/borrowing.rs
+++ b/crates/dispatch/src/borrowing.rs
@@ -6,19 +6,25 @@
 
 use crate::dispatcher::Dispatcher;
 use crate::io::{DispatchOutput, TeamLimit};
-use crate::keys::TeamKey;
+use crate::keys::{PoolKey, TeamKey};
 use crate::timers::Timer;
 
 /// Shortest time between two raises of one limit. It exceeds the latency of a
 /// status, so that peers learn of a raise before the next one.
 const RAISE_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Shortest time between two times at which limits are lowered. It is below
+/// the interval of the regular statuses.
+const LOWER_INTERVAL: Duration = Duration::from_millis(200);
+
 impl Dispatcher {
-    /// Raises a team's limit if its queue needs more than the limit leaves and
-    /// the shares of the hosts heard from have an unused part.
-    pub(crate) fn raise_limit(&mut self, key: TeamKey) {
+    /// Raises a team's limit if the limit leaves less than what could start now
+    /// and the shares of the hosts heard from have an unused part.
+    pub(crate) fn raise_limit(&mut self, pool: PoolKey, key: TeamKey) {
+        let startable = self.startable_tasks(pool);
         let team = self.quotas.team(key);
-        let missing = team.queued_tasks.saturating_sub(team.room());
+        let missing = team.queued_tasks.min(startable);
+        let missing = missing.saturating_sub(team.room());
         if missing == 0 {
             return;
         }
@@ -39,9 +45,24 @@
         self.request_status();
     }
 
+    /// Gets the tasks for which this host and its best peer have a slot.
+    fn startable_tasks(&self, pool: PoolKey) -> u32 {
+        let pool = &self.pools[pool];
+        if !pool.shared.is_empty() {
+            return u32::MAX;
+        }
+        let peer_slots = self.best_peer(&pool.service, &[]).map_or(0, |best| best.1);
+        pool.free_slots.saturating_add(peer_slots)
+    }
+
     /// Lowers every limit to what the team uses, and below that if the limits
-    /// together exceed the shares of the hosts heard from.
+    /// together exceed the shares of the hosts heard from. Statuses that are
+    /// sent early do not lower limits, or each raise would soon need another.
     pub(crate) fn lower_limits(&mut self) {
+        if self.now < self.lower_at {
+            return;
+        }
+        self.lower_at = self.now + LOWER_INTERVAL;
         for key in self.quotas.keys() {
             let lent = self.slots_to_return(key);
             let team = self.quotas.team(key);
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -59,6 +59,8 @@
     pub(crate) changed_pools: BTreeSet<PoolKey>,
     pub(crate) draining: bool,
     pub(crate) drained: bool,
+    /// Time before which no limit is lowered.
+    pub(crate) lower_at: Duration,
     last_id: u64,
 }
 
@@ -92,6 +94,7 @@
             changed_pools: BTreeSet::new(),
             draining: false,
             drained: false,
+            lower_at: Duration::ZERO,
             last_id: 0,
         })
     }
--- a/crates/dispatch/src/peers.rs
+++ b/crates/dispatch/src/peers.rs
@@ -130,6 +130,13 @@
             .map(|(id, _, free)| (id, free))
     }
 
+    /// Whether tasks of a service wait at some usable peer.
+    pub(crate) fn peers_wait(&self, service: &str) -> bool {
+        let peers = self.peers.values().filter(|peer| peer.usable());
+        let mut loads = peers.filter_map(|peer| peer.load(service));
+        loads.any(|load| load.queued_tasks > 0)
+    }
+
     /// Subtracts forwarded tasks from a peer's free slots until its next
     /// status arrives.
     pub(crate) fn use_peer_slots(&mut self, id: &str, service: &str, slots: u32) {
--- a/crates/dispatch/src/pool.rs
+++ b/crates/dispatch/src/pool.rs
@@ -34,6 +34,10 @@
     pub(crate) slots: u32,
     pub(crate) free_slots: u32,
     pub(crate) queued_tasks: u32,
+    /// Whether the last status said that slots were free.
+    pub(crate) told_free: bool,
+    /// Whether the last status said that tasks waited for a slot.
+    pub(crate) told_waiting: bool,
     pub(crate) queued_work_ms: u64,
     pub(crate) failures: FailureHistogram,
     pub(crate) ratio: RunTimeRatio,
@@ -53,6 +57,11 @@
         self.shapes.keys().any(|capacity| capacity.holds(need))
     }
 
+    /// Whether tasks wait because no slot is free.
+    pub(crate) fn waits_for_slots(&self) -> bool {
+        self.queued_tasks > 0 && self.free_slots == 0
+    }
+
     /// Replaces what a server contributes.
     pub(crate) fn relist(&mut self, key: ServerKey, server: &mut Server) {
         let (old, new) = (server.listing, server.current_listing());
--- a/crates/dispatch/src/scheduling.rs
+++ b/crates/dispatch/src/scheduling.rs
@@ -19,6 +19,7 @@
     pub(crate) fn schedule_changed_pools(&mut self) {
         while let Some(pool) = self.changed_pools.pop_first() {
             self.schedule_pool(pool);
+            self.hasten_status(pool);
             self.changed_pools.remove(&pool);
         }
     }
@@ -31,7 +32,7 @@
                 break;
             };
             if !flow.foreign {
-                self.raise_limit(flow.team);
+                self.raise_limit(pool, flow.team);
             }
             if !flow.foreign && self.quotas.team(flow.team).room() == 0 {
                 self.pools[pool].queue.set_aside(flow);
--- a/crates/dispatch/src/status.rs
+++ b/crates/dispatch/src/status.rs
@@ -6,6 +6,7 @@
 
 use crate::dispatcher::Dispatcher;
 use crate::io::{PeerStatus, ServiceLoad};
+use crate::keys::PoolKey;
 use crate::pool::Pool;
 
 impl Dispatcher {
@@ -18,6 +19,10 @@
             queued_tasks: pool.queued_tasks,
         };
         let sequence = self.next_id();
+        for pool in self.pools.values_mut() {
+            pool.told_free = pool.free_slots > 0;
+            pool.told_waiting = pool.waits_for_slots();
+        }
         PeerStatus {
             host_id: self.options.host_id.clone(),
             sequence,
@@ -32,6 +37,20 @@
         }
     }
 
+    /// Asks for a status at once if it matters to a peer: slots become free or
+    /// run out while a peer's tasks wait, or tasks start to wait here and no
+    /// peer is known to have a free slot.
+    pub(crate) fn hasten_status(&mut self, key: PoolKey) {
+        let pool = &self.pools[key];
+        let free_changed = (pool.free_slots > 0) != pool.told_free;
+        let starts_to_wait = pool.waits_for_slots() && !pool.told_waiting;
+        let matters = (free_changed && self.peers_wait(&pool.service))
+            || (starts_to_wait && self.best_peer(&pool.service, &[]).is_none());
+        if matters {
+            self.request_status();
+        }
+    }
+
     /// Gets the status for operators.
     pub(crate) fn status_for_operators(&self, now: Duration) -> EntryStatus {
         let busy: usize = self.exchanges.values().map(|e| e.tasks.len()).sum();
