Redirect announcements to peers with two servers fewer

Cause: entry hosts owned 5 to 10 of 50 servers, because a redirect needed more than twice a peer's servers and 4 more.

Change: an announcement is redirected to a peer with at least 2 servers fewer. Servers that hold a lease do not move, so nothing can flap. Moving idle servers at their renewals is not done.

--- a/crates/dispatch/src/peers.rs
+++ b/crates/dispatch/src/peers.rs
@@ -11,9 +11,10 @@
 use crate::keys::TeamKey;
 use crate::timers::Timer;
 
-/// Servers by which this host may exceed twice a peer's before it redirects
-/// new servers to the peer; it keeps small sites from moving servers around.
-const REDIRECT_MARGIN_SERVERS: u32 = 4;
+/// Servers by which this host may exceed a peer's before it redirects new
+/// servers to the peer. Below 2, a redirect would only exchange the roles of
+/// the two hosts.
+const REDIRECT_MARGIN_SERVERS: u32 = 2;
 
 /// `Peer` is the last status of one peer.
 #[derive(Debug)]
@@ -167,8 +168,8 @@
         let own: u32 = self.pools.values().map(|pool| pool.servers).sum();
         let peers = self.peers.values_mut();
         let targets = peers.filter(|peer| {
-            let much_more = peer.status.servers * 2 + REDIRECT_MARGIN_SERVERS;
-            peer.usable() && !peer.status.http_address.is_empty() && own > much_more
+            let more = own >= peer.status.servers + REDIRECT_MARGIN_SERVERS;
+            peer.usable() && !peer.status.http_address.is_empty() && more
         });
         let peer = targets.min_by_key(|peer| {
             let far = peer.status.failure_domain != failure_domain;
