--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -59,6 +59,8 @@
     pub(crate) changed_pools: BTreeSet<PoolKey>,
     pub(crate) draining: bool,
     pub(crate) drained: bool,
+    /// Time before which no limit is lowered.
+    pub(crate) lower_at: Duration,
     last_id: u64,
 }
 
@@ -92,6 +94,7 @@
             changed_pools: BTreeSet::new(),
             draining: false,
             drained: false,
+            lower_at: Duration::ZERO,
             last_id: 0,
         })
     }
@@ -118,9 +121,11 @@
         self.timers.first()
     }
 
-    /// Gets the status for peers. The shell fills in the addresses.
-    pub fn peer_status(&self, now: Duration) -> PeerStatus {
-        let _ = now;
+    /// Gets the status for peers. The shell fills in the addresses and sends
+    /// it: the limits of teams are lowered to what the status says.
+    pub fn peer_status(&mut self, now: Duration) -> PeerStatus {
+        self.now = self.now.max(now);
+        self.lower_limits();
         self.status_for_peers()
     }
 
@@ -189,6 +194,7 @@
                 }
                 Timer::Deadline(job) => self.deadline_passed(job),
                 Timer::Peer(peer) => self.peer_lost(&peer),
+                Timer::Quota(team) => self.retry_blocked(team),
                 Timer::ForgetChunk(peer, chunk) => self.received.forget(&peer, chunk),
             }
         }
--- a/crates/dispatch/src/peers.rs
+++ b/crates/dispatch/src/peers.rs
@@ -1,5 +1,6 @@
 //! Peer entry hosts: their statuses, their loss, and redirects to them.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use hornbeam_core::event::Event;
@@ -7,22 +8,40 @@
 
 use crate::dispatcher::Dispatcher;
 use crate::io::PeerStatus;
+use crate::keys::TeamKey;
 use crate::timers::Timer;
 
-/// Servers by which this host may exceed twice a peer's before it redirects
-/// new servers to the peer; it keeps small sites from moving servers around.
-const REDIRECT_MARGIN_SERVERS: u32 = 4;
+/// Servers by which this host may exceed a peer's before it redirects new
+/// servers to the peer. Below 2, a redirect would only exchange the roles of
+/// the two hosts.
+const REDIRECT_MARGIN_SERVERS: u32 = 2;
 
 /// `Peer` is the last status of one peer.
 #[derive(Debug)]
 pub(crate) struct Peer {
     /// The status, less what this host has sent there since.
     pub(crate) status: PeerStatus,
+    limits: BTreeMap<TeamKey, u32>,
     lost_at: Duration,
     alive: bool,
 }
 
 impl Peer {
+    /// Whether the last status is not overdue.
+    pub(crate) fn alive(&self) -> bool {
+        self.alive
+    }
+
+    /// Gets the time at which the last status is overdue.
+    pub(crate) fn lost_at(&self) -> Duration {
+        self.lost_at
+    }
+
+    /// Gets a team's limit at the peer; `None` for half of the share.
+    pub(crate) fn limit_slots(&self, team: TeamKey) -> Option<u32> {
+        self.limits.get(&team).copied()
+    }
+
     fn usable(&self) -> bool {
         self.alive && !self.status.draining
     }
@@ -49,8 +68,12 @@
         if id == self.options.host_id {
             return;
         }
+        if self.is_outdated(&status) {
+            return;
+        }
         let lost_at = self.now + self.options.peer_timeout;
         let peer = Peer {
+            limits: self.limits_by_team(&status.team_limits),
             status,
             lost_at,
             alive: true,
@@ -63,9 +86,19 @@
         if !before.is_some_and(|peer| peer.alive) {
             self.log(Event::PeerFound, format!("peer {id} sent its status"));
         }
+        for (pool, flow) in self.quotas.take_blocked() {
+            self.activate(pool, flow);
+        }
         self.change_waiting_pools();
     }
 
+    /// Whether a newer status of the host has arrived. A host whose status is
+    /// overdue may have started again with a clock that was set back.
+    fn is_outdated(&self, status: &PeerStatus) -> bool {
+        let known = self.peers.get(&status.host_id);
+        known.is_some_and(|peer| peer.alive && peer.status.sequence >= status.sequence)
+    }
+
     /// Stops using a peer whose status is overdue, asks for the chunks it has
     /// and cancels those that it had forwarded.
     pub(crate) fn peer_lost(&mut self, id: &HostId) {
@@ -98,6 +131,13 @@
             .map(|(id, _, free)| (id, free))
     }
 
+    /// Whether tasks of a service wait at some usable peer.
+    pub(crate) fn peers_wait(&self, service: &str) -> bool {
+        let peers = self.peers.values().filter(|peer| peer.usable());
+        let mut loads = peers.filter_map(|peer| peer.load(service));
+        loads.any(|load| load.queued_tasks > 0)
+    }
+
     /// Subtracts forwarded tasks from a peer's free slots until its next
     /// status arrives.
     pub(crate) fn use_peer_slots(&mut self, id: &str, service: &str, slots: u32) {
@@ -128,8 +168,8 @@
         let own: u32 = self.pools.values().map(|pool| pool.servers).sum();
         let peers = self.peers.values_mut();
         let targets = peers.filter(|peer| {
-            let much_more = peer.status.servers * 2 + REDIRECT_MARGIN_SERVERS;
-            peer.usable() && !peer.status.http_address.is_empty() && own > much_more
+            let more = own >= peer.status.servers + REDIRECT_MARGIN_SERVERS;
+            peer.usable() && !peer.status.http_address.is_empty() && more
         });
         let peer = targets.min_by_key(|peer| {
             let far = peer.status.failure_domain != failure_domain;
--- a/crates/dispatch/src/status.rs
+++ b/crates/dispatch/src/status.rs
@@ -6,19 +6,26 @@
 
 use crate::dispatcher::Dispatcher;
 use crate::io::{PeerStatus, ServiceLoad};
+use crate::keys::PoolKey;
 use crate::pool::Pool;
 
 impl Dispatcher {
     /// Gets the status for peers, without addresses.
-    pub(crate) fn status_for_peers(&self) -> PeerStatus {
+    pub(crate) fn status_for_peers(&mut self) -> PeerStatus {
         let load = |pool: &Pool| ServiceLoad {
             service: pool.service.clone(),
             free_slots: pool.free_slots,
             slots: pool.slots,
             queued_tasks: pool.queued_tasks,
         };
+        let sequence = self.next_id();
+        for pool in self.pools.values_mut() {
+            pool.told_free = pool.free_slots > 0;
+            pool.told_waiting = pool.waits_for_slots();
+        }
         PeerStatus {
             host_id: self.options.host_id.clone(),
+            sequence,
             failure_domain: self.options.failure_domain.clone(),
             http_address: String::new(),
             link_address: String::new(),
@@ -26,6 +33,21 @@
             draining: self.draining,
             servers: self.pools.values().map(|pool| pool.servers).sum(),
             services: self.pools.values().map(load).collect(),
+            team_limits: self.quotas.limits(),
+        }
+    }
+
+    /// Asks for a status at once if it matters to a peer: slots become free or
+    /// run out while a peer's tasks wait, or tasks start to wait here and no
+    /// peer is known to have a free slot.
+    pub(crate) fn hasten_status(&mut self, key: PoolKey) {
+        let pool = &self.pools[key];
+        let free_changed = (pool.free_slots > 0) != pool.told_free;
+        let starts_to_wait = pool.waits_for_slots() && !pool.told_waiting;
+        let matters = (free_changed && self.peers_wait(&pool.service))
+            || (starts_to_wait && self.best_peer(&pool.service, &[]).is_none());
+        if matters {
+            self.request_status();
         }
     }
 
