--- a/crates/control/tests/replica.rs
+++ b/crates/control/tests/replica.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use hornbeam_control::{
-    Command, ControlState, Entry, HardState, Message, Recovered, Replica, ReplicaInput,
-    ReplicaOptions, ReplicaOutput, SnapshotData,
+    Command, ControlState, Entry, HardState, MembersCommand, Message, Recovered, Replica,
+    ReplicaInput, ReplicaOptions, ReplicaOutput, SnapshotData,
 };
 
 const NOW: Duration = Duration::from_secs(1);
@@ -103,11 +103,11 @@
         commit: 0,
         round: 1,
     };
-    receive(
-        &mut follower,
-        2,
-        append(1, vec![entry(1, 1, Command::Members(vec![1, 2]))]),
-    );
+    let members = Command::Members(MembersCommand {
+        voters: vec![1, 2],
+        ..MembersCommand::default()
+    });
+    receive(&mut follower, 2, append(1, vec![entry(1, 1, members)]));
     assert_eq!(follower.voters(), [1, 2]);
     receive(
         &mut follower,
--- a/crates/control/tests/snapshots.rs
+++ b/crates/control/tests/snapshots.rs
@@ -8,7 +8,7 @@
 };
 
 const CLAIMS: u64 = 4_000;
-const REQUEST_ID_BYTES: usize = 1_000;
+const CLAIM_KEY_BYTES: usize = 1_000;
 const SNAPSHOT_ENTRIES: u64 = 64;
 
 /// Guards against snapshots that write many times the bytes of the log when
@@ -34,7 +34,7 @@
         let now = replica.next_wakeup();
         written.step(&mut replica, now, input);
     }
-    let log_bytes = CLAIMS as usize * REQUEST_ID_BYTES;
+    let log_bytes = CLAIMS as usize * CLAIM_KEY_BYTES;
     expect_that!(written.snapshots, gt(CLAIMS / SNAPSHOT_ENTRIES / 8));
     expect_that!(written.snapshot_bytes, lt(8 * log_bytes));
     expect_that!(written.last_snapshot_bytes, gt(log_bytes / 4));
@@ -71,7 +71,7 @@
 
 fn claim(number: u64) -> Command {
     Command::Claim(ClaimCommand {
-        request_id: format!("{number:0REQUEST_ID_BYTES$}"),
+        key: format!("{number:0CLAIM_KEY_BYTES$}"),
         token: format!("job-{number}"),
         valid_until_unix_ms: u64::MAX / 2,
         now_unix_ms: number,
