--- a/crates/node/examples/claims.rs
+++ b/crates/node/examples/claims.rs
@@ -33,7 +33,7 @@
         let id = format!("request-{caller}-{recorded}-{now_ms}");
         let request = Request::Claim(ClaimCommand {
             token: format!("job-{id}"),
-            request_id: id,
+            key: id,
             valid_until_unix_ms: now_ms + VALID_MS,
             now_unix_ms: 0,
         });
