Answer a resent change of members by the audit trail

A change of members whose answer was lost in an election was refused when it was sent again, because the members differ no more. The test of a lost disk failed this way under load.

--- a/crates/core/src/api/operator.rs
+++ b/crates/core/src/api/operator.rs
@@ -112,7 +112,7 @@
 pub struct MembersRequest {
     /// Voting members from now on; they differ from the present ones by one.
     pub voters: Vec<ReplicaId>,
-    /// Finds the change in the audit trail when its answer is lost.
+    /// Makes a resend of the same change idempotent.
     pub change_id: ChangeId,
     /// Who makes the change.
     pub operator: OperatorId,
--- a/crates/node/src/control/members.rs
+++ b/crates/node/src/control/members.rs
@@ -4,6 +4,7 @@
 use hornbeam_core::Findings;
 use hornbeam_core::api::operator::{MembersOutcome, MembersRequest};
 
+use super::input::{ControlInput, HistoryFilter};
 use super::leader::LeaderCalls;
 use super::note;
 use crate::wire::MembersAnswer;
@@ -15,6 +16,7 @@
     if !findings.is_empty() {
         return MembersOutcome::Invalid { findings };
     }
+    let change_id = request.change_id.clone();
     let command = MembersCommand {
         voters: request.voters,
         change_id: request.change_id,
@@ -25,6 +27,11 @@
     };
     match leader.members(command).await {
         MembersAnswer::Accepted => MembersOutcome::Accepted,
+        // A resend after a lost answer does not differ from the members that the
+        // first attempt made, and so is refused.
+        MembersAnswer::Refused(_) if is_recorded(leader, &change_id).await => {
+            MembersOutcome::Accepted
+        }
         MembersAnswer::Refused(cause) => MembersOutcome::Refused {
             message: format!("The change is refused: {cause}."),
         },
@@ -35,6 +42,18 @@
     }
 }
 
+/// Whether the audit trail holds this change of members.
+async fn is_recorded(leader: &LeaderCalls, change_id: &str) -> bool {
+    if !leader.confirm_read().await {
+        return false;
+    }
+    let all = HistoryFilter::default();
+    let read = |waiter| ControlInput::History(all, waiter);
+    let entries = leader.shell.ask(read).await.unwrap_or_default();
+    let mut members = entries.iter().filter(|entry| entry.version == 0);
+    members.any(|entry| entry.change_id == change_id)
+}
+
 /// Builds the outcome of a change that was recorded nowhere.
 pub(crate) fn unavailable(message: &str) -> MembersOutcome {
     MembersOutcome::Unavailable {
--- a/crates/node/tests/system.rs
+++ b/crates/node/tests/system.rs
@@ -337,8 +337,8 @@
     expect_that!(new_id, not(eq(3)));
     for voters in [vec![1, 2, 3, new_id], vec![1, 2, new_id]] {
         let request = MembersRequest {
+            change_id: format!("members-{}", voters.len()),
             voters,
-            change_id: "replace".into(),
             operator: "aigerim".into(),
             reason: "lost disk".into(),
         };
@@ -351,6 +351,11 @@
             reply.is_ok_and(|reply: Reply<MembersOutcome>| reply.status == 200)
         })
         .await;
+        let address = system.controls[0].http_address();
+        let path = "/v1/members";
+        let resent = system.client.post(address, path, &request, PATIENCE).await;
+        let resent: Reply<MembersOutcome> = resent.expect("an answer to the resend");
+        expect_that!(resent.body, eq(&MembersOutcome::Accepted));
     }
     // Only with the new member is there a quorum now.
     system.controls.remove(1).abort();
