--- a/crates/node/examples/claims.rs
+++ b/crates/node/examples/claims.rs
@@ -12,6 +12,7 @@
 use hornbeam_dispatch::ClaimEnd;
 use hornbeam_node::{Request, RequestAnswer};
 use hornbeam_transport::{Link, LinkOptions};
+use serde::Serialize;
 use tokio::task::JoinSet;
 
 /// Time within which a claim must be answered.
@@ -25,12 +26,19 @@
     elapsed.map_or(0, |elapsed| elapsed.as_millis() as u64)
 }
 
-/// Sends claims one after the other and counts those that were recorded.
-async fn claim_until(link: Link, caller: usize, end: Instant) -> Result<u64> {
-    let mut recorded = 0;
+/// `Counts` are the claims by their end.
+#[derive(Default, Serialize)]
+struct Counts {
+    recorded: u64,
+    unavailable: u64,
+}
+
+/// Sends claims one after the other and counts how they end.
+async fn claim_until(link: Link, caller: usize, end: Instant) -> Result<Counts> {
+    let mut counts = Counts::default();
     while Instant::now() < end {
         let now_ms = unix_ms();
-        let id = format!("request-{caller}-{recorded}-{now_ms}");
+        let id = format!("request-{caller}-{}-{now_ms}", counts.recorded);
         let request = Request::Claim(ClaimCommand {
             token: format!("job-{id}"),
             request_id: id,
@@ -38,11 +46,12 @@
             now_unix_ms: 0,
         });
         match link.call(&request, CLAIM_TIMEOUT).await? {
-            RequestAnswer::Claim(ClaimEnd::Recorded) => recorded += 1,
+            RequestAnswer::Claim(ClaimEnd::Recorded) => counts.recorded += 1,
+            RequestAnswer::Claim(ClaimEnd::Unavailable) => counts.unavailable += 1,
             answer => return Err(eyre!("a claim got {answer:?}")),
         }
     }
-    Ok(recorded)
+    Ok(counts)
 }
 
 #[tokio::main]
@@ -64,12 +73,18 @@
     for caller in 0..in_flight.parse()? {
         callers.spawn(claim_until(link.clone(), caller, end));
     }
-    let mut recorded = 0;
-    while let Some(count) = callers.join_next().await {
-        recorded += count??;
+    let mut total = Counts::default();
+    while let Some(counts) = callers.join_next().await {
+        let counts = counts??;
+        total.recorded += counts.recorded;
+        total.unavailable += counts.unavailable;
     }
     let elapsed_s = started.elapsed().as_secs_f64();
-    let line = serde_json::json!({ "recorded": recorded, "elapsed_s": elapsed_s });
+    let line = serde_json::json!({
+        "recorded": total.recorded,
+        "unavailable": total.unavailable,
+        "elapsed_s": elapsed_s,
+    });
     println!("{line}");
     Ok(())
 }
