--- a/crates/control/src/io.rs
+++ b/crates/control/src/io.rs
@@ -197,15 +197,45 @@
         /// Round of the append.
         round: u64,
     },
-    /// Sends a snapshot to a replica that lags behind the log.
-    Snapshot {
+    /// Sends a part of a snapshot to a replica that lags behind the log.
+    SnapshotPart {
         /// Term of the leader.
         term: u64,
-        /// The snapshot.
-        snapshot: SnapshotData,
+        /// The part.
+        part: SnapshotPart,
         /// Round of heartbeats.
         round: u64,
     },
+    /// Asks for the next part of a snapshot.
+    SnapshotPartAnswer {
+        /// Term of the answering replica.
+        term: u64,
+        /// Last index that the snapshot contains.
+        index: u64,
+        /// Bytes of its state that have arrived without a gap.
+        next_offset_bytes: u64,
+        /// Round of the part.
+        round: u64,
+    },
+}
+
+/// `SnapshotPart` is a part of a [`SnapshotData`]. A snapshot grows with the
+/// claims held, so it may be larger than any message.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields, rename_all = "snake_case")]
+pub struct SnapshotPart {
+    /// Last index that the snapshot contains.
+    pub index: u64,
+    /// Term of that entry.
+    pub term: u64,
+    /// Voting members as of that index.
+    pub voters: Vec<ReplicaId>,
+    /// Size of the encoded state in bytes.
+    pub total_bytes: u64,
+    /// Place of this part in the encoded state.
+    pub offset_bytes: u64,
+    /// This part of the encoded state.
+    pub bytes: Vec<u8>,
 }
 
 /// `ProposalEnd` is how a proposal ended.
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -43,6 +43,7 @@
 mod replication;
 mod snapshot;
 mod state;
+mod transfer;
 
 pub use claims::CLAIM_MARGIN_MS;
 pub use command::{
@@ -52,7 +53,7 @@
 pub use files::{Files, FolderFiles};
 pub use io::{
     Entry, HardState, Message, PersistId, PersistRequest, ProposalEnd, ProposalId, ReadId, Refusal,
-    ReplicaInput, ReplicaOptions, ReplicaOutput, SnapshotData,
+    ReplicaInput, ReplicaOptions, ReplicaOutput, SnapshotData, SnapshotPart,
 };
 pub use log::MAX_ENTRY_BYTES;
 pub use replica::Replica;
--- a/crates/control/src/progress.rs
+++ b/crates/control/src/progress.rs
@@ -13,11 +13,13 @@
     pub(crate) round: u64,
     /// Time of the last answer.
     pub(crate) heard_at: Duration,
-    /// Batch or snapshot that has no answer yet.
+    /// Batch or part of a snapshot that has no answer yet.
     pub(crate) in_flight: Option<InFlight>,
+    /// Snapshot under way, by its index, and the bytes of it that arrived.
+    snapshot: Option<(u64, u64)>,
 }
 
-/// `InFlight` is a batch of entries or a snapshot on its way.
+/// `InFlight` is a batch of entries or a part of a snapshot on its way.
 #[derive(Debug)]
 pub(crate) struct InFlight {
     /// Last index that it brings.
@@ -35,9 +37,29 @@
             round: 0,
             heard_at: now,
             in_flight: None,
+            snapshot: None,
         }
     }
 
+    /// Gets where the next part of a snapshot starts, in bytes.
+    pub(crate) fn snapshot_offset(&self, index: u64) -> usize {
+        let under_way = self.snapshot.filter(|(under_way, _)| *under_way == index);
+        under_way.map_or(0, |(_, arrived_bytes)| {
+            usize::try_from(arrived_bytes).unwrap_or(usize::MAX)
+        })
+    }
+
+    /// Notes how much of a snapshot arrived; false if that is nothing new, as
+    /// with the answer to a part that was sent twice.
+    pub(crate) fn ask_snapshot_part(&mut self, index: u64, arrived_bytes: u64) -> bool {
+        if self.snapshot == Some((index, arrived_bytes)) {
+            return false;
+        }
+        self.snapshot = Some((index, arrived_bytes));
+        self.in_flight = None;
+        true
+    }
+
     /// Notes that the log matches up to an index.
     pub(crate) fn matched(&mut self, index: u64) {
         self.match_index = self.match_index.max(index);
--- a/crates/control/src/replica.rs
+++ b/crates/control/src/replica.rs
@@ -22,6 +22,7 @@
 use crate::progress::Progress;
 use crate::reads::Reads;
 use crate::state::ControlState;
+use crate::transfer::IncomingSnapshot;
 
 /// `Replica` is one member of the control group.
 #[derive(Debug)]
@@ -39,6 +40,8 @@
     pub(crate) leader_heard_at: Duration,
     pub(crate) election_at: Duration,
     pub(crate) outputs: Vec<ReplicaOutput>,
+    /// Parts of a snapshot that the leader is sending.
+    pub(crate) incoming: Option<IncomingSnapshot>,
 }
 
 /// `Role` is what a replica does in the present term.
@@ -102,6 +105,7 @@
             leader_heard_at: now,
             election_at: now,
             outputs: Vec::new(),
+            incoming: None,
             options,
             now,
             log,
@@ -238,12 +242,16 @@
             Message::VoteAnswer { term, granted } => self.on_vote_answer(from, term, granted),
             Message::Append { .. } => self.on_append(from, message),
             Message::AppendAnswer { .. } => self.on_append_answer(from, message),
-            Message::Snapshot {
+            Message::SnapshotPart { term, part, round } => {
+                self.on_snapshot_part(from, term, part, round);
+            }
+            Message::SnapshotPartAnswer {
                 term,
-                snapshot,
+                index,
+                next_offset_bytes,
                 round,
             } => {
-                self.on_snapshot(from, term, snapshot, round);
+                self.on_snapshot_part_answer(from, term, (index, next_offset_bytes), round);
             }
         }
     }
--- a/crates/control/src/replication.rs
+++ b/crates/control/src/replication.rs
@@ -72,7 +72,7 @@
 
     /// Sends the next batch to a replica; false if there is nothing to send or
     /// an earlier batch is still in flight.
-    fn send_entries_to(&mut self, id: ReplicaId) -> bool {
+    pub(crate) fn send_entries_to(&mut self, id: ReplicaId) -> bool {
         let last_index = self.log.last_index();
         let sent_at = self.now;
         // A lost batch is sent again well before the follower campaigns.
@@ -95,7 +95,7 @@
                 last_index,
                 sent_at,
             });
-            self.send_snapshot(id, round);
+            self.send_snapshot_part(id, round);
             return true;
         };
         let entries = self.log.batch(previous_index + 1, MAX_BATCH_BYTES);
--- a/crates/control/src/snapshot.rs
+++ b/crates/control/src/snapshot.rs
@@ -1,10 +1,9 @@
-//! Snapshots: compaction of the own log and transfer to replicas that lag.
+//! Snapshots: compaction of the own log and installation of a received one.
 
 use hornbeam_core::event::Event;
-use hornbeam_core::ids::ReplicaId;
 
 use crate::codec;
-use crate::io::{Message, SnapshotData};
+use crate::io::SnapshotData;
 use crate::replica::Replica;
 use crate::state::ControlState;
 
@@ -53,24 +52,11 @@
         snapshot_bytes <= SMALL_SNAPSHOT_BYTES || self.log.bytes_after_snapshot() >= snapshot_bytes
     }
 
-    pub(crate) fn on_snapshot(
-        &mut self,
-        from: ReplicaId,
-        term: u64,
-        snapshot: SnapshotData,
-        round: u64,
-    ) {
-        if term < self.hard_state.term {
-            return self.answer_append(from, false, self.log.last_index() + 1, round);
-        }
-        self.follow(term, Some(from));
-        if snapshot.index <= self.commit_index {
-            return self.answer_append(from, true, self.commit_index, round);
-        }
-        // A snapshot that cannot be decoded stays unanswered, so that the
-        // leader does not count it.
+    /// Installs a snapshot that is newer than the applied state; false if its
+    /// state cannot be decoded.
+    pub(crate) fn install_snapshot(&mut self, snapshot: SnapshotData) -> bool {
         let Ok(state) = codec::decode::<ControlState>(&snapshot.state) else {
-            return;
+            return false;
         };
         let index = snapshot.index;
         self.state = state;
@@ -80,16 +66,6 @@
         if self.log.last_index() == index {
             self.persist.reset_to(index);
         }
-        self.answer_append(from, true, index, round);
-    }
-
-    /// Sends the newest snapshot.
-    pub(crate) fn send_snapshot(&mut self, to: ReplicaId, round: u64) {
-        let message = Message::Snapshot {
-            term: self.hard_state.term,
-            snapshot: self.log.snapshot().clone(),
-            round,
-        };
-        self.send(to, message);
+        true
     }
 }
