--- a/crates/daemon/tests/crashes.rs
+++ b/crates/daemon/tests/crashes.rs
@@ -3,19 +3,17 @@
 
 mod harness;
 
-use std::net::{Ipv4Addr, SocketAddr};
 use std::time::{Duration, Instant};
 
 use googletest::prelude::*;
 use harness::Layout;
-use harness::requests::{announcement, job};
+use harness::requests::{announcement, job, standin};
 use harness::site::Site;
 use harness::until;
 use hornbeam_core::api::backend::{AnnounceAnswer, Withdrawal};
 use hornbeam_core::api::caller::{Outcome, Reason, SubmitRequest};
-use hornbeam_core::api::operator::ControlStatus;
 use hornbeam_http::Reply;
-use hornbeam_standin::{FaultPlan, StandinOptions, StandinServer};
+use hornbeam_standin::StandinServer;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
@@ -43,7 +41,7 @@
                 0 | 2 => site.crash_server(rng.random_range(0..12)),
                 1 => site.system.entries[rng.random_range(0..4)].kill(),
                 _ => {
-                    let leader = leader(&site).await;
+                    let leader = site.leader().await;
                     site.system.controls[leader].kill();
                 }
             }
@@ -71,7 +69,7 @@
     let site = Site::start(&Layout::default(), 3, SLOTS).await;
     let callers = site.start_callers(CALLERS, 3, LOAD_TIME + PAUSE);
     tokio::time::sleep(Duration::from_millis(400)).await;
-    let leader = leader(&site).await;
+    let leader = site.leader().await;
     let entry = &site.system.entries[1];
     entry.signal("STOP");
     site.system.controls[leader].signal("STOP");
@@ -96,11 +94,7 @@
 #[gtest]
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn a_drain_by_sigterm_finishes_a_request_of_over_30_s() {
-    let layout = Layout {
-        controls: vec!["fd-a"],
-        entries: vec!["fd-a", "fd-a"],
-        relayed: false,
-    };
+    let layout = Layout::small(&["fd-a", "fd-a"]);
     let mut site = Site::start(&layout, 1, SLOTS).await;
     let mut at = 0;
     while site.status(at).await.servers == 0 {
@@ -140,11 +134,7 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn a_chunk_of_a_lost_peer_fails_its_job() {
     for signal in ["KILL", "STOP"] {
-        let layout = Layout {
-            controls: vec!["fd-a"],
-            entries: vec!["fd-a", "fd-b"],
-            relayed: false,
-        };
+        let layout = Layout::small(&["fd-a", "fd-b"]);
         let mut site = Site::start(&layout, 0, SLOTS).await;
         site.start_server("s-0", 0, SLOTS, 1).await;
         site.wait_for_servers(1).await;
@@ -175,22 +165,11 @@
 #[gtest]
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn a_withdrawn_server_is_sent_nothing() {
-    let layout = Layout {
-        controls: vec!["fd-a"],
-        entries: vec!["fd-a"],
-        relayed: false,
-    };
+    let layout = Layout::small(&["fd-a"]);
     let site = Site::start(&layout, 1, SLOTS).await;
     let entry = site.system.entries[0].http;
     let mut announcement = announcement("s-leaving", "fd-a");
-    let options = StandinOptions {
-        announcement: announcement.clone(),
-        listen: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)),
-        entry_hosts: Vec::new(),
-        latency: Duration::ZERO,
-        faults: FaultPlan::default(),
-        seed: 0,
-    };
+    let options = standin(announcement.clone());
     let leaving = StandinServer::start(options).await.expect("a server");
     announcement.address = leaving.address().to_string();
     let path = "/v1/backend/announce";
@@ -231,11 +210,7 @@
     /// Time of the other jobs. Unoptimised daemons on a busy machine need
     /// several seconds for the wave, optimised ones a tenth of a second.
     const OTHERS_TIMEOUT_MS: u64 = 20_000;
-    let layout = Layout {
-        controls: vec!["fd-a"],
-        entries: vec!["fd-a", "fd-a"],
-        relayed: false,
-    };
+    let layout = Layout::small(&["fd-a", "fd-a"]);
     let site = Site::start(&layout, 4, 64).await;
     let entry = site.system.entries[0].http;
     let start = |request: SubmitRequest| {
@@ -277,23 +252,3 @@
     .await;
     expect_that!(site.finish().await, is_empty());
 }
-
-/// Gets the position of the control host that leads.
-async fn leader(site: &Site) -> usize {
-    let mut leader = None;
-    until("a leader", async || {
-        for (at, control) in site.system.controls.iter().enumerate() {
-            let client = &site.system.client;
-            let status = client
-                .get(control.http, "/v1/status", harness::PATIENCE)
-                .await;
-            let status: hornbeam_core::Result<Reply<ControlStatus>> = status;
-            if status.is_ok_and(|status| status.body.role == "leader") {
-                leader = Some(at);
-            }
-        }
-        leader.is_some()
-    })
-    .await;
-    leader.expect("a leader")
-}
--- a/crates/daemon/tests/harness/mod.rs
+++ b/crates/daemon/tests/harness/mod.rs
@@ -103,6 +103,17 @@
     pub relayed: bool,
 }
 
+impl Layout {
+    /// One control host, and one entry host in each given failure domain.
+    pub fn small(entries: &[&'static str]) -> Self {
+        Self {
+            controls: vec!["fd-a"],
+            entries: entries.to_vec(),
+            relayed: false,
+        }
+    }
+}
+
 impl Default for Layout {
     fn default() -> Self {
         Self {
--- a/crates/daemon/tests/harness/requests.rs
+++ b/crates/daemon/tests/harness/requests.rs
@@ -1,6 +1,6 @@
 //! Jobs, changes and announcements of the fault runs.
 
-use std::net::SocketAddr;
+use std::net::{Ipv4Addr, SocketAddr};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use hornbeam_core::Result;
@@ -10,6 +10,7 @@
     ChangeContent, ChangeOutcome, ChangeRequest, CheckRequest, SourceFile,
 };
 use hornbeam_http::{HttpClient, Reply};
+use hornbeam_standin::{FaultPlan, StandinOptions};
 
 use super::PATIENCE;
 use super::history::Event;
@@ -126,3 +127,15 @@
         shared: false,
     }
 }
+
+/// Builds the settings of a stand-in that announces itself to nobody.
+pub fn standin(announcement: Announcement) -> StandinOptions {
+    StandinOptions {
+        announcement,
+        listen: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)),
+        entry_hosts: Vec::new(),
+        latency: Duration::ZERO,
+        faults: FaultPlan::default(),
+        seed: 0,
+    }
+}
--- a/crates/daemon/tests/harness/site.rs
+++ b/crates/daemon/tests/harness/site.rs
@@ -6,9 +6,9 @@
 use hornbeam_core::Result;
 use hornbeam_core::api::backend::Announcement;
 use hornbeam_core::api::caller::{SubmitAnswer, SubmitRequest};
-use hornbeam_core::api::operator::{ChangeOutcome, ChangeRequest, EntryStatus};
+use hornbeam_core::api::operator::{ChangeOutcome, ChangeRequest, ControlStatus, EntryStatus};
 use hornbeam_http::{HttpClient, Reply};
-use hornbeam_standin::{FaultPlan, StandinOptions, StandinServer, StartRecord};
+use hornbeam_standin::{StandinOptions, StandinServer, StartRecord};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use tokio::task::JoinHandle;
@@ -16,7 +16,7 @@
 use super::history::{Event, Violation};
 use super::recorder::Recorder;
 use super::relay::Relay;
-use super::requests::{announcement, change, decide, job};
+use super::requests::{announcement, change, decide, job, standin};
 use super::{Layout, PATIENCE, Processes, until};
 
 /// Most times that a caller sends one request.
@@ -96,18 +96,16 @@
         let near = self.system.entries.iter();
         let near = near.filter(|host| host.failure_domain == *domain);
         let relay = Relay::start(SocketAddr::from((Ipv4Addr::LOCALHOST, 1)));
+        let own = Announcement {
+            address: relay.address().to_string(),
+            incarnation,
+            slots,
+            ..announcement(id, domain)
+        };
         let options = StandinOptions {
-            announcement: Announcement {
-                address: relay.address().to_string(),
-                incarnation,
-                slots,
-                ..announcement(id, domain)
-            },
-            listen: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)),
             entry_hosts: near.map(|host| host.http).collect(),
-            latency: Duration::ZERO,
-            faults: FaultPlan::default(),
             seed: self.servers.len() as u64,
+            ..standin(own)
         };
         let began = self.recorder.began.elapsed();
         let standin = StandinServer::start(options).await.expect("a server");
@@ -186,6 +184,28 @@
         status.await.expect("a status").body
     }
 
+    /// Gets the status of a control host if it answers.
+    pub async fn control_status(&self, at: usize) -> Option<ControlStatus> {
+        let address = self.system.controls[at].http;
+        let status = self.system.client.get(address, "/v1/status", PATIENCE);
+        let status: Result<Reply<ControlStatus>> = status.await;
+        status.ok().map(|reply| reply.body)
+    }
+
+    /// Waits for the position of the control host that leads.
+    pub async fn leader(&self) -> usize {
+        let mut leader = None;
+        until("a leader", async || {
+            for at in 0..self.system.controls.len() {
+                let role = self.control_status(at).await.map(|status| status.role);
+                leader = leader.or((role.as_deref() == Some("leader")).then_some(at));
+            }
+            leader.is_some()
+        })
+        .await;
+        leader.expect("a leader")
+    }
+
     /// Submits one job and gets its answer.
     pub async fn submit(&self, entry: usize, request: &SubmitRequest) -> Reply<SubmitAnswer> {
         let address = self.system.entries[entry].http;
--- a/crates/daemon/tests/links.rs
+++ b/crates/daemon/tests/links.rs
@@ -2,18 +2,18 @@
 
 mod harness;
 
-use std::net::{Ipv4Addr, SocketAddr};
 use std::time::Duration;
 
 use googletest::prelude::*;
 use harness::Layout;
 use harness::relay::Manner;
-use harness::requests::{announcement, change, job};
+use harness::requests::{announcement, change, job, standin};
 use harness::site::Site;
 use harness::until;
+use hornbeam_core::api::backend::Announcement;
 use hornbeam_core::api::caller::{Outcome, Reason, SubmitRequest};
 use hornbeam_core::api::operator::ChangeOutcome;
-use hornbeam_standin::{FaultPlan, StandinOptions, StandinServer};
+use hornbeam_standin::{FaultPlan, StandinServer};
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -41,11 +41,7 @@
 
 /// Starts one entry host and two backend servers.
 async fn small_site() -> Site {
-    let layout = Layout {
-        controls: vec!["fd-a"],
-        entries: vec!["fd-a"],
-        relayed: false,
-    };
+    let layout = Layout::small(&["fd-a"]);
     Site::start(&layout, 2, SLOTS).await
 }
 
@@ -138,17 +134,10 @@
         expect_end(&site, id, Some(Reason::OutcomeUnknown)).await;
         set_all(&site, Manner::Pass);
     }
-    let decoy = StandinOptions {
-        announcement: hornbeam_core::api::backend::Announcement {
-            incarnation: 2,
-            ..announcement("decoy", "fd-a")
-        },
-        listen: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)),
-        entry_hosts: Vec::new(),
-        latency: Duration::ZERO,
-        faults: FaultPlan::default(),
-        seed: 0,
-    };
+    let decoy = standin(Announcement {
+        incarnation: 2,
+        ..announcement("decoy", "fd-a")
+    });
     let decoy = StandinServer::start(decoy).await.expect("a server");
     // Opens the connection that stays with the first start of the server.
     expect_end(&site, "before", None).await;
--- a/crates/daemon/tests/operators.rs
+++ b/crates/daemon/tests/operators.rs
@@ -10,7 +10,7 @@
 use harness::site::Site;
 use harness::{Layout, PATIENCE, until};
 use hornbeam_core::api::caller::{Outcome, Reason, SubmitRequest};
-use hornbeam_core::api::operator::{AuditEntry, ChangeOutcome, ControlStatus};
+use hornbeam_core::api::operator::{AuditEntry, ChangeOutcome};
 use hornbeam_http::Reply;
 use tokio::task::JoinSet;
 
@@ -21,29 +21,6 @@
 /// Time within which an accepted change is in force on each entry host.
 const IN_FORCE: Duration = Duration::from_secs(2);
 
-/// Gets the status of a control host if it answers.
-async fn status(site: &Site, at: usize) -> Option<ControlStatus> {
-    let address = site.system.controls[at].http;
-    let client = &site.system.client;
-    let status = client.get(address, "/v1/status", PATIENCE).await;
-    let status: hornbeam_core::Result<Reply<ControlStatus>> = status;
-    status.ok().map(|reply| reply.body)
-}
-
-/// Waits for the position of the control host that leads.
-async fn leader(site: &Site) -> usize {
-    let mut leader = None;
-    until("a leader", async || {
-        for at in 0..site.system.controls.len() {
-            let role = status(site, at).await.map(|status| status.role);
-            leader = leader.or((role.as_deref() == Some("leader")).then_some(at));
-        }
-        leader.is_some()
-    })
-    .await;
-    leader.expect("a leader")
-}
-
 /// Guards against two changes that win for one version, a version that is lost
 /// with the leader, and an entry host that goes back or lags.
 #[gtest]
@@ -65,7 +42,7 @@
             });
         }
         if version == ROUNDS / 2 {
-            let leader = leader(&site).await;
+            let leader = site.leader().await;
             site.system.controls[leader].kill();
         }
         let decided = race.join_all().await;
@@ -126,7 +103,7 @@
     site.system.controls[2].restart_with("--new-group", "no");
     let mut new_id = 0;
     until("a learner with the state", async || {
-        let learner = status(&site, 2).await;
+        let learner = site.control_status(2).await;
         let learner = learner.filter(|status| status.role == "learner");
         new_id = learner
             .filter(|status| status.config_version == 4)
--- a/crates/daemon/tests/processes.rs
+++ b/crates/daemon/tests/processes.rs
@@ -3,20 +3,20 @@
 mod harness;
 
 use std::collections::HashSet;
-use std::net::{Ipv4Addr, SocketAddr};
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use googletest::prelude::*;
+use harness::requests::{announcement, standin};
 use harness::{PATIENCE, Processes, until};
 use hornbeam_core::Result;
-use hornbeam_core::api::backend::Announcement;
 use hornbeam_core::api::caller::{Outcome, SubmitAnswer, SubmitRequest, TaskSpec};
 use hornbeam_core::api::operator::{
     ChangeContent, ChangeOutcome, ChangeRequest, CheckRequest, EntryStatus, SourceFile,
 };
 use hornbeam_core::ids::TaskId;
 use hornbeam_http::Reply;
-use hornbeam_standin::{FaultPlan, StandinOptions, StandinServer};
+use hornbeam_standin::{StandinOptions, StandinServer};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use tokio::task::JoinSet;
@@ -38,7 +38,6 @@
 const JOBS: usize = 20;
 const TASKS: usize = 200;
 const SERVERS_PER_ENTRY: usize = 4;
-const SLOTS: u32 = 8;
 const SEED: u64 = 7;
 /// Time from the submission of the second load to the kills, well before its
 /// end.
@@ -202,12 +201,9 @@
         for number in 0..SERVERS_PER_ENTRY {
             let id = format!("s-{at}-{number}");
             let options = StandinOptions {
-                announcement: announcement(&id, &entry.failure_domain),
-                listen: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)),
                 entry_hosts: system.entries.iter().map(|entry| entry.http).collect(),
-                latency: Duration::ZERO,
-                faults: FaultPlan::default(),
                 seed: (at * SERVERS_PER_ENTRY + number) as u64,
+                ..standin(announcement(&id, &entry.failure_domain))
             };
             servers.push(StandinServer::start(options).await.expect("a server"));
         }
@@ -286,22 +282,3 @@
         expect_that!(daemon.ended().await.code(), some(eq(0)));
     }
 }
-
-fn announcement(id: &str, failure_domain: &str) -> Announcement {
-    Announcement {
-        server_id: id.into(),
-        incarnation: 1,
-        grant: 1,
-        address: String::new(),
-        failure_domain: failure_domain.into(),
-        rack: "rack-1".into(),
-        worker_id: format!("worker-{id}"),
-        service: "parish-orders".into(),
-        slots: SLOTS,
-        max_connections: 64,
-        cpu_milli: 8_000,
-        memory_mib: 8_192,
-        accelerators: 0,
-        shared: false,
-    }
-}
--- a/crates/daemon/tests/sessions.rs
+++ b/crates/daemon/tests/sessions.rs
@@ -3,17 +3,16 @@
 
 mod harness;
 
-use std::net::{Ipv4Addr, SocketAddr};
-use std::time::Duration;
+use std::net::SocketAddr;
 
 use goldenfile::Mint;
 use googletest::prelude::*;
-use harness::requests::{announcement, change, job};
+use harness::requests::{announcement, change, job, standin};
 use harness::site::Site;
 use harness::{Layout, PATIENCE, until};
 use hornbeam_core::api::operator::{ChangeContent, ChangeRequest};
 use hornbeam_http::{HttpClient, Reply};
-use hornbeam_standin::{FaultPlan, StandinOptions, StandinServer};
+use hornbeam_standin::{FaultPlan, StandinServer};
 use serde::Serialize;
 use serde_json::{Value, json};
 
@@ -110,11 +109,7 @@
 
 /// Starts one control host and one entry host without backend servers.
 async fn small_site() -> Site {
-    let layout = Layout {
-        controls: vec!["fd-a"],
-        entries: vec!["fd-a"],
-        relayed: false,
-    };
+    let layout = Layout::small(&["fd-a"]);
     Site::start(&layout, 0, 4).await
 }
 
@@ -329,14 +324,7 @@
     let mut own = announcement("s-2", "fd-a");
     own.grant = 5;
     own.slots = 2;
-    let options = StandinOptions {
-        announcement: own,
-        listen: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)),
-        entry_hosts: Vec::new(),
-        latency: Duration::ZERO,
-        faults: FaultPlan::default(),
-        seed: 0,
-    };
+    let options = standin(own);
     let standin = StandinServer::start(options).await.expect("a server");
     let address = standin.address();
     let batch = |job: &str, indexes: &[u32], run_ms: u64| {
