--- a/crates/daemon/tests/crashes.rs
+++ b/crates/daemon/tests/crashes.rs
@@ -94,8 +94,7 @@
 #[gtest]
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn a_drain_by_sigterm_finishes_a_request_of_over_30_s() {
-    let layout = Layout::small(&["fd-a", "fd-a"]);
-    let mut site = Site::start(&layout, 1, SLOTS).await;
+    let mut site = Site::start(&Layout::small(&["fd-a", "fd-a"]), 1, SLOTS).await;
     let mut at = 0;
     while site.status(at).await.servers == 0 {
         at += 1;
@@ -134,8 +133,7 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn a_chunk_of_a_lost_peer_fails_its_job() {
     for signal in ["KILL", "STOP"] {
-        let layout = Layout::small(&["fd-a", "fd-b"]);
-        let mut site = Site::start(&layout, 0, SLOTS).await;
+        let mut site = Site::start(&Layout::small(&["fd-a", "fd-b"]), 0, SLOTS).await;
         site.start_server("s-0", 0, SLOTS, 1).await;
         site.wait_for_servers(1).await;
         let (recorder, client) = (site.recorder.clone(), site.system.client.clone());
@@ -165,8 +163,7 @@
 #[gtest]
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn a_withdrawn_server_is_sent_nothing() {
-    let layout = Layout::small(&["fd-a"]);
-    let site = Site::start(&layout, 1, SLOTS).await;
+    let site = Site::start(&Layout::small(&["fd-a"]), 1, SLOTS).await;
     let entry = site.system.entries[0].http;
     let mut announcement = announcement("s-leaving", "fd-a");
     let options = standin(announcement.clone());
@@ -210,8 +207,7 @@
     /// Time of the other jobs. Unoptimised daemons on a busy machine need
     /// several seconds for the wave, optimised ones a tenth of a second.
     const OTHERS_TIMEOUT_MS: u64 = 20_000;
-    let layout = Layout::small(&["fd-a", "fd-a"]);
-    let site = Site::start(&layout, 4, 64).await;
+    let site = Site::start(&Layout::small(&["fd-a", "fd-a"]), 4, 64).await;
     let entry = site.system.entries[0].http;
     let start = |request: SubmitRequest| {
         let (recorder, client) = (site.recorder.clone(), site.system.client.clone());
--- a/crates/daemon/tests/harness/requests.rs
+++ b/crates/daemon/tests/harness/requests.rs
@@ -92,22 +92,27 @@
 
 /// Builds a change to files that differ by their overlay.
 pub fn change(id: &str, expected_version: u64, overlay: &str) -> ChangeRequest {
-    let file = |name: &str, text: &str| SourceFile {
-        name: name.into(),
-        text: text.into(),
-    };
     ChangeRequest {
         expected_version,
         change_id: id.into(),
         operator: "nuwan".into(),
         reason: "test".into(),
-        content: ChangeContent::Files(CheckRequest {
-            base: file("base.toml", BASE),
-            overlay: file("overlay.toml", overlay),
-        }),
+        content: files(BASE, overlay),
     }
 }
 
+/// Builds the content of a change from the texts of both files.
+pub fn files(base: &str, overlay: &str) -> ChangeContent {
+    let file = |name: &str, text: &str| SourceFile {
+        name: name.into(),
+        text: text.into(),
+    };
+    ChangeContent::Files(CheckRequest {
+        base: file("base.toml", base),
+        overlay: file("overlay.toml", overlay),
+    })
+}
+
 /// Builds an announcement of a server of 8 slots.
 pub fn announcement(id: &str, failure_domain: &str) -> Announcement {
     Announcement {
--- a/crates/daemon/tests/links.rs
+++ b/crates/daemon/tests/links.rs
@@ -41,8 +41,7 @@
 
 /// Starts one entry host and two backend servers.
 async fn small_site() -> Site {
-    let layout = Layout::small(&["fd-a"]);
-    Site::start(&layout, 2, SLOTS).await
+    Site::start(&Layout::small(&["fd-a"]), 2, SLOTS).await
 }
 
 /// Sets what becomes of the links to all backend servers.
--- a/crates/daemon/tests/processes.rs
+++ b/crates/daemon/tests/processes.rs
@@ -7,13 +7,11 @@
 use std::time::Duration;
 
 use googletest::prelude::*;
-use harness::requests::{announcement, standin};
+use harness::requests::{announcement, change, files, standin};
 use harness::{PATIENCE, Processes, until};
 use hornbeam_core::Result;
 use hornbeam_core::api::caller::{Outcome, SubmitAnswer, SubmitRequest, TaskSpec};
-use hornbeam_core::api::operator::{
-    ChangeContent, ChangeOutcome, ChangeRequest, CheckRequest, EntryStatus, SourceFile,
-};
+use hornbeam_core::api::operator::{ChangeOutcome, ChangeRequest, EntryStatus};
 use hornbeam_core::ids::TaskId;
 use hornbeam_http::Reply;
 use hornbeam_standin::{StandinOptions, StandinServer};
@@ -166,19 +164,9 @@
     for control in &system.controls {
         system.wait_ready(control.http).await;
     }
-    let file = |name: &str, text: &str| SourceFile {
-        name: name.into(),
-        text: text.into(),
-    };
     let request = ChangeRequest {
-        expected_version: 0,
-        change_id: "first".into(),
-        operator: "nuwan".into(),
-        reason: "test".into(),
-        content: ChangeContent::Files(CheckRequest {
-            base: file("base.toml", BASE),
-            overlay: file("overlay.toml", ""),
-        }),
+        content: files(BASE, ""),
+        ..change("first", 0, "")
     };
     // A control host that does not lead brings the change to the leader.
     let address = system.controls[2].http;
--- a/crates/daemon/tests/sessions.rs
+++ b/crates/daemon/tests/sessions.rs
@@ -7,7 +7,7 @@
 
 use goldenfile::Mint;
 use googletest::prelude::*;
-use harness::requests::{announcement, change, job, standin};
+use harness::requests::{BASE, announcement, change, files, job, standin};
 use harness::site::Site;
 use harness::{Layout, PATIENCE, until};
 use hornbeam_core::api::operator::{ChangeContent, ChangeRequest};
@@ -109,8 +109,7 @@
 
 /// Starts one control host and one entry host without backend servers.
 async fn small_site() -> Site {
-    let layout = Layout::small(&["fd-a"]);
-    Site::start(&layout, 0, 4).await
+    Site::start(&Layout::small(&["fd-a"]), 0, 4).await
 }
 
 /// Guards against changes of what a caller is sent and gets: a whole job, each
@@ -251,7 +250,7 @@
     let site = small_site().await;
     let control = site.system.controls[0].http;
     let mut session = Session::new(&site.system.client);
-    let files = |overlay: &str| match change("x", 0, overlay).content {
+    let files = |overlay: &str| match files(BASE, overlay) {
         ChangeContent::Files(files) => files,
         ChangeContent::Rollback(_) => panic!("a change of files"),
     };
