--- a/crates/daemon/tests/crashes.rs
+++ b/crates/daemon/tests/crashes.rs
@@ -3,19 +3,17 @@
 
 mod harness;
 
-use std::net::{Ipv4Addr, SocketAddr};
 use std::time::{Duration, Instant};
 
 use googletest::prelude::*;
 use harness::Layout;
-use harness::requests::{announcement, job};
+use harness::requests::{announcement, job, standin};
 use harness::site::Site;
 use harness::until;
 use hornbeam_core::api::backend::{AnnounceAnswer, Withdrawal};
 use hornbeam_core::api::caller::{Outcome, Reason, SubmitRequest};
-use hornbeam_core::api::operator::ControlStatus;
 use hornbeam_http::Reply;
-use hornbeam_standin::{FaultPlan, StandinOptions, StandinServer};
+use hornbeam_standin::StandinServer;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
@@ -43,7 +41,7 @@
                 0 | 2 => site.crash_server(rng.random_range(0..12)),
                 1 => site.system.entries[rng.random_range(0..4)].kill(),
                 _ => {
-                    let leader = leader(&site).await;
+                    let leader = site.leader().await;
                     site.system.controls[leader].kill();
                 }
             }
@@ -71,7 +69,7 @@
     let site = Site::start(&Layout::default(), 3, SLOTS).await;
     let callers = site.start_callers(CALLERS, 3, LOAD_TIME + PAUSE);
     tokio::time::sleep(Duration::from_millis(400)).await;
-    let leader = leader(&site).await;
+    let leader = site.leader().await;
     let entry = &site.system.entries[1];
     entry.signal("STOP");
     site.system.controls[leader].signal("STOP");
@@ -96,12 +94,7 @@
 #[gtest]
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn a_drain_by_sigterm_finishes_a_request_of_over_30_s() {
-    let layout = Layout {
-        controls: vec!["fd-a"],
-        entries: vec!["fd-a", "fd-a"],
-        relayed: false,
-    };
-    let mut site = Site::start(&layout, 1, SLOTS).await;
+    let mut site = Site::start(&Layout::small(&["fd-a", "fd-a"]), 1, SLOTS).await;
     let mut at = 0;
     while site.status(at).await.servers == 0 {
         at += 1;
@@ -140,12 +133,7 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn a_chunk_of_a_lost_peer_fails_its_job() {
     for signal in ["KILL", "STOP"] {
-        let layout = Layout {
-            controls: vec!["fd-a"],
-            entries: vec!["fd-a", "fd-b"],
-            relayed: false,
-        };
-        let mut site = Site::start(&layout, 0, SLOTS).await;
+        let mut site = Site::start(&Layout::small(&["fd-a", "fd-b"]), 0, SLOTS).await;
         site.start_server("s-0", 0, SLOTS, 1).await;
         site.wait_for_servers(1).await;
         let (recorder, client) = (site.recorder.clone(), site.system.client.clone());
@@ -175,22 +163,10 @@
 #[gtest]
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn a_withdrawn_server_is_sent_nothing() {
-    let layout = Layout {
-        controls: vec!["fd-a"],
-        entries: vec!["fd-a"],
-        relayed: false,
-    };
-    let site = Site::start(&layout, 1, SLOTS).await;
+    let site = Site::start(&Layout::small(&["fd-a"]), 1, SLOTS).await;
     let entry = site.system.entries[0].http;
     let mut announcement = announcement("s-leaving", "fd-a");
-    let options = StandinOptions {
-        announcement: announcement.clone(),
-        listen: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)),
-        entry_hosts: Vec::new(),
-        latency: Duration::ZERO,
-        faults: FaultPlan::default(),
-        seed: 0,
-    };
+    let options = standin(announcement.clone());
     let leaving = StandinServer::start(options).await.expect("a server");
     announcement.address = leaving.address().to_string();
     let path = "/v1/backend/announce";
@@ -230,70 +206,59 @@
     const OTHERS: usize = 40;
     /// Time of the other jobs. Unoptimised daemons on a busy machine need
     /// several seconds for the wave, optimised ones a tenth of a second.
-    const OTHERS_TIMEOUT_MS: u64 = 20_000;
-    let layout = Layout {
-        controls: vec!["fd-a"],
-        entries: vec!["fd-a", "fd-a"],
-        relayed: false,
-    };
-    let site = Site::start(&layout, 4, 64).await;
+    const OTHERS_TIMEOUT_MS: u64 = 9_000;
+    let site = Site::start(&Layout::small(&["fd-a", "fd-a"]), 4, 64).await;
     let entry = site.system.entries[0].http;
     let start = |request: SubmitRequest| {
         let (recorder, client) = (site.recorder.clone(), site.system.client.clone());
-        tokio::spawn(async move {
-            let began = Instant::now();
-            let reply = recorder.submit(&client, entry, &request).await;
-            (began.elapsed(), reply)
-        })
+        tokio::spawn(async move { recorder.submit(&client, entry, &request).await })
     };
     let mut wave = Vec::new();
+    let mut live = 0;
     // The backlog of the listener bounds the connections that are made at once.
     while wave.len() < WAVE {
         let numbers = wave.len()..wave.len() + GROUP;
-        wave.extend(numbers.map(|number| start(job(&format!("wave-{number}"), 1, 1_400))));
-        // Tasks that have ended leave the count.
-        let least = (wave.len() / 2).min(WAVE / 3);
-        until("the wave", async || {
-            site.status(0).await.jobs as usize >= least
+        wave.extend(numbers.map(|number| {
+            start(SubmitRequest {
+                timeout_ms: 30_000,
+                ..job(&format!("wave-{number}"), 1, 3_000)
+            })
+        }));
+        until("a status", async || {
+            let status = site.entry_status(0).await;
+            live = status.as_ref().map_or(0, |status| status.jobs);
+            status.is_some()
         })
         .await;
     }
+    expect_that!(live, gt(0));
     wave.iter().for_each(|caller| caller.abort());
     let mut worst = Duration::ZERO;
     for number in 0..OTHERS {
+        // The queue of one team must not shut out another.
         let request = SubmitRequest {
+            team: "festival".into(),
             timeout_ms: OTHERS_TIMEOUT_MS,
             ..job(&format!("other-{number}"), 4, 20)
         };
-        let (delay, reply) = start(request).await.expect("a joined task");
-        let answer = reply.expect("an answer").body;
-        expect_that!(answer.outcome, eq(Outcome::Complete), "{}", answer.message);
-        worst = worst.max(delay);
+        let began = Instant::now();
+        // A busy machine may not accept a connection within its time limit.
+        until("an answer", async || match start(request.clone()).await {
+            Ok(Ok(reply)) => {
+                let (outcome, message) = (reply.body.outcome, reply.body.message);
+                expect_that!(outcome, eq(Outcome::Complete), "{message}");
+                true
+            }
+            _ => false,
+        })
+        .await;
+        worst = worst.max(began.elapsed());
     }
-    println!("worst response of 20 ms jobs in a wave of {WAVE} cancellations: {worst:?}");
+    println!("worst response of 20 ms jobs beside {live} cancelled jobs: {worst:?}");
     until("the end of all jobs", async || {
-        site.status(0).await.jobs == 0
+        let status = site.entry_status(0).await;
+        status.is_some_and(|status| status.jobs == 0)
     })
     .await;
     expect_that!(site.finish().await, is_empty());
 }
-
-/// Gets the position of the control host that leads.
-async fn leader(site: &Site) -> usize {
-    let mut leader = None;
-    until("a leader", async || {
-        for (at, control) in site.system.controls.iter().enumerate() {
-            let client = &site.system.client;
-            let status = client
-                .get(control.http, "/v1/status", harness::PATIENCE)
-                .await;
-            let status: hornbeam_core::Result<Reply<ControlStatus>> = status;
-            if status.is_ok_and(|status| status.body.role == "leader") {
-                leader = Some(at);
-            }
-        }
-        leader.is_some()
-    })
-    .await;
-    leader.expect("a leader")
-}
--- a/crates/daemon/tests/harness/requests.rs
+++ b/crates/daemon/tests/harness/requests.rs
@@ -1,6 +1,6 @@
 //! Jobs, changes and announcements of the fault runs.
 
-use std::net::SocketAddr;
+use std::net::{Ipv4Addr, SocketAddr};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use hornbeam_core::Result;
@@ -10,6 +10,7 @@
     ChangeContent, ChangeOutcome, ChangeRequest, CheckRequest, SourceFile,
 };
 use hornbeam_http::{HttpClient, Reply};
+use hornbeam_standin::{FaultPlan, StandinOptions};
 
 use super::PATIENCE;
 use super::history::Event;
@@ -30,6 +31,9 @@
 
 [institutions.wickmaratne.teams.orders]
 quota_slots = 40000
+
+[institutions.wickmaratne.teams.festival]
+quota_slots = 40000
 "#;
 /// Pause before an operator sends a change again.
 const RESEND_PAUSE: Duration = Duration::from_millis(20);
@@ -91,22 +95,27 @@
 
 /// Builds a change to files that differ by their overlay.
 pub fn change(id: &str, expected_version: u64, overlay: &str) -> ChangeRequest {
-    let file = |name: &str, text: &str| SourceFile {
-        name: name.into(),
-        text: text.into(),
-    };
     ChangeRequest {
         expected_version,
         change_id: id.into(),
         operator: "nuwan".into(),
         reason: "test".into(),
-        content: ChangeContent::Files(CheckRequest {
-            base: file("base.toml", BASE),
-            overlay: file("overlay.toml", overlay),
-        }),
+        content: files(BASE, overlay),
     }
 }
 
+/// Builds the content of a change from the texts of both files.
+pub fn files(base: &str, overlay: &str) -> ChangeContent {
+    let file = |name: &str, text: &str| SourceFile {
+        name: name.into(),
+        text: text.into(),
+    };
+    ChangeContent::Files(CheckRequest {
+        base: file("base.toml", base),
+        overlay: file("overlay.toml", overlay),
+    })
+}
+
 /// Builds an announcement of a server of 8 slots.
 pub fn announcement(id: &str, failure_domain: &str) -> Announcement {
     Announcement {
@@ -126,3 +135,15 @@
         shared: false,
     }
 }
+
+/// Builds the settings of a stand-in that announces itself to nobody.
+pub fn standin(announcement: Announcement) -> StandinOptions {
+    StandinOptions {
+        announcement,
+        listen: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)),
+        entry_hosts: Vec::new(),
+        latency: Duration::ZERO,
+        faults: FaultPlan::default(),
+        seed: 0,
+    }
+}
--- a/crates/daemon/tests/sessions.rs
+++ b/crates/daemon/tests/sessions.rs
@@ -3,17 +3,16 @@
 
 mod harness;
 
-use std::net::{Ipv4Addr, SocketAddr};
-use std::time::Duration;
+use std::net::SocketAddr;
 
 use goldenfile::Mint;
 use googletest::prelude::*;
-use harness::requests::{announcement, change, job};
+use harness::requests::{BASE, announcement, change, files, job, standin};
 use harness::site::Site;
 use harness::{Layout, PATIENCE, until};
 use hornbeam_core::api::operator::{ChangeContent, ChangeRequest};
 use hornbeam_http::{HttpClient, Reply};
-use hornbeam_standin::{FaultPlan, StandinOptions, StandinServer};
+use hornbeam_standin::{FaultPlan, StandinServer};
 use serde::Serialize;
 use serde_json::{Value, json};
 
@@ -110,12 +109,7 @@
 
 /// Starts one control host and one entry host without backend servers.
 async fn small_site() -> Site {
-    let layout = Layout {
-        controls: vec!["fd-a"],
-        entries: vec!["fd-a"],
-        relayed: false,
-    };
-    Site::start(&layout, 0, 4).await
+    Site::start(&Layout::small(&["fd-a"]), 0, 4).await
 }
 
 /// Guards against changes of what a caller is sent and gets: a whole job, each
@@ -256,7 +250,7 @@
     let site = small_site().await;
     let control = site.system.controls[0].http;
     let mut session = Session::new(&site.system.client);
-    let files = |overlay: &str| match change("x", 0, overlay).content {
+    let files = |overlay: &str| match files(BASE, overlay) {
         ChangeContent::Files(files) => files,
         ChangeContent::Rollback(_) => panic!("a change of files"),
     };
@@ -329,14 +323,7 @@
     let mut own = announcement("s-2", "fd-a");
     own.grant = 5;
     own.slots = 2;
-    let options = StandinOptions {
-        announcement: own,
-        listen: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)),
-        entry_hosts: Vec::new(),
-        latency: Duration::ZERO,
-        faults: FaultPlan::default(),
-        seed: 0,
-    };
+    let options = standin(own);
     let standin = StandinServer::start(options).await.expect("a server");
     let address = standin.address();
     let batch = |job: &str, indexes: &[u32], run_ms: u64| {
