--- a/crates/daemon/tests/harness/mod.rs
+++ b/crates/daemon/tests/harness/mod.rs
@@ -326,14 +326,21 @@
         .expect("a started process")
 }
 
-/// Gets an address that nothing listens on. Its IP address is derived from the
-/// process id, so tests in other processes and outgoing connections, which use
-/// 127.0.0.1, do not take the port before it is bound.
+/// Gets an address that nothing listens on.
 pub fn free_address() -> SocketAddr {
+    free_listener().local_addr().expect("a bound address")
+}
+
+/// Listens on a free address. Its IP address is derived from the process id, so
+/// tests in other processes and outgoing connections, which use 127.0.0.1, do
+/// not take the port. A part of this process must use the listener itself: a
+/// child of another test that has been forked but not yet replaced by its
+/// program holds a copy of every socket, so binding the address a second time
+/// can fail.
+pub fn free_listener() -> TcpListener {
     static NEXT: AtomicU8 = AtomicU8::new(1);
     let [high, low, ..] = (std::process::id() as u16).to_be_bytes();
     let last = NEXT.fetch_add(1, Ordering::Relaxed);
     let ip = IpAddr::V4(Ipv4Addr::new(127, 128 | (high & 63), low, last.max(1)));
-    let listener = TcpListener::bind((ip, 0)).expect("a free port");
-    listener.local_addr().expect("a bound address")
+    TcpListener::bind((ip, 0)).expect("a free port")
 }
--- a/crates/daemon/tests/harness/relay.rs
+++ b/crates/daemon/tests/harness/relay.rs
@@ -55,7 +55,7 @@
 impl Relay {
     /// Starts a relay to a target.
     pub fn start(target: SocketAddr) -> Self {
-        let listener = std::net::TcpListener::bind(super::free_address()).expect("a free port");
+        let listener = super::free_listener();
         listener.set_nonblocking(true).expect("a listener");
         let address = listener.local_addr().expect("a bound address");
         let listener = TcpListener::from_std(listener).expect("a listener");
