Give each replica its own stream of random waits

Cause: the random source was seeded with seed XOR id. Where each replica's seed equals its id, as in the tests of hornbeam-node, all drew the same waits; replicas that started within a few milliseconds then campaigned together in every term and never elected a leader. Ruled out: slow links (every message took 1 to 3 ms in the trace) and lost answers (all pre-votes were granted, all votes went to the candidates themselves). After: the new test fails without the change and passes with it; the waits of replicas differ for every seed by the stream number.

--- a/crates/control/src/replica.rs
+++ b/crates/control/src/replica.rs
@@ -97,7 +97,7 @@
         let commit_index = start.index;
         let log = Log::new(start, recovered.entries);
         let mut replica = Self {
-            random: ChaCha8Rng::seed_from_u64(options.seed ^ options.id),
+            random: random_of(&options),
             persist: PersistQueue::new(log.last_index()),
             hard_state: recovered.hard_state,
             role: Role::Follower,
@@ -362,6 +362,15 @@
     }
 }
 
+/// Makes the source of random waits. Each replica has a stream of its own
+/// whatever the seeds are: replicas that draw the same waits campaign at the
+/// same time and split every vote.
+fn random_of(options: &ReplicaOptions) -> ChaCha8Rng {
+    let mut random = ChaCha8Rng::seed_from_u64(options.seed);
+    random.set_stream(options.id);
+    random
+}
+
 /// Makes the snapshot that a new folder starts with. It fixes the initial
 /// voters, so that later settings cannot change them.
 fn first_snapshot(options: &ReplicaOptions, state: &ControlState) -> Result<SnapshotData> {
--- a/crates/control/tests/replica.rs
+++ b/crates/control/tests/replica.rs
@@ -116,3 +116,28 @@
     );
     assert_eq!(follower.voters(), [1, 2, 3]);
 }
+
+/// Guards against replicas that draw the same election timeouts. Three of them
+/// that started together split every vote for more than 30 terms.
+#[test]
+fn replicas_draw_different_timeouts_whatever_their_seeds() {
+    let timeout = |id: u64, seed: u64| {
+        let options = ReplicaOptions {
+            id,
+            seed,
+            initial_voters: vec![1, 2, 3],
+            ..ReplicaOptions::default()
+        };
+        let replica = Replica::new(options, Recovered::default(), Duration::ZERO);
+        let mut replica = replica.expect("a replica");
+        // The first step persists what a new folder starts with.
+        replica.step(Duration::ZERO, ReplicaInput::Tick);
+        replica.next_wakeup()
+    };
+    for seeds in [[0, 0, 0], [1, 2, 3], [3, 2, 1]] {
+        let waits = [1, 2, 3].map(|id| timeout(id, seeds[id as usize - 1]));
+        assert_ne!(waits[0], waits[1], "seeds {seeds:?}");
+        assert_ne!(waits[1], waits[2], "seeds {seeds:?}");
+        assert_ne!(waits[0], waits[2], "seeds {seeds:?}");
+    }
+}
