--- a/crates/node/src/control/links.rs
+++ b/crates/node/src/control/links.rs
@@ -56,12 +56,8 @@
             } => {
                 let wait = Duration::from_millis(wait_ms);
                 let poll = config_watch::long_poll(&self.config, have_version, wait, &self.timer);
-                let newer = tokio::select! {
-                    biased;
-                    newer = poll => newer,
-                    () = self.life.leaving() => None,
-                };
-                Ok(RequestAnswer::Configuration(newer))
+                let newer = self.life.unless_leaving(poll).await;
+                Ok(RequestAnswer::Configuration(newer.flatten()))
             }
             Request::Read => Ok(RequestAnswer::ReadAt(self.leader.read_here().await)),
             request => self.propose(request).await,
--- a/crates/node/src/entry/links.rs
+++ b/crates/node/src/entry/links.rs
@@ -54,12 +54,8 @@
             } => {
                 let wait = Duration::from_millis(wait_ms);
                 let poll = config_watch::long_poll(&self.config, have_version, wait, &self.timer);
-                let newer = tokio::select! {
-                    biased;
-                    newer = poll => newer,
-                    () = self.life.leaving() => None,
-                };
-                Ok(RequestAnswer::Configuration(newer))
+                let newer = self.life.unless_leaving(poll).await;
+                Ok(RequestAnswer::Configuration(newer.flatten()))
             }
             _ => Err(Error::refused("an entry host does not answer this request")),
         }
--- a/crates/node/src/lifecycle.rs
+++ b/crates/node/src/lifecycle.rs
@@ -100,6 +100,16 @@
         self.wait_for(leaving).await;
     }
 
+    /// Waits for a future; `None` if the process starts to leave before it
+    /// ends.
+    pub(crate) async fn unless_leaving<F: Future>(&self, future: F) -> Option<F::Output> {
+        tokio::select! {
+            biased;
+            output = future => Some(output),
+            () = self.leaving() => None,
+        }
+    }
+
     /// Waits until the process has nothing left to do.
     pub(crate) async fn stopped(&self) {
         self.wait_for(|state| self.machine.is_final(*state)).await;
