--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -44,6 +44,8 @@
     DrainFinished = 103, Info;
     /// The process ends because of an error.
     ProcessFailed = 104, Error;
+    /// The settings file changed and was read again.
+    SettingsReloaded = 105, Info;
     /// A backend server leased its slots to this host.
     ServerLeased = 200, Info;
     /// A backend server withdrew.
@@ -90,6 +92,44 @@
     MembersChanged = 515, Info;
     /// A connection was refused because of its credential.
     CredentialRefused = 600, Warn;
+    /// A job on guarded workers was refused; nothing ran.
+    FleetJobRefused = 700, Info;
+    /// A job on guarded workers failed, timed out or lost its caller.
+    FleetJobFailed = 701, Warn;
+    /// A job on guarded workers completed.
+    FleetJobCompleted = 702, Info;
+    /// A run did not start, by proof of its worker or of the connection.
+    RunNotStarted = 710, Info;
+    /// A run failed or was lost and its task is started again.
+    RunRetried = 711, Info;
+    /// A run vanished from its worker, or its origin started anew.
+    RunLost = 712, Warn;
+    /// This host owns a guarded worker.
+    WorkerOwned = 720, Info;
+    /// A guarded worker is no longer owned.
+    WorkerForgotten = 721, Info;
+    /// A guarded worker drains.
+    WorkerDraining = 722, Info;
+    /// A guarded worker left looks or starts unanswered.
+    WorkerUnanswered = 723, Warn;
+    /// The lease of a guarded worker ended with runs on it.
+    LeaseEnded = 724, Warn;
+    /// A guarded worker that fails again and again gets no runs for a time.
+    WorkerEjected = 725, Warn;
+    /// A guarded worker serves or answers again.
+    WorkerRestored = 726, Info;
+    /// A message of a worker, caller or operator could not be understood.
+    MessageRejected = 730, Warn;
+    /// A published configuration was accepted.
+    PublishAccepted = 740, Info;
+    /// A published configuration was rejected as invalid.
+    PublishRejected = 741, Warn;
+    /// Nobody took the status report of a worker.
+    ReportDeclined = 742, Warn;
+    /// A control or entry host was lost or regained.
+    HostReachability = 743, Info;
+    /// The leader changes the voting members to repair the group.
+    GroupRepair = 744, Info;
 }
 
 /// Logs an [`Event`] with a message and key-value fields.
--- /dev/null
+++ b/crates/fleet/src/draining.rs
@@ -0,0 +1,96 @@
+//! Drain of the host: workers go to peers, jobs end.
+
+use hornbeam_core::event::Event;
+use hornbeam_core::ids::HostId;
+
+use crate::fleet::Fleet;
+use crate::job::{JobKey, JobOutcome, NotRun};
+use crate::peer::{Peer, PeerMessage};
+use crate::worker::{Phase, Worker, WorkerNumber};
+
+impl Fleet {
+    pub(crate) fn start_drain(&mut self) {
+        if self.drain_started.is_some() {
+            return;
+        }
+        self.drain_started = Some(self.now);
+        let message = format!(
+            "{} jobs, {} runs for peers and {} workers to hand over",
+            self.jobs.len(),
+            self.guests.len(),
+            self.workers.len()
+        );
+        self.log(Event::DrainStarted, message);
+        for peer in self.peers.values_mut() {
+            peer.want_status();
+        }
+    }
+
+    /// Hands over idle workers and gives up what is left at the end.
+    pub(crate) fn drain(&mut self) {
+        let Some(started) = self.drain_started else {
+            return;
+        };
+        self.hand_over_idle();
+        if self.now < started + self.options.drain_ends {
+            return;
+        }
+        let keys: Vec<JobKey> = self.jobs.keys().copied().collect();
+        for key in keys {
+            let started = self.jobs.get(&key).is_some_and(|job| job.started);
+            let outcome = if started {
+                JobOutcome::TimedOut
+            } else {
+                JobOutcome::NotRun(NotRun::Draining)
+            };
+            self.end_job(key, outcome, "the host ends");
+        }
+    }
+
+    fn hand_over_idle(&mut self) {
+        let is_idle = |worker: &&Worker| worker.runs.is_empty() && worker.phase == Phase::Ready;
+        let idle: Vec<WorkerNumber> = self
+            .workers
+            .values()
+            .filter(is_idle)
+            .map(|worker| worker.number)
+            .collect();
+        for number in idle {
+            let Some(domain) = self
+                .workers
+                .get(&number)
+                .map(|worker| worker.report.failure_domain.clone())
+            else {
+                continue;
+            };
+            let Some(host) = self.heir(&domain) else {
+                return;
+            };
+            self.hand_over(number, &host);
+        }
+    }
+
+    /// Chooses the peer that gets a worker: of those in its failure domain, or
+    /// of all if there is none, the one that owns the fewest.
+    fn heir(&self, domain: &str) -> Option<HostId> {
+        let now = self.now;
+        let is_fit = |peer: &&Peer| peer.is_lively(now) && !peer.status.draining;
+        let rank = |peer: &&Peer| (peer.failure_domain != domain, peer.status.owned);
+        let fit = self.peers.iter().filter(|(_, peer)| is_fit(peer));
+        let heir = fit.min_by_key(|(_, peer)| rank(peer))?;
+        Some(heir.0.clone())
+    }
+
+    fn hand_over(&mut self, number: WorkerNumber, host: &HostId) {
+        let Some(worker) = self.workers.get(&number) else {
+            return;
+        };
+        let message = PeerMessage::HandOver(worker.report.clone(), worker.generation);
+        if let Some(peer) = self.peers.get_mut(host) {
+            peer.push(message);
+            peer.status.owned += 1;
+        }
+        let reason = format!("it is handed over to host {host}");
+        self.forget_worker(number, self.now, &reason);
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/lib.rs
@@ -0,0 +1,44 @@
+//! Pure decisions of an entry host that runs jobs on guarded workers.
+//!
+//! [`Fleet::step`] takes one event and the time and returns what to do; it
+//! does no I/O and reads no clock. The design is in `docs/platform.md`.
+
+#![forbid(unsafe_code)]
+
+mod admission;
+mod draining;
+mod estimates;
+mod fleet;
+mod generation;
+mod guests;
+mod io;
+mod job;
+mod lease;
+mod looks;
+mod options;
+mod ownership;
+mod peer;
+mod peering;
+mod placement;
+mod queues;
+mod report;
+mod room;
+mod runs;
+mod scheduling;
+mod starts;
+mod worker;
+
+pub use fleet::Fleet;
+pub use generation::Generation;
+pub use io::{
+    CallId, EndRow, FleetInput, FleetOutput, LookAnswer, LookOrder, Observation, PeerAddress,
+    ReportAnswer, ReportId, RunEnd, RunningRow, StartAnswer, StartOrder, StartRefusal, StopAnswer,
+    StopOrder, WorkerTarget,
+};
+pub use job::{JobKey, JobOutcome, NotRun, RunId, Submission};
+pub use options::FleetOptions;
+pub use peer::{ChunkTask, PeerBatch, PeerMessage, PeerStatus, TaskChunk};
+pub use queues::{Limits, Queue, QueueTable, ServiceTerms};
+pub use report::WorkerReport;
+pub use room::{Room, RoomOfService};
+pub use worker::WorkerNumber;
--- /dev/null
+++ b/crates/fleet/src/looks.rs
@@ -0,0 +1,271 @@
+//! Looks at workers: ends, lost runs, leases.
+
+use std::time::Duration;
+
+use hornbeam_core::event::Event;
+
+use crate::fleet::Fleet;
+use crate::io::{FleetOutput, LookAnswer, LookOrder, Observation, RunEnd, StopOrder};
+use crate::job::RunId;
+use crate::worker::{Phase, RunState, Worker, WorkerNumber};
+
+/// Pause before a look without an answer is repeated; it doubles up to
+/// [`MAX_LOOK_PAUSE`].
+const LOOK_AGAIN: Duration = Duration::from_millis(50);
+
+/// Longest pause between looks at a worker that does not answer.
+const MAX_LOOK_PAUSE: Duration = Duration::from_millis(800);
+
+impl Fleet {
+    /// Sends the looks and stops that are due.
+    pub(crate) fn send_looks_and_stops(&mut self) {
+        let numbers: Vec<WorkerNumber> = self.workers.keys().copied().collect();
+        for number in numbers {
+            self.send_stops(number);
+            self.send_look(number);
+        }
+    }
+
+    fn send_look(&mut self, number: WorkerNumber) {
+        let now = self.now;
+        let max_lease = self.options.max_lease;
+        let look_wait = self.options.look_wait;
+        let Some(worker) = self.workers.get_mut(&number) else {
+            return;
+        };
+        if worker.look_sent_at.is_some() || now < worker.next_look_at {
+            return;
+        }
+        worker.look_sent_at = Some(now);
+        let is_ready = worker.phase == Phase::Ready;
+        let lease_end_ms = if is_ready {
+            worker.lease.extend(now, max_lease)
+        } else {
+            None
+        };
+        // A worker that was silent is asked for an answer at once.
+        let wait = if is_ready && worker.misses == 0 {
+            look_wait
+        } else {
+            Duration::ZERO
+        };
+        let order = LookOrder {
+            target: worker.target(),
+            lease_end_ms,
+            acknowledged: worker.acknowledged,
+            wait,
+        };
+        self.put(FleetOutput::Look(order));
+    }
+
+    pub(crate) fn on_looked(&mut self, number: WorkerNumber, answer: LookAnswer) {
+        let Some(worker) = self.workers.get_mut(&number) else {
+            return;
+        };
+        let sent_at = worker.look_sent_at.take().unwrap_or(self.now);
+        match answer {
+            LookAnswer::Generation => self.lose_ownership(number),
+            LookAnswer::OtherIncarnation => self.worker_restarted(number),
+            LookAnswer::Unanswered => self.look_missed(number),
+            LookAnswer::Seen(observation) => self.on_seen(number, sent_at, &observation),
+        }
+    }
+
+    fn look_missed(&mut self, number: WorkerNumber) {
+        let Some(worker) = self.workers.get_mut(&number) else {
+            return;
+        };
+        worker.misses += 1;
+        let pause = LOOK_AGAIN * 2_u32.pow((worker.misses - 1).min(5));
+        worker.next_look_at = self.now + pause.min(MAX_LOOK_PAUSE);
+        let message = format!(
+            "worker {} did not answer {} looks in a row; {} runs on it",
+            worker.report.worker_id,
+            worker.misses,
+            worker.runs.len()
+        );
+        self.room_changed = true;
+        self.log(Event::WorkerUnanswered, message);
+    }
+
+    fn on_seen(&mut self, number: WorkerNumber, sent_at: Duration, seen: &Observation) {
+        let now = self.now;
+        let Some(worker) = self.workers.get_mut(&number) else {
+            return;
+        };
+        let born = worker.report.born_unix_ms;
+        if seen.born_unix_ms.is_some_and(|seen_born| seen_born != born) {
+            return self.worker_restarted(number);
+        }
+        worker.lease.read(seen.clock_ms, now);
+        worker.seen_at = now;
+        worker.next_look_at = now;
+        if worker.misses > 0 {
+            worker.misses = 0;
+            self.room_changed = true;
+            let message = format!("worker {} answers again", worker.report.worker_id);
+            self.log(Event::WorkerRestored, message);
+        }
+        match self.workers.get(&number).map(|worker| worker.phase) {
+            Some(Phase::Taking) => self.take_over(number, seen),
+            Some(Phase::Ready) => {
+                self.take_ends(number, seen);
+                self.compare_runs(number, sent_at, seen);
+            }
+            None => {}
+        }
+    }
+
+    /// Stops what a former owner has left, and begins to start tasks when
+    /// nothing is left.
+    fn take_over(&mut self, number: WorkerNumber, seen: &Observation) {
+        let now = self.now;
+        let stop_time = self.options.stop_time;
+        let Some(worker) = self.workers.get_mut(&number) else {
+            return;
+        };
+        let last = seen.ended.iter().map(|row| row.number).max();
+        worker.acknowledged = worker.acknowledged.max(last.unwrap_or(0));
+        if seen.running.is_empty() {
+            worker.phase = Phase::Ready;
+            let message = format!(
+                "worker {} of service {} is owned with generation {}",
+                worker.report.worker_id, worker.report.service, worker.generation.0
+            );
+            self.room_changed = true;
+            return self.log(Event::WorkerOwned, message);
+        }
+        worker.next_look_at = now + stop_time;
+        let target = worker.target();
+        for row in &seen.running {
+            let target = target.clone();
+            self.put(FleetOutput::Stop(StopOrder {
+                target,
+                run: row.run,
+            }));
+        }
+    }
+
+    fn take_ends(&mut self, number: WorkerNumber, seen: &Observation) {
+        for row in &seen.ended {
+            let now = self.now;
+            let Some(worker) = self.workers.get_mut(&number) else {
+                return;
+            };
+            if row.number <= worker.acknowledged {
+                continue;
+            }
+            worker.acknowledged = row.number;
+            let Some(id) = row.run else {
+                continue;
+            };
+            if let Some(run) = worker.remove(id) {
+                let took = match run.state {
+                    RunState::Running(since) => Some(now.saturating_sub(since)),
+                    _ => None,
+                };
+                self.run_ended(number, id, row.end, took);
+            }
+        }
+    }
+
+    /// Compares the runs that should be there with those that are listed.
+    fn compare_runs(&mut self, number: WorkerNumber, sent_at: Duration, seen: &Observation) {
+        let Some(worker) = self.workers.get_mut(&number) else {
+            return;
+        };
+        let listed = |id: &RunId| seen.running.iter().any(|row| row.run == *id);
+        for (id, run) in &mut worker.runs {
+            if matches!(run.state, RunState::Starting(_) | RunState::Unclear) && listed(id) {
+                run.state = RunState::Running(sent_at);
+            }
+        }
+        let missing = |(id, run): &(&RunId, &crate::worker::Run)| {
+            matches!(run.state, RunState::Running(since) if since < sent_at) && !listed(id)
+        };
+        let lost: Vec<RunId> = worker
+            .runs
+            .iter()
+            .filter(missing)
+            .map(|(id, _)| *id)
+            .collect();
+        let foreign: Vec<RunId> = seen
+            .running
+            .iter()
+            .map(|row| row.run)
+            .filter(|id| !worker.runs.contains_key(id))
+            .collect();
+        let target = worker.target();
+        for id in lost {
+            if let Some(worker) = self.workers.get_mut(&number) {
+                worker.remove(id);
+            }
+            self.log(
+                Event::RunLost,
+                format!("run {id} is no longer on its worker and its end was not listed"),
+            );
+            self.end_lost(number, id);
+        }
+        // An order that was carried out late has started it.
+        for run in foreign {
+            let target = target.clone();
+            self.put(FleetOutput::Stop(StopOrder { target, run }));
+        }
+    }
+
+    /// Ends the runs of workers whose lease has ended, for example after a
+    /// pause of this process.
+    pub(crate) fn end_lapsed_leases(&mut self) {
+        let now = self.now;
+        let has_lapsed = |worker: &&Worker| !worker.runs.is_empty() && worker.lease.over_at() <= now;
+        let lapsed: Vec<WorkerNumber> = self
+            .workers
+            .values()
+            .filter(has_lapsed)
+            .map(|worker| worker.number)
+            .collect();
+        for number in lapsed {
+            let Some(worker) = self.workers.get_mut(&number) else {
+                continue;
+            };
+            let worker_id = worker.report.worker_id.clone();
+            let runs: Vec<RunId> = worker.runs.keys().copied().collect();
+            self.log(
+                Event::LeaseEnded,
+                format!("the lease of worker {worker_id} ended with {} runs", runs.len()),
+            );
+            for id in runs {
+                if let Some(worker) = self.workers.get_mut(&number) {
+                    worker.remove(id);
+                }
+                self.end_lost(number, id);
+            }
+        }
+        self.end_unclear_runs();
+    }
+
+    /// Ends runs that no look has listed and whose starts can no longer be
+    /// carried out.
+    fn end_unclear_runs(&mut self) {
+        let now = self.now;
+        let mut over = Vec::new();
+        for worker in self.workers.values_mut() {
+            let is_over = |run: &crate::worker::Run| {
+                run.state == RunState::Unclear && run.lease_over_at <= now
+            };
+            let ids: Vec<RunId> = worker
+                .runs
+                .iter()
+                .filter(|(_, run)| is_over(run))
+                .map(|(id, _)| *id)
+                .collect();
+            for id in ids {
+                worker.remove(id);
+                over.push((worker.number, id));
+            }
+        }
+        for (number, id) in over {
+            self.run_ended(number, id, RunEnd::Lost, None);
+        }
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/placement.rs
@@ -0,0 +1,112 @@
+//! Which worker, or which peer, gets a task.
+
+use hornbeam_core::ids::{HostId, ServiceId};
+
+use crate::fleet::Fleet;
+use crate::peer::Peer;
+use crate::room::{Room, RoomOfService};
+use crate::worker::{Worker, WorkerNumber};
+
+impl Fleet {
+    /// Chooses the worker of this host that the task fits best, so that large
+    /// tasks find room later; `avoid` comes last.
+    pub(crate) fn choose_worker(
+        &self,
+        service: &ServiceId,
+        need: &Room,
+        avoid: Option<WorkerNumber>,
+    ) -> Option<WorkerNumber> {
+        let fits = |worker: &&Worker| {
+            worker.report.service == *service
+                && worker.takes_runs(self.now)
+                && worker.free().holds(need)
+        };
+        let rank = |worker: &&Worker| {
+            let left = worker.free().cpu_milli - need.cpu_milli;
+            (avoid == Some(worker.number), worker.failures, left)
+        };
+        let fitting = self.workers.values().filter(fits);
+        fitting.min_by_key(rank).map(|worker| worker.number)
+    }
+
+    /// Chooses the peer that has room for a task, and takes the room off what
+    /// is known of it. The own failure domain comes first, then the peer with
+    /// the most free room.
+    pub(crate) fn choose_peer(&mut self, service: &ServiceId, need: &Room) -> Option<HostId> {
+        let own_domain = &self.options.failure_domain;
+        let now = self.now;
+        let has_room = |peer: &&Peer| {
+            peer.is_lively(now) && !peer.status.draining && best_fit(peer, service, need).is_some()
+        };
+        let rank = |peer: &&Peer| (peer.failure_domain == *own_domain, free_cpu(peer, service));
+        let with_room = self.peers.iter().filter(|(_, peer)| has_room(peer));
+        let (host, _) = with_room.max_by_key(|(_, peer)| rank(peer))?;
+        let host = host.clone();
+        let peer = self.peers.get_mut(&host)?;
+        let at = best_fit(peer, service, need)?;
+        if let Some(rooms) = rooms_mut(peer, service) {
+            rooms.free[at].take(need);
+        }
+        Some(host)
+    }
+
+    /// Whether a task fits no worker that this host or a peer has, while some
+    /// are known.
+    pub(crate) fn fits_nowhere(&self, service: &ServiceId, need: &Room) -> bool {
+        let own = self.workers.values().filter(|worker| worker.report.service == *service);
+        let own = own.map(|worker| worker.report.capacity);
+        let peers = self.peers.values().flat_map(|peer| &peer.status.rooms);
+        let theirs = peers.filter(|rooms| rooms.service == *service);
+        let mut largest = own.chain(theirs.map(|rooms| rooms.largest)).peekable();
+        largest.peek().is_some() && !largest.any(|room| room.holds(need))
+    }
+
+    /// Gets the free room of the own workers by service.
+    pub(crate) fn own_rooms(&self) -> Vec<RoomOfService> {
+        let mut rooms: Vec<RoomOfService> = Vec::new();
+        for worker in self.workers.values() {
+            let service = &worker.report.service;
+            let at = rooms.iter().position(|rooms| rooms.service == *service);
+            let at = at.unwrap_or_else(|| {
+                rooms.push(RoomOfService {
+                    service: service.clone(),
+                    free: Vec::new(),
+                    largest: Room::default(),
+                });
+                rooms.len() - 1
+            });
+            let rooms = &mut rooms[at];
+            if worker.report.capacity.cpu_milli > rooms.largest.cpu_milli {
+                rooms.largest = worker.report.capacity;
+            }
+            let free = worker.free();
+            if worker.takes_runs(self.now) && free.cpu_milli > 0 {
+                rooms.free.push(free);
+            }
+        }
+        rooms
+    }
+}
+
+fn rooms_mut<'a>(peer: &'a mut Peer, service: &ServiceId) -> Option<&'a mut RoomOfService> {
+    let rooms = peer.status.rooms.iter_mut();
+    rooms.into_iter().find(|rooms| rooms.service == *service)
+}
+
+fn rooms_of<'a>(peer: &'a Peer, service: &ServiceId) -> Option<&'a RoomOfService> {
+    peer.status.rooms.iter().find(|rooms| rooms.service == *service)
+}
+
+/// Gets the position of the smallest room of a peer that holds a task.
+fn best_fit(peer: &Peer, service: &ServiceId, need: &Room) -> Option<usize> {
+    let rooms = rooms_of(peer, service)?;
+    let fitting = rooms.free.iter().enumerate();
+    let fitting = fitting.filter(|(_, room)| room.holds(need));
+    fitting.min_by_key(|(_, room)| room.cpu_milli).map(|(at, _)| at)
+}
+
+fn free_cpu(peer: &Peer, service: &ServiceId) -> u64 {
+    let rooms = rooms_of(peer, service);
+    let free = rooms.into_iter().flat_map(|rooms| &rooms.free);
+    free.map(|room| u64::from(room.cpu_milli)).sum()
+}
--- /dev/null
+++ b/crates/fleet/src/scheduling.rs
@@ -0,0 +1,206 @@
+//! Starts of queued tasks, here or at peers.
+
+use std::time::Duration;
+
+use hornbeam_core::ids::{HostId, TaskIndex};
+use indexmap::IndexMap;
+
+use crate::fleet::Fleet;
+use crate::io::FleetOutput;
+use crate::job::{JobKey, RunId, TaskState};
+use crate::peer::{ChunkTask, PeerMessage, TaskChunk};
+use crate::room::Room;
+use crate::worker::{Run, RunState, WorkerNumber};
+
+/// Time within which the first, second and third start order of a run are
+/// expected to be answered. A round trip takes a few milliseconds; the later
+/// ones leave room for a slow host.
+pub(crate) const START_WITHIN: [Duration; 3] = [
+    Duration::from_millis(40),
+    Duration::from_millis(80),
+    Duration::from_millis(160),
+];
+
+impl Fleet {
+    /// Starts queued tasks wherever there is room, the most urgent job first.
+    pub(crate) fn schedule(&mut self) {
+        let keys: Vec<JobKey> = self.urgent.iter().map(|(_, key)| *key).collect();
+        let mut full: Vec<(String, Room)> = Vec::new();
+        for key in keys {
+            let Some(job) = self.jobs.get(&key) else {
+                continue;
+            };
+            let is_full = |(service, need): &(String, Room)| {
+                *service == job.service && job.need.holds(need)
+            };
+            if full.iter().any(is_full) {
+                continue;
+            }
+            let blocked = (job.service.clone(), job.need);
+            if !self.start_queued(key) {
+                full.push(blocked);
+            }
+        }
+    }
+
+    /// Starts the queued tasks of a job; false if there is no room for one.
+    fn start_queued(&mut self, key: JobKey) -> bool {
+        let mut chunks: IndexMap<HostId, Vec<ChunkTask>> = IndexMap::new();
+        let mut has_room = true;
+        while has_room {
+            let Some(index) = self.next_queued(key) else {
+                break;
+            };
+            has_room = self.start_task(key, index, &mut chunks);
+        }
+        for (host, tasks) in chunks {
+            self.send_chunk(key, &host, tasks);
+        }
+        has_room
+    }
+
+    fn next_queued(&self, key: JobKey) -> Option<TaskIndex> {
+        let job = self.jobs.get(&key).filter(|job| job.queued > 0)?;
+        let position = job
+            .tasks
+            .iter()
+            .position(|task| task.state == TaskState::Queued)?;
+        TaskIndex::try_from(position).ok()
+    }
+
+    fn start_task(
+        &mut self,
+        key: JobKey,
+        index: TaskIndex,
+        chunks: &mut IndexMap<HostId, Vec<ChunkTask>>,
+    ) -> bool {
+        let Some(job) = self.jobs.get(&key) else {
+            return false;
+        };
+        let (service, need, expected) = (job.service.clone(), job.need, job.expected);
+        let spec = job.spec.clone();
+        let avoid = job.tasks[index as usize].avoid;
+        let own = self.choose_worker(&service, &need, avoid);
+        let own = own.filter(|number| avoid != Some(*number));
+        if let Some(number) = own {
+            let run = self.begin(key, index, TaskState::Local(number));
+            self.start_run(number, run, spec, need, expected);
+            return true;
+        }
+        if let Some(host) = self.choose_peer(&service, &need) {
+            let run = self.begin(key, index, TaskState::Remote(host.clone()));
+            chunks.entry(host).or_default().push(ChunkTask {
+                task: run.task,
+                attempt: run.attempt,
+            });
+            return true;
+        }
+        // The worker of the last bad run is better than none.
+        let Some(number) = self.choose_worker(&service, &need, None) else {
+            return false;
+        };
+        let run = self.begin(key, index, TaskState::Local(number));
+        self.start_run(number, run, spec, need, expected);
+        true
+    }
+
+    /// Takes a task off the queue under a new attempt.
+    fn begin(&mut self, key: JobKey, index: TaskIndex, state: TaskState) -> RunId {
+        let now = self.now;
+        let mut run = RunId {
+            job: key,
+            task: index,
+            attempt: 1,
+        };
+        if let Some(job) = self.jobs.get_mut(&key) {
+            job.queued -= 1;
+            job.started = true;
+            job.first_start_at.get_or_insert(now);
+            if job.queued == 0 {
+                self.urgent.remove(&(job.start_by, key));
+            }
+            let task = &mut job.tasks[index as usize];
+            task.attempt += 1 + std::mem::take(&mut task.attempts_skipped);
+            task.state = state;
+            run.attempt = task.attempt;
+        }
+        run
+    }
+
+    fn send_chunk(&mut self, key: JobKey, host: &HostId, tasks: Vec<ChunkTask>) {
+        let Some(job) = self.jobs.get(&key) else {
+            return;
+        };
+        let chunk = TaskChunk {
+            job: key,
+            service: job.service.clone(),
+            spec: job.spec.clone(),
+            need: job.need,
+            expected_ms: u64::try_from(job.expected.as_millis()).unwrap_or(u64::MAX),
+            tasks,
+        };
+        if let Some(peer) = self.peers.get_mut(host) {
+            peer.push(PeerMessage::Run(chunk));
+        }
+    }
+
+    /// Puts a run on a worker and orders its start.
+    pub(crate) fn start_run(
+        &mut self,
+        number: WorkerNumber,
+        run: RunId,
+        spec: std::sync::Arc<str>,
+        need: Room,
+        expected: Duration,
+    ) {
+        let Some(worker) = self.workers.get_mut(&number) else {
+            return;
+        };
+        worker.add(
+            run,
+            Run {
+                need,
+                expected,
+                spec,
+                state: RunState::Starting(0),
+                lease_over_at: self.now,
+                stop_at: None,
+                stopping: false,
+            },
+        );
+        self.room_changed = true;
+        self.order_start(number, run);
+    }
+
+    /// Orders the start of a run, for the first time or again.
+    pub(crate) fn order_start(&mut self, number: WorkerNumber, id: RunId) {
+        let now = self.now;
+        let max_lease = self.options.max_lease;
+        let Some(worker) = self.workers.get_mut(&number) else {
+            return;
+        };
+        let Some(lease_end_ms) = worker.lease.extend(now, max_lease) else {
+            return;
+        };
+        let lease_over_at = worker.lease.over_at();
+        let target = worker.target();
+        let Some(run) = worker.runs.get_mut(&id) else {
+            return;
+        };
+        let tries = match run.state {
+            RunState::Starting(tries) => tries,
+            _ => return,
+        };
+        run.state = RunState::Starting(tries + 1);
+        run.lease_over_at = lease_over_at;
+        let spec = run.spec.clone();
+        let within = START_WITHIN[(tries as usize).min(START_WITHIN.len() - 1)];
+        self.put(FleetOutput::Start(crate::io::StartOrder {
+            target,
+            run: id,
+            spec,
+            lease_end_ms,
+            within,
+        }));
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/starts.rs
@@ -0,0 +1,217 @@
+//! Answers to start and stop orders.
+
+use std::time::Duration;
+
+use hornbeam_core::event::Event;
+
+use crate::fleet::Fleet;
+use crate::io::{FleetOutput, RunEnd, StartAnswer, StartRefusal, StopAnswer, StopOrder};
+use crate::job::RunId;
+use crate::scheduling::START_WITHIN;
+use crate::worker::{RunState, WorkerNumber};
+
+/// Time for which a worker without room for a run that should fit gets no new
+/// one: what it still stops is gone by then.
+const NO_ROOM_PAUSE: Duration = Duration::from_millis(60);
+
+/// Time for which a worker that leaves starts unanswered gets no new one. Most
+/// starts of such a worker would be lost, and each costs a caller 100 ms.
+const UNANSWERED_PAUSE: Duration = Duration::from_millis(300);
+
+/// Pause before a stop without an answer is sent again.
+const STOP_AGAIN: Duration = Duration::from_millis(100);
+
+impl Fleet {
+    pub(crate) fn on_start_answered(
+        &mut self,
+        number: WorkerNumber,
+        id: RunId,
+        answer: StartAnswer,
+    ) {
+        let now = self.now;
+        let Some(worker) = self.workers.get_mut(&number) else {
+            return;
+        };
+        if let StartAnswer::Accepted(clock_ms) = answer {
+            worker.lease.read(clock_ms, now);
+            worker.seen_at = now;
+        }
+        let Some(run) = worker.runs.get_mut(&id) else {
+            return;
+        };
+        let RunState::Starting(tries) = run.state else {
+            return;
+        };
+        match answer {
+            StartAnswer::Accepted(_) => run.state = RunState::Running(now),
+            StartAnswer::Refused(refusal) => self.on_start_refused(number, id, refusal),
+            StartAnswer::NotSent => {
+                worker.block(now + UNANSWERED_PAUSE);
+                self.unstart(number, id, "its worker could not be reached");
+            }
+            StartAnswer::Unanswered if (tries as usize) < START_WITHIN.len() => {
+                self.order_start(number, id);
+            }
+            StartAnswer::Unanswered => {
+                run.state = RunState::Unclear;
+                run.stopping = true;
+                run.stop_at = Some(now);
+                worker.block(now + UNANSWERED_PAUSE);
+                let worker_id = worker.report.worker_id.clone();
+                self.log(
+                    Event::WorkerUnanswered,
+                    format!("worker {worker_id} answered none of {tries} starts of run {id}"),
+                );
+            }
+        }
+    }
+
+    fn on_start_refused(&mut self, number: WorkerNumber, id: RunId, refusal: StartRefusal) {
+        let now = self.now;
+        let Some(worker) = self.workers.get_mut(&number) else {
+            return;
+        };
+        match refusal {
+            StartRefusal::Generation => return self.lose_ownership(number),
+            StartRefusal::OtherIncarnation => return self.worker_restarted(number),
+            StartRefusal::Room => worker.block(now + NO_ROOM_PAUSE),
+            StartRefusal::Unhealthy => self.note_failure(number),
+            StartRefusal::Late => worker.next_look_at = now,
+            StartRefusal::Old => self.raise_attempt(id),
+            StartRefusal::Malformed => {}
+        }
+        self.unstart(number, id, &format!("its worker refused it: {refusal:?}"));
+    }
+
+    /// Takes back a run that has provably not started.
+    fn unstart(&mut self, number: WorkerNumber, id: RunId, reason: &str) {
+        let Some(worker) = self.workers.get_mut(&number) else {
+            return;
+        };
+        if worker.remove(id).is_none() {
+            return;
+        }
+        let worker_id = worker.report.worker_id.clone();
+        self.room_changed = true;
+        self.log(
+            Event::RunNotStarted,
+            format!("run {id} did not start on worker {worker_id}: {reason}"),
+        );
+        self.run_unstarted(id, number);
+    }
+
+    pub(crate) fn on_stop_answered(
+        &mut self,
+        number: WorkerNumber,
+        id: RunId,
+        answer: StopAnswer,
+    ) {
+        let now = self.now;
+        let stop_time = self.options.stop_time;
+        let Some(worker) = self.workers.get_mut(&number) else {
+            return;
+        };
+        match answer {
+            StopAnswer::Generation => return self.lose_ownership(number),
+            StopAnswer::OtherIncarnation => return self.worker_restarted(number),
+            StopAnswer::Accepted => worker.seen_at = now,
+            StopAnswer::Unanswered => {}
+        }
+        let Some(run) = worker.runs.get_mut(&id) else {
+            return;
+        };
+        match answer {
+            StopAnswer::Accepted if run.state == RunState::Unclear => {
+                // Either it never starts, or its end comes within the time
+                // that a stop takes.
+                run.lease_over_at = run.lease_over_at.min(now + 2 * stop_time);
+            }
+            StopAnswer::Accepted => {}
+            _ => run.stop_at = Some(now + STOP_AGAIN),
+        }
+    }
+
+    /// Stops a run as soon as possible.
+    pub(crate) fn want_stop(&mut self, number: WorkerNumber, id: RunId) {
+        let now = self.now;
+        let worker = self.workers.get_mut(&number);
+        if let Some(run) = worker.and_then(|worker| worker.runs.get_mut(&id))
+            && !run.stopping
+        {
+            run.stopping = true;
+            run.stop_at = Some(now);
+        }
+    }
+
+    /// Sends the stops that are due.
+    pub(crate) fn send_stops(&mut self, number: WorkerNumber) {
+        let now = self.now;
+        let Some(worker) = self.workers.get_mut(&number) else {
+            return;
+        };
+        let target = worker.target();
+        let mut due = Vec::new();
+        for (id, run) in &mut worker.runs {
+            if run.stop_at.is_some_and(|at| at <= now) {
+                run.stop_at = None;
+                due.push(*id);
+            }
+        }
+        for run in due {
+            let target = target.clone();
+            self.put(FleetOutput::Stop(StopOrder { target, run }));
+        }
+    }
+
+    /// Counts a failure of a worker and keeps new runs away from one that
+    /// fails again and again.
+    pub(crate) fn note_failure(&mut self, number: WorkerNumber) {
+        let now = self.now;
+        let Some(worker) = self.workers.get_mut(&number) else {
+            return;
+        };
+        worker.failures += 1;
+        if worker.failures < FAILURES_TO_EJECT {
+            return;
+        }
+        let doublings = (worker.failures - FAILURES_TO_EJECT).min(MAX_DOUBLINGS);
+        let pause = EJECTION * 2_u32.pow(doublings);
+        worker.block(now + pause);
+        let message = format!(
+            "worker {} gets no run for {} ms after {} failures in a row",
+            worker.report.worker_id,
+            pause.as_millis(),
+            worker.failures
+        );
+        self.log(Event::WorkerEjected, message);
+    }
+
+    /// Counts a success of a worker.
+    pub(crate) fn note_success(&mut self, number: WorkerNumber) {
+        let Some(worker) = self.workers.get_mut(&number) else {
+            return;
+        };
+        if worker.failures >= FAILURES_TO_EJECT {
+            let message = format!("worker {} serves again", worker.report.worker_id);
+            worker.failures = 0;
+            return self.log(Event::WorkerRestored, message);
+        }
+        worker.failures = 0;
+    }
+
+    /// Reports the end of a run whose worker is lost.
+    pub(crate) fn end_lost(&mut self, number: WorkerNumber, id: RunId) {
+        self.run_ended(number, id, RunEnd::Lost, None);
+    }
+}
+
+/// Failures in a row after which a worker is left alone. A task fails by its
+/// own fault in about 2 of 1,000 runs, so two in a row point at the worker.
+const FAILURES_TO_EJECT: u32 = 2;
+
+/// First time for which a failing worker gets no run; it doubles each time.
+const EJECTION: Duration = Duration::from_millis(500);
+
+/// Most doublings of [`EJECTION`], up to 4 s, so that a worker that has
+/// recovered is found within seconds.
+const MAX_DOUBLINGS: u32 = 3;
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use hornbeam_core::{Error, Result};
 use http::header::{AUTHORIZATION, CONTENT_TYPE};
-use http::{HeaderValue, Method};
+use http::{HeaderName, HeaderValue, Method};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -83,6 +83,7 @@
     address: SocketAddr,
     method: Method,
     path: &'a str,
+    header: Option<(HeaderName, HeaderValue)>,
     body: Bytes,
     within: Duration,
 }
@@ -140,6 +141,25 @@
         text(self.exchange(outgoing).await?)
     }
 
+    /// Sends `POST path` with a JSON body and one more header, and gets the
+    /// answer's body as it is, for callers that decode by status.
+    ///
+    /// # Errors
+    /// As [`HttpClient::post`].
+    pub async fn post_for_bytes<Q: Serialize + Sync>(
+        &self,
+        address: SocketAddr,
+        path: &str,
+        header: (&'static str, &str),
+        body: &Q,
+        within: Duration,
+    ) -> Result<Reply<Bytes>> {
+        let mut outgoing = Outgoing::post(address, path, body, within)?;
+        let value = HeaderValue::from_str(header.1).map_err(Error::not_sent)?;
+        outgoing.header = Some((HeaderName::from_static(header.0), value));
+        self.exchange(outgoing).await
+    }
+
     /// Sends `GET path` and decodes the JSON answer.
     ///
     /// # Errors
@@ -236,6 +256,9 @@
             let json = HeaderValue::from_static("application/json");
             request.headers_mut().insert(CONTENT_TYPE, json);
         }
+        if let Some((name, value)) = outgoing.header {
+            request.headers_mut().insert(name, value);
+        }
         if let Some(value) = &self.shared.authorization {
             request.headers_mut().insert(AUTHORIZATION, value.clone());
         }
@@ -274,6 +297,7 @@
             address,
             method: Method::POST,
             path,
+            header: None,
             body: body.into(),
             within,
         })
@@ -284,6 +308,7 @@
             address,
             method: Method::GET,
             path,
+            header: None,
             body: Bytes::new(),
             within,
         }
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -14,6 +14,7 @@
 mod send_mark;
 mod server;
 
+pub use bytes::Bytes;
 pub use body::{BodyLimits, BodyRejection, json_answer, parse_json, read_json, text_answer};
 pub use client::{ClientOptions, HttpClient, Reply};
 pub use credential::is_authorized;
