--- a/crates/control/src/command.rs
+++ b/crates/control/src/command.rs
@@ -17,6 +17,8 @@
     Claim(ClaimCommand),
     /// Replaces the set of voting members.
     Members(MembersCommand),
+    /// Publishes a whole configuration document; the highest version wins.
+    Publish(Box<PublishCommand>),
 }
 
 /// `ChangeCommand` puts a configuration in force if the version matches.
@@ -56,6 +58,29 @@
     pub proposed_unix_ms: u64,
 }
 
+/// `PublishCommand` puts a document in force unless one of an equal or higher
+/// version is.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields, rename_all = "snake_case")]
+pub struct PublishCommand {
+    /// Version that the operator gave to the document.
+    pub version: ConfigVersion,
+    /// The document, already checked.
+    pub document: String,
+    /// Wall clock of the proposer, in ms since the Unix epoch.
+    pub proposed_unix_ms: u64,
+}
+
+/// `PublishResult` is the outcome of a [`PublishCommand`].
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum PublishResult {
+    /// The document is in force.
+    InForce,
+    /// A document of this equal or higher version stays in force.
+    Superseded(ConfigVersion),
+}
+
 /// `ChangeResult` is the outcome of a [`ChangeCommand`].
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "snake_case")]
@@ -113,4 +138,6 @@
     Claim(ClaimResult),
     /// Of [`Command::Members`].
     Members,
+    /// Of [`Command::Publish`].
+    Publish(PublishResult),
 }
--- a/crates/control/src/identity.rs
+++ b/crates/control/src/identity.rs
@@ -13,7 +13,7 @@
 pub(crate) const IDENTITY_FILE: &str = "identity";
 
 /// Version of the folder's format. It grows with every incompatible change.
-const FORMAT_VERSION: u32 = 1;
+const FORMAT_VERSION: u32 = 2;
 
 /// Marks the folder as one of this program.
 const FORMAT_NAME: &str = "hornbeam control replica";
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -39,6 +39,7 @@
 mod progress;
 mod reads;
 mod record;
+mod repair;
 mod replica;
 mod replication;
 mod snapshot;
@@ -48,6 +49,7 @@
 pub use claims::CLAIM_MARGIN_MS;
 pub use command::{
     ChangeCommand, ChangeResult, ClaimCommand, ClaimResult, Command, CommandResult, MembersCommand,
+    PublishCommand, PublishResult,
 };
 pub use disk::{DiskLog, Recovered};
 pub use files::{Files, FolderFiles};
@@ -56,5 +58,6 @@
     ReplicaInput, ReplicaOptions, ReplicaOutput, SnapshotData, SnapshotPart,
 };
 pub use log::MAX_ENTRY_BYTES;
+pub use repair::{RepairOptions, host_of};
 pub use replica::Replica;
-pub use state::{AUDIT_KEPT, CONFIGURATIONS_KEPT, ControlState, RESULTS_KEPT};
+pub use state::{AUDIT_KEPT, CONFIGURATIONS_KEPT, ControlState, PublishedDocument, RESULTS_KEPT};
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -1,6 +1,7 @@
 //! The state that the log builds.
 
 use std::collections::VecDeque;
+use std::sync::Arc;
 
 use hornbeam_core::Result;
 use hornbeam_core::api::operator::AuditEntry;
@@ -11,7 +12,10 @@
 
 use crate::claims::Claims;
 use crate::codec;
-use crate::command::{ChangeCommand, ChangeResult, Command, CommandResult, MembersCommand};
+use crate::command::{
+    ChangeCommand, ChangeResult, Command, CommandResult, MembersCommand, PublishCommand,
+    PublishResult,
+};
 
 /// Earlier configurations that are kept for a rollback. A configuration of
 /// 720 teams has some 60 KB, so they take about 4 MB.
@@ -37,6 +41,17 @@
     audit: Vec<AuditEntry>,
     results: IndexMap<ChangeId, ChangeResult>,
     claims: Claims,
+    published: PublishedDocument,
+}
+
+/// `PublishedDocument` is a whole configuration under the operator's version.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields, rename_all = "snake_case")]
+pub struct PublishedDocument {
+    /// Version, 0 if none was published.
+    pub version: ConfigVersion,
+    /// The text as the operator sent it.
+    pub text: Arc<str>,
 }
 
 /// `Winner` is the change that made the current version.
@@ -72,6 +87,11 @@
         &self.audit
     }
 
+    /// Gets the published document.
+    pub fn published(&self) -> &PublishedDocument {
+        &self.published
+    }
+
     /// Gets the number of claims held.
     pub fn claims(&self) -> usize {
         self.claims.len()
@@ -92,6 +112,7 @@
                 self.record(members_line(members));
                 CommandResult::Members
             }
+            Command::Publish(publish) => CommandResult::Publish(self.publish(publish)),
         }
     }
 
@@ -126,6 +147,18 @@
         result
     }
 
+    fn publish(&mut self, publish: &PublishCommand) -> PublishResult {
+        if publish.version <= self.published.version {
+            return PublishResult::Superseded(self.published.version);
+        }
+        self.published = PublishedDocument {
+            version: publish.version,
+            text: Arc::from(publish.document.as_str()),
+        };
+        self.record(publish_line(publish));
+        PublishResult::InForce
+    }
+
     fn accept(&mut self, change: &ChangeCommand) -> ChangeResult {
         let replaced = std::mem::replace(&mut self.configuration, change.configuration.clone());
         if self.version > 0 {
@@ -176,6 +209,15 @@
     }
 }
 
+fn publish_line(publish: &PublishCommand) -> AuditEntry {
+    AuditEntry {
+        version: publish.version,
+        proposed_unix_ms: publish.proposed_unix_ms,
+        action: format!("publish a document of {} bytes", publish.document.len()),
+        ..AuditEntry::default()
+    }
+}
+
 fn members_line(members: &MembersCommand) -> AuditEntry {
     AuditEntry {
         version: 0,
--- a/crates/core/src/api/operator.rs
+++ b/crates/core/src/api/operator.rs
@@ -149,7 +149,7 @@
 }
 
 /// `AuditEntry` is one line of the audit trail.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(deny_unknown_fields, rename_all = "snake_case")]
 pub struct AuditEntry {
     /// Version that the change made, or 0 for a change of members.
--- a/crates/ctl/src/commands/demo/cluster.rs
+++ b/crates/ctl/src/commands/demo/cluster.rs
@@ -214,6 +214,7 @@
         peers: Vec::new(),
         link_credential: None,
         operator_credential: Some(credential.into()),
+        fleet: None,
     }
 }
 
--- a/crates/ctl/tests/common/mod.rs
+++ b/crates/ctl/tests/common/mod.rs
@@ -56,6 +56,7 @@
             peers: Vec::new(),
             link_credential: None,
             operator_credential: Some(CREDENTIAL.into()),
+            fleet: None,
         };
         let runtime = Runtime::new().unwrap();
         let host = runtime.block_on(ControlHost::start(options)).unwrap();
@@ -139,6 +140,7 @@
             peers: vec![(1, self.host.link_address())],
             link_credential: None,
             operator_credential: Some(CREDENTIAL.into()),
+            fleet: None,
         };
         self.runtime.block_on(ControlHost::start(options)).unwrap()
     }
--- a/crates/daemon/src/flags.rs
+++ b/crates/daemon/src/flags.rs
@@ -47,8 +47,10 @@
 }
 
 settings! {
-    /// Role of the process: entry or control.
+    /// Role of the process: entry, control, fleet-entry or fleet-control. The last two read their settings from --settings-file.
     role = "role", "HORNBEAM_ROLE";
+    /// Settings file of a fleet-entry or fleet-control host, in TOML.
+    settings_file = "settings-file", "HORNBEAM_SETTINGS_FILE";
     /// Id of this host, unique in the system.
     host_id = "host-id", "HORNBEAM_HOST_ID";
     /// Failure domain of an entry host.
--- a/crates/daemon/src/logging.rs
+++ b/crates/daemon/src/logging.rs
@@ -1,4 +1,4 @@
-//! The log on standard error.
+//! The log on standard error or standard output.
 
 use eyre::{Result, WrapErr};
 use flexi_logger::{
@@ -21,8 +21,14 @@
     let level = LogSpecification::builder()
         .default(settings.log_level)
         .build();
-    Logger::with(level)
-        .log_to_stderr()
+    let logger = Logger::with(level);
+    // The hosts of guarded workers are read by the platform's collector.
+    let logger = if settings.role.logs_to_stdout() {
+        logger.log_to_stdout()
+    } else {
+        logger.log_to_stderr()
+    };
+    logger
         .format(format)
         .write_mode(WriteMode::Async)
         .start()
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -6,6 +6,7 @@
 #![forbid(unsafe_code)]
 
 mod flags;
+mod host_file;
 mod logging;
 mod reader;
 mod run;
@@ -42,7 +43,12 @@
 
 fn run(settings: Settings) -> Result<()> {
     let logger = logging::start(&settings)?;
-    let runtime = tokio::runtime::Runtime::new()?;
+    let mut runtime = if settings.role.is_single_threaded() {
+        tokio::runtime::Builder::new_current_thread()
+    } else {
+        tokio::runtime::Builder::new_multi_thread()
+    };
+    let runtime = runtime.enable_all().build()?;
     let result = runtime.block_on(run::run(settings.role));
     if let Err(cause) = &result {
         log_event!(Event::ProcessFailed; "{cause:#}");
--- a/crates/daemon/src/reader.rs
+++ b/crates/daemon/src/reader.rs
@@ -19,6 +19,13 @@
         self.findings
     }
 
+    /// Gets a value, or adds the findings that stand in its place.
+    pub(crate) fn findings<T>(&mut self, result: Result<T, Findings>) -> Option<T> {
+        result
+            .map_err(|findings| self.findings.extend(findings))
+            .ok()
+    }
+
     /// Adds a finding about a setting.
     pub(crate) fn report(&mut self, name: Setting, message: impl Into<String>) {
         let place = Place {
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -1,13 +1,17 @@
 //! The run of one host from start to the end of its drain.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use eyre::{Result, WrapErr, bail};
 use hornbeam_core::event::Event;
 use hornbeam_core::log_event;
-use hornbeam_node::{ControlHost, ControlOptions, EntryHost, EntryOptions};
+use hornbeam_node::{
+    ControlHost, ControlOptions, EntryHost, EntryOptions, FleetEntryHost, FleetEntryOptions,
+};
 use tokio::signal::unix::{Signal, SignalKind, signal};
 
+use crate::host_file::HostFile;
 use crate::settings::RoleSettings;
 
 /// Runs a host until it is drained.
@@ -19,6 +23,56 @@
     match role {
         RoleSettings::Entry(options) => run_entry(*options, stop_signals).await,
         RoleSettings::Control(options) => run_control(*options, stop_signals).await,
+        RoleSettings::FleetEntry(options, path) => {
+            run_fleet_entry(*options, stop_signals, SettingsWatch::new(path)?).await
+        }
+        RoleSettings::FleetControl(options, path) => {
+            let settings = SettingsWatch::new(path)?;
+            tokio::select! {
+                result = run_control(*options, stop_signals) => result,
+                () = note_changes(settings) => Ok(()),
+            }
+        }
+    }
+}
+
+async fn run_fleet_entry(
+    options: FleetEntryOptions,
+    mut stop_signals: StopSignals,
+    mut settings: SettingsWatch,
+) -> Result<()> {
+    let host_id = options.fleet.host_id.clone();
+    log_event!(Event::ProcessStarting, host = host_id; "entry host of guarded workers starts");
+    let (callers, links) = (options.caller_listen, options.fleet.link_address);
+    let host = FleetEntryHost::start(options).await?;
+    log_listening(&host_id, callers, links);
+    loop {
+        tokio::select! {
+            () = stop_signals.next() => break host.start_drain(),
+            () = host.drained() => break,
+            file = settings.changed() => take_over(&host, file),
+        }
+    }
+    host.drained().await;
+    let failed = host.has_failed();
+    host.stop().await;
+    if failed {
+        bail!("the entry host stopped because of an error");
+    }
+    Ok(())
+}
+
+/// Checks and logs changes of a control host's settings file. Control hosts
+/// learn of each other by the replicated log, so the listed ones matter at the
+/// next start only.
+async fn note_changes(mut settings: SettingsWatch) {
+    loop {
+        match settings.changed().await.control() {
+            Ok(_) => log_event!(Event::SettingsReloaded; "the changed settings are valid"),
+            Err(findings) => {
+                log_event!(Event::SettingsReloaded; "the changed settings are invalid: {findings:?}");
+            }
+        }
     }
 }
 
@@ -58,6 +112,86 @@
     Ok(())
 }
 
+/// Time between two looks at the settings file, which may change without a
+/// signal.
+const FILE_PERIOD: Duration = Duration::from_millis(1000);
+
+/// `SettingsWatch` notices changes of a settings file.
+#[derive(Debug)]
+struct SettingsWatch {
+    path: String,
+    text: String,
+    hangups: Signal,
+}
+
+impl SettingsWatch {
+    fn new(path: String) -> Result<Self> {
+        let hangups = signal(SignalKind::hangup()).wrap_err("cannot listen for SIGHUP")?;
+        let text = std::fs::read_to_string(&path)
+            .wrap_err_with(|| format!("cannot read the settings file {path}"))?;
+        Ok(Self {
+            path,
+            text,
+            hangups,
+        })
+    }
+
+    /// Waits for a change and gets the new file.
+    async fn changed(&mut self) -> HostFile {
+        loop {
+            let by_signal = tokio::select! {
+                _ = self.hangups.recv() => true,
+                () = tokio::time::sleep(FILE_PERIOD) => false,
+            };
+            if let Some(file) = self.look(by_signal) {
+                return file;
+            }
+        }
+    }
+
+    fn look(&mut self, by_signal: bool) -> Option<HostFile> {
+        let path = &self.path;
+        let text = match std::fs::read_to_string(path) {
+            Ok(text) => text,
+            Err(cause) => {
+                log_event!(Event::SettingsReloaded; "{path} cannot be read: {cause}");
+                return None;
+            }
+        };
+        if text == self.text {
+            if by_signal {
+                log_event!(Event::SettingsReloaded; "{path} is unchanged");
+            }
+            return None;
+        }
+        self.text = text;
+        match HostFile::open(path) {
+            Ok(file) => Some(file),
+            Err(findings) => {
+                log_event!(Event::SettingsReloaded; "{path} stays as it was read before: {findings:?}");
+                None
+            }
+        }
+    }
+}
+
+/// Takes over the control hosts of a settings file that changed. Addresses
+/// and terms cannot change while a process runs.
+fn take_over(host: &FleetEntryHost, file: HostFile) {
+    match file.entry() {
+        Ok(options) => {
+            log_event!(
+                Event::SettingsReloaded;
+                "control hosts are now {:?}", options.control_hosts
+            );
+            host.use_control_hosts(options.control_hosts);
+        }
+        Err(findings) => {
+            log_event!(Event::SettingsReloaded; "the former settings stay in force: {findings:?}");
+        }
+    }
+}
+
 fn log_listening(host_id: &str, http: SocketAddr, link: SocketAddr) {
     log_event!(
         Event::ProcessListening, host = host_id, http = http, link = link;
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -7,10 +7,11 @@
 use hornbeam_core::Findings;
 use hornbeam_core::ids::ReplicaId;
 use hornbeam_dispatch::{DispatchOptions, PlacementPolicy};
-use hornbeam_node::{ControlOptions, EntryOptions};
+use hornbeam_node::{ControlOptions, EntryOptions, FleetEntryOptions};
 use log::LevelFilter;
 
 use crate::flags::{Flags, Setting, names};
+use crate::host_file::HostFile;
 use crate::reader::Reader;
 
 /// `LogFormat` is the format of log lines.
@@ -41,6 +42,23 @@
     Entry(Box<EntryOptions>),
     /// Of a control host.
     Control(Box<ControlOptions>),
+    /// Of an entry host of guarded workers, with the path of the file.
+    FleetEntry(Box<FleetEntryOptions>, String),
+    /// Of a control host of guarded workers, with the path of the file.
+    FleetControl(Box<ControlOptions>, String),
+}
+
+impl RoleSettings {
+    /// Whether the log goes to standard output.
+    pub(crate) const fn logs_to_stdout(&self) -> bool {
+        matches!(self, Self::FleetEntry(..) | Self::FleetControl(..))
+    }
+
+    /// Whether one thread runs everything. The hosts of guarded workers have a
+    /// part of one core, and each thread costs memory.
+    pub(crate) const fn is_single_threaded(&self) -> bool {
+        matches!(self, Self::FleetEntry(..) | Self::FleetControl(..))
+    }
 }
 
 /// `Role` is what the process does.
@@ -48,9 +66,16 @@
 enum Role {
     Entry,
     Control,
+    FleetEntry,
+    FleetControl,
 }
 
-const ROLES: &[(&str, Role)] = &[("entry", Role::Entry), ("control", Role::Control)];
+const ROLES: &[(&str, Role)] = &[
+    ("entry", Role::Entry),
+    ("control", Role::Control),
+    ("fleet-entry", Role::FleetEntry),
+    ("fleet-control", Role::FleetControl),
+];
 const LOG_FORMATS: &[(&str, LogFormat)] = &[("text", LogFormat::Text), ("json", LogFormat::Json)];
 const LOG_LEVELS: &[(&str, LevelFilter)] = &[
     ("error", LevelFilter::Error),
@@ -88,11 +113,20 @@
     let log_level = reader.choice(names::log_level, &flags.log_level, LOG_LEVELS);
     let role = reader.required(names::role, &flags.role);
     let role = reader.choice(names::role, &role, ROLES);
-    let common = read_common(&mut reader, flags);
     let role = match role {
-        Some(Role::Entry) => read_entry(&mut reader, flags, common),
-        Some(Role::Control) => read_control(&mut reader, flags, common),
-        None => None,
+        Some(Role::Entry) => {
+            let common = read_common(&mut reader, flags);
+            read_entry(&mut reader, flags, common)
+        }
+        Some(Role::Control) => {
+            let common = read_common(&mut reader, flags);
+            read_control(&mut reader, flags, common)
+        }
+        Some(role) => read_file(&mut reader, flags, role),
+        None => {
+            read_common(&mut reader, flags);
+            None
+        }
     };
     let findings = reader.into_findings();
     match role {
@@ -105,6 +139,18 @@
     }
 }
 
+/// Reads the settings of a host of guarded workers from its file.
+fn read_file(reader: &mut Reader, flags: &Flags, role: Role) -> Option<RoleSettings> {
+    let path = reader.required(names::settings_file, &flags.settings_file)?;
+    let file = reader.findings(HostFile::open(&path))?;
+    if role == Role::FleetEntry {
+        let options = reader.findings(file.entry())?;
+        return Some(RoleSettings::FleetEntry(Box::new(options), path));
+    }
+    let options = reader.findings(file.control())?;
+    Some(RoleSettings::FleetControl(Box::new(options), path))
+}
+
 fn read_common(reader: &mut Reader, flags: &Flags) -> Option<Common> {
     let host_id = reader.required(names::host_id, &flags.host_id);
     let http_listen = listen(reader, names::http_listen, &flags.http_listen);
@@ -213,5 +259,6 @@
         peers: others.filter(|(id, _)| *id != replica_id).collect(),
         link_credential: common.link_credential,
         operator_credential: common.operator_credential,
+        fleet: None,
     })))
 }
--- a/crates/fleet/src/admission.rs
+++ b/crates/fleet/src/admission.rs
@@ -266,10 +266,9 @@
             JobOutcome::Failed | JobOutcome::TimedOut => Event::FleetJobFailed,
         };
         let since = |at: Duration| at.saturating_sub(job.arrived_at).as_millis();
-        let first_start = job.first_start_at.map_or_else(
-            || "none".to_owned(),
-            |at| format!("{} ms", since(at)),
-        );
+        let first_start = job
+            .first_start_at
+            .map_or_else(|| "none".to_owned(), |at| format!("{} ms", since(at)));
         self.log(
             event,
             format!(
--- a/crates/fleet/src/draining.rs
+++ b/crates/fleet/src/draining.rs
@@ -4,8 +4,10 @@
 use hornbeam_core::ids::HostId;
 
 use crate::fleet::Fleet;
+use crate::io::ReportAnswer;
 use crate::job::{JobKey, JobOutcome, NotRun};
 use crate::peer::{Peer, PeerMessage};
+use crate::report::WorkerReport;
 use crate::worker::{Phase, Worker, WorkerNumber};
 
 impl Fleet {
@@ -81,13 +83,26 @@
         Some(heir.0.clone())
     }
 
+    /// Passes the report of a worker that was handed over on to its owner.
+    pub(crate) fn pass_on(&mut self, report: &WorkerReport) -> Option<ReportAnswer> {
+        let (host, generation) = self.handed_over.get(&report.worker_id)?;
+        let peer = self.peers.get_mut(host)?;
+        if !peer.is_lively(self.now) {
+            return None;
+        }
+        peer.push(PeerMessage::HandOver(report.clone(), *generation));
+        Some(ReportAnswer::Moved(peer.address))
+    }
+
     fn hand_over(&mut self, number: WorkerNumber, host: &HostId) {
         let Some(worker) = self.workers.get(&number) else {
             return;
         };
-        let message = PeerMessage::HandOver(worker.report.clone(), worker.generation);
+        let (report, generation) = (worker.report.clone(), worker.generation);
+        self.handed_over
+            .insert(report.worker_id.clone(), (host.clone(), generation));
         if let Some(peer) = self.peers.get_mut(host) {
-            peer.push(message);
+            peer.push(PeerMessage::HandOver(report, generation));
             peer.status.owned += 1;
         }
         let reason = format!("it is handed over to host {host}");
--- a/crates/fleet/src/estimates.rs
+++ b/crates/fleet/src/estimates.rs
@@ -35,7 +35,8 @@
         match self.ratios.get_mut(queue) {
             Some(ratio) => *ratio += WEIGHT * (seen - *ratio),
             None => {
-                self.ratios.insert(queue.to_owned(), 1.0 + WEIGHT * (seen - 1.0));
+                self.ratios
+                    .insert(queue.to_owned(), 1.0 + WEIGHT * (seen - 1.0));
             }
         }
     }
--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -10,7 +10,7 @@
 
 use crate::admission::RecentJobs;
 use crate::estimates::Estimates;
-use crate::generation::Generations;
+use crate::generation::{Generation, Generations};
 use crate::guests::Guest;
 use crate::io::{FleetInput, FleetOutput};
 use crate::job::{Job, JobKey, RunId};
@@ -53,6 +53,8 @@
     pub(crate) room_changed: bool,
     /// Whether tasks waited when peers were last told.
     pub(crate) was_waiting: bool,
+    /// Workers handed over during a drain, with the heir and the generation.
+    pub(crate) handed_over: IndexMap<WorkerId, (HostId, Generation)>,
     pub(crate) drain_started: Option<Duration>,
     pub(crate) outputs: Vec<FleetOutput>,
 }
@@ -86,6 +88,7 @@
             peers: IndexMap::new(),
             room_changed: false,
             was_waiting: false,
+            handed_over: IndexMap::new(),
             drain_started: None,
             outputs: Vec::new(),
         }
@@ -143,13 +146,19 @@
             self.urgent.first().map(|(at, _)| *at),
             self.lingering.first().map(|(at, _, _)| *at),
         ];
-        let workers = self.workers.values().map(|worker| self.worker_wakeup(worker));
+        let workers = self
+            .workers
+            .values()
+            .map(|worker| self.worker_wakeup(worker));
         let peers = self.peers.values().map(|peer| peer.wakeup(self.now));
-        let first = timers.into_iter().flatten().chain(workers).chain(peers).min();
+        let first = timers
+            .into_iter()
+            .flatten()
+            .chain(workers)
+            .chain(peers)
+            .min();
         let latest = self.now + MAX_SLEEP;
-        first
-            .unwrap_or(latest)
-            .clamp(self.now + MIN_SLEEP, latest)
+        first.unwrap_or(latest).clamp(self.now + MIN_SLEEP, latest)
     }
 
     /// Whether this host can serve callers: it has a configuration, does not
--- a/crates/fleet/src/io.rs
+++ b/crates/fleet/src/io.rs
@@ -66,9 +66,9 @@
     Stop(StopOrder),
     /// Look at a worker; the end goes back as [`FleetInput::Looked`].
     Look(LookOrder),
-    /// Send a batch to the peer at an address; its end goes back as
+    /// Send a batch to a peer at an address; its end goes back as
     /// [`FleetInput::BatchEnded`].
-    SendBatch(SocketAddr, PeerBatch),
+    SendBatch(HostId, SocketAddr, PeerBatch),
     /// Close the idle connections to a worker that is gone.
     Forget(SocketAddr),
     /// Write a numbered log event.
@@ -93,6 +93,8 @@
 pub enum ReportAnswer {
     /// This host owns the worker and took note.
     Taken,
+    /// The host at this link address owns the worker and was told.
+    Moved(SocketAddr),
     /// Nobody took note; the worker must tell another host.
     Declined,
 }
--- a/crates/fleet/src/job.rs
+++ b/crates/fleet/src/job.rs
@@ -15,9 +15,7 @@
 pub type JobKey = u64;
 
 /// `RunId` names one run of a task.
-#[derive(
-    Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
-)]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
 #[serde(deny_unknown_fields, rename_all = "snake_case")]
 pub struct RunId {
     /// The job.
--- a/crates/fleet/src/looks.rs
+++ b/crates/fleet/src/looks.rs
@@ -217,7 +217,8 @@
     /// pause of this process.
     pub(crate) fn end_lapsed_leases(&mut self) {
         let now = self.now;
-        let has_lapsed = |worker: &&Worker| !worker.runs.is_empty() && worker.lease.over_at() <= now;
+        let has_lapsed =
+            |worker: &&Worker| !worker.runs.is_empty() && worker.lease.over_at() <= now;
         let lapsed: Vec<WorkerNumber> = self
             .workers
             .values()
@@ -232,7 +233,10 @@
             let runs: Vec<RunId> = worker.runs.keys().copied().collect();
             self.log(
                 Event::LeaseEnded,
-                format!("the lease of worker {worker_id} ended with {} runs", runs.len()),
+                format!(
+                    "the lease of worker {worker_id} ended with {} runs",
+                    runs.len()
+                ),
             );
             for id in runs {
                 if let Some(worker) = self.workers.get_mut(&number) {
--- a/crates/fleet/src/ownership.rs
+++ b/crates/fleet/src/ownership.rs
@@ -67,7 +67,7 @@
 
     fn take_worker(&mut self, report: WorkerReport, above: Option<Generation>) -> ReportAnswer {
         if self.drain_started.is_some() {
-            return ReportAnswer::Declined;
+            return self.pass_on(&report).unwrap_or(ReportAnswer::Declined);
         }
         self.last_worker += 1;
         let number = self.last_worker;
--- a/crates/fleet/src/peering.rs
+++ b/crates/fleet/src/peering.rs
@@ -171,12 +171,12 @@
         let now = self.now;
         let sender = self.sender.clone();
         let mut batches = Vec::new();
-        for peer in self.peers.values_mut() {
+        for (host, peer) in &mut self.peers {
             if begins_to_wait || (room_changed && peer.status.waiting > 0) {
                 peer.want_status();
             }
             if let Some(batch) = peer.next_batch(now, &sender, &status) {
-                batches.push(FleetOutput::SendBatch(peer.address, batch));
+                batches.push(FleetOutput::SendBatch(host.clone(), peer.address, batch));
             }
         }
         self.outputs.extend(batches);
--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -53,7 +53,10 @@
     /// Whether a task fits no worker that this host or a peer has, while some
     /// are known.
     pub(crate) fn fits_nowhere(&self, service: &ServiceId, need: &Room) -> bool {
-        let own = self.workers.values().filter(|worker| worker.report.service == *service);
+        let own = self
+            .workers
+            .values()
+            .filter(|worker| worker.report.service == *service);
         let own = own.map(|worker| worker.report.capacity);
         let peers = self.peers.values().flat_map(|peer| &peer.status.rooms);
         let theirs = peers.filter(|rooms| rooms.service == *service);
@@ -94,7 +97,10 @@
 }
 
 fn rooms_of<'a>(peer: &'a Peer, service: &ServiceId) -> Option<&'a RoomOfService> {
-    peer.status.rooms.iter().find(|rooms| rooms.service == *service)
+    peer.status
+        .rooms
+        .iter()
+        .find(|rooms| rooms.service == *service)
 }
 
 /// Gets the position of the smallest room of a peer that holds a task.
@@ -102,7 +108,9 @@
     let rooms = rooms_of(peer, service)?;
     let fitting = rooms.free.iter().enumerate();
     let fitting = fitting.filter(|(_, room)| room.holds(need));
-    fitting.min_by_key(|(_, room)| room.cpu_milli).map(|(at, _)| at)
+    fitting
+        .min_by_key(|(_, room)| room.cpu_milli)
+        .map(|(at, _)| at)
 }
 
 fn free_cpu(peer: &Peer, service: &ServiceId) -> u64 {
--- a/crates/fleet/src/runs.rs
+++ b/crates/fleet/src/runs.rs
@@ -73,12 +73,18 @@
                 if task.failures >= attempts {
                     return self.end_job(id.job, JobOutcome::Failed, "a task used up its attempts");
                 }
-                self.log(Event::RunRetried, format!("run {id} failed and is repeated"));
+                self.log(
+                    Event::RunRetried,
+                    format!("run {id} failed and is repeated"),
+                );
                 self.requeue(id);
             }
             RunEnd::Lost => {
                 task.avoid = on;
-                self.log(Event::RunRetried, format!("run {id} was lost and is repeated"));
+                self.log(
+                    Event::RunRetried,
+                    format!("run {id} was lost and is repeated"),
+                );
                 self.requeue(id);
             }
         }
--- a/crates/fleet/src/scheduling.rs
+++ b/crates/fleet/src/scheduling.rs
@@ -30,9 +30,8 @@
             let Some(job) = self.jobs.get(&key) else {
                 continue;
             };
-            let is_full = |(service, need): &(String, Room)| {
-                *service == job.service && job.need.holds(need)
-            };
+            let is_full =
+                |(service, need): &(String, Room)| *service == job.service && job.need.holds(need);
             if full.iter().any(is_full) {
                 continue;
             }
--- a/crates/fleet/src/starts.rs
+++ b/crates/fleet/src/starts.rs
@@ -100,12 +100,7 @@
         self.run_unstarted(id, number);
     }
 
-    pub(crate) fn on_stop_answered(
-        &mut self,
-        number: WorkerNumber,
-        id: RunId,
-        answer: StopAnswer,
-    ) {
+    pub(crate) fn on_stop_answered(&mut self, number: WorkerNumber, id: RunId, answer: StopAnswer) {
         let now = self.now;
         let stop_time = self.options.stop_time;
         let Some(worker) = self.workers.get_mut(&number) else {
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -2,6 +2,7 @@
 
 mod changes;
 mod disk;
+mod fleet;
 mod input;
 mod leader;
 mod links;
@@ -19,7 +20,9 @@
 use std::sync::{Arc, mpsc as std_mpsc};
 
 use eyre::{Result, WrapErr};
-use hornbeam_control::{DiskLog, Recovered, Replica, ReplicaOptions};
+use hornbeam_control::{
+    DiskLog, PublishedDocument, Recovered, RepairOptions, Replica, ReplicaOptions,
+};
 use hornbeam_core::event::Event;
 use hornbeam_core::ids::{HostId, ReplicaId};
 use hornbeam_core::log_event;
@@ -27,9 +30,11 @@
 use hornbeam_timer::TimerService;
 use hornbeam_transport::{LinkOptions, ServerOptions};
 use tokio::net::TcpListener;
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::JoinSet;
 
+use self::fleet::registry::EntryRegistry;
+use self::fleet::routes::FleetRoutes;
 use self::input::{ControlHandle, ControlInput};
 use self::leader::LeaderCalls;
 use self::links::ControlLinks;
@@ -65,6 +70,20 @@
     pub link_credential: Option<String>,
     /// Credential of operators; default none, which refuses all changes.
     pub operator_credential: Option<String>,
+    /// Settings of a group that serves guarded workers; default none.
+    pub fleet: Option<FleetControlOptions>,
+}
+
+/// `FleetControlOptions` are the settings of a control host that also takes
+/// published documents and status reports of guarded workers.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct FleetControlOptions {
+    /// Address for documents and status reports.
+    pub listen: SocketAddr,
+    /// Link addresses of some control hosts, to find the group.
+    pub seeds: Vec<SocketAddr>,
+    /// How the group repairs itself.
+    pub repair: RepairOptions,
 }
 
 /// `ControlHost` is a running control host.
@@ -75,6 +94,7 @@
     life: Arc<Lifecycle>,
     shell: ControlHandle,
     http: HttpServer,
+    fleet_http: Option<HttpServer>,
     end_links: oneshot::Sender<()>,
     tasks: JoinSet<()>,
 }
@@ -84,7 +104,10 @@
     ///
     /// # Errors
     /// If the folder is damaged or an address cannot be bound.
-    pub async fn start(options: ControlOptions) -> Result<Self> {
+    pub async fn start(mut options: ControlOptions) -> Result<Self> {
+        if let Some(fleet) = options.fleet.clone() {
+            fleet::join::prepare(&mut options, &fleet).await?;
+        }
         let (replica_id, disk, recovered) = open_disk(&options).await?;
         let listener = TcpListener::bind(options.link_listen)
             .await
@@ -120,11 +143,13 @@
             disk: requests,
             disk_bytes,
             waiting: Waiting::default(),
+            document: parts.document.clone(),
+            repair: options.fleet.as_ref().map(|fleet| fleet.repair),
         };
         tasks.spawn_blocking(move || disk::run(disk, &disk_requests, &events));
         tasks.spawn(control_shell.run(inputs, disk_events));
         let (end_links, links_end) = oneshot::channel();
-        let service = parts.links(replica_id, leader);
+        let service = parts.links(replica_id, leader, link_address.port());
         let server_options = ServerOptions {
             credential: options.link_credential.clone(),
             ..ServerOptions::default()
@@ -135,8 +160,13 @@
             server_options,
             links_end,
         ));
+        let fleet_http = match &options.fleet {
+            Some(fleet) => Some(parts.serve_fleet(&options, fleet, &shell).await?),
+            None => None,
+        };
         parts.life.on(LifeEvent::Listening);
         Ok(Self {
+            fleet_http,
             http_address: http.address(),
             link_address,
             life: parts.life,
@@ -179,6 +209,9 @@
         self.stopped().await;
         // Answers that the loop has given are still being written.
         self.http.stop().await;
+        if let Some(fleet_http) = self.fleet_http {
+            fleet_http.stop().await;
+        }
         // Both fail only if the receiving task has ended already.
         let _ = self.end_links.send(());
         let _ = self.shell.send(ControlInput::Stop).await;
@@ -188,6 +221,7 @@
     /// Stops at once, as a crash would.
     pub fn abort(mut self) {
         self.http.abort();
+        drop(self.fleet_http.take());
         self.tasks.abort_all();
     }
 }
@@ -226,6 +260,8 @@
     timer: TimerService,
     life: Arc<Lifecycle>,
     config: ConfigWatch,
+    document: watch::Sender<PublishedDocument>,
+    registry: Arc<EntryRegistry>,
     replicas: Arc<ReplicaTable>,
 }
 
@@ -239,7 +275,13 @@
             timer: TimerService::default(),
             life: Arc::new(Lifecycle::new()?),
             config: ConfigWatch::new(),
-            replicas: Arc::new(ReplicaTable::new(link_options, &options.peers)),
+            document: watch::Sender::new(PublishedDocument::default()),
+            registry: Arc::new(EntryRegistry::new(link_options.clone())),
+            replicas: Arc::new(ReplicaTable::new(
+                link_options,
+                &options.peers,
+                options.fleet.is_some().then(|| options.link_listen.port()),
+            )),
         })
     }
 
@@ -260,13 +302,36 @@
         }
     }
 
-    fn links(&self, replica_id: ReplicaId, leader: LeaderCalls) -> ControlLinks {
+    fn links(&self, replica_id: ReplicaId, leader: LeaderCalls, link_port: u16) -> ControlLinks {
         ControlLinks {
             replica_id,
             leader,
             config: self.config.clone(),
             timer: self.timer.clone(),
             life: Arc::clone(&self.life),
+            document: self.document.clone(),
+            registry: Arc::clone(&self.registry),
+            id_port: link_port,
         }
     }
+
+    async fn serve_fleet(
+        &self,
+        options: &ControlOptions,
+        fleet: &FleetControlOptions,
+        shell: &ControlHandle,
+    ) -> Result<HttpServer> {
+        let routes = FleetRoutes {
+            host_id: options.host_id.clone(),
+            leader: self.leader_calls(shell),
+            document: self.document.clone(),
+            registry: Arc::clone(&self.registry),
+            timer: self.timer.clone(),
+            life: Arc::clone(&self.life),
+        };
+        let router = fleet::routes::router(Arc::new(routes));
+        HttpServer::start(fleet.listen, router, HttpServerOptions::default())
+            .await
+            .wrap_err_with(|| format!("cannot bind {}", fleet.listen))
+    }
 }
--- /dev/null
+++ b/crates/node/src/control/fleet/registry.rs
@@ -0,0 +1,151 @@
+//! Entry hosts that are alive, and the one that gets a worker.
+
+use std::net::SocketAddr;
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use hornbeam_core::ids::{HostId, WorkerId};
+use hornbeam_fleet::{PeerAddress, WorkerReport};
+use hornbeam_transport::{Link, LinkOptions};
+use indexmap::IndexMap;
+
+use crate::wire::EntryRegistration;
+
+/// Time after which an entry host that has not registered again is left out:
+/// four registrations.
+const ALIVE_FOR: Duration = Duration::from_secs(2);
+
+/// Time for which a worker's reports go to the entry host that took the last.
+const KEEP_OWNER_FOR: Duration = Duration::from_secs(6);
+
+/// `EntryRegistry` holds the entry hosts that have registered here.
+#[derive(Debug)]
+pub(crate) struct EntryRegistry {
+    options: LinkOptions,
+    table: Mutex<Table>,
+}
+
+#[derive(Debug, Default)]
+struct Table {
+    hosts: IndexMap<HostId, Entry>,
+    owners: IndexMap<WorkerId, (HostId, Duration)>,
+}
+
+#[derive(Debug)]
+struct Entry {
+    registration: EntryRegistration,
+    heard_at: Duration,
+    /// Workers relayed to it since it last said how many it owns.
+    relayed: u32,
+    link: Link,
+}
+
+/// `Candidate` is an entry host that may take a worker.
+#[derive(Clone, Debug)]
+pub(crate) struct Candidate {
+    /// Its id.
+    pub(crate) host_id: HostId,
+    /// The link to it.
+    pub(crate) link: Link,
+    /// Address for the reports of its workers.
+    pub(crate) report_address: SocketAddr,
+}
+
+impl EntryRegistry {
+    pub(crate) fn new(options: LinkOptions) -> Self {
+        Self {
+            options,
+            table: Mutex::default(),
+        }
+    }
+
+    /// Takes note of an entry host.
+    pub(crate) fn register(&self, registration: EntryRegistration, now: Duration) {
+        let mut table = self.lock();
+        let host_id = registration.host.host_id.clone();
+        match table.hosts.get_mut(&host_id) {
+            Some(entry) if entry.link.address() == registration.host.address => {
+                entry.registration = registration;
+                entry.heard_at = now;
+                entry.relayed = 0;
+            }
+            _ => {
+                let link = Link::new(registration.host.address, self.options.clone());
+                let entry = Entry {
+                    registration,
+                    heard_at: now,
+                    relayed: 0,
+                    link,
+                };
+                table.hosts.insert(host_id, entry);
+            }
+        }
+    }
+
+    /// Gets the entry hosts that are alive.
+    pub(crate) fn entry_hosts(&self, now: Duration) -> Vec<PeerAddress> {
+        let table = self.lock();
+        let alive = table.hosts.values().filter(|entry| entry.is_alive(now));
+        alive.map(|entry| entry.registration.host.clone()).collect()
+    }
+
+    /// Gets the entry hosts for a worker, best first: the one that took its
+    /// last report, then those of its failure domain, then those that own the
+    /// fewest workers.
+    pub(crate) fn candidates(&self, report: &WorkerReport, now: Duration) -> Vec<Candidate> {
+        let table = self.lock();
+        let owner = table.owners.get(&report.worker_id);
+        let owner = owner.filter(|(_, at)| now <= *at + KEEP_OWNER_FOR);
+        let owner = owner.map(|(host, _)| host.clone());
+        let fit = |entry: &&Entry| entry.is_alive(now) && !entry.registration.draining;
+        let mut entries: Vec<&Entry> = table.hosts.values().filter(fit).collect();
+        entries.sort_by_key(|entry| {
+            let host = &entry.registration.host;
+            (
+                owner.as_ref() != Some(&host.host_id),
+                host.failure_domain != report.failure_domain,
+                entry.registration.owned + entry.relayed,
+            )
+        });
+        let candidate = |entry: &&Entry| Candidate {
+            host_id: entry.registration.host.host_id.clone(),
+            link: entry.link.clone(),
+            report_address: entry.registration.report_address,
+        };
+        entries.iter().map(candidate).collect()
+    }
+
+    /// Notes that an entry host took a worker's report.
+    pub(crate) fn took(&self, worker_id: &WorkerId, host_id: &HostId, now: Duration) {
+        let mut table = self.lock();
+        table
+            .owners
+            .retain(|_, (_, at)| now <= *at + KEEP_OWNER_FOR);
+        let former = table
+            .owners
+            .insert(worker_id.clone(), (host_id.clone(), now));
+        if former.is_none_or(|(former, _)| former != *host_id)
+            && let Some(entry) = table.hosts.get_mut(host_id)
+        {
+            entry.relayed += 1;
+        }
+    }
+
+    /// Gets the link to the entry host that took a worker's last report here.
+    pub(crate) fn owner(&self, worker_id: &WorkerId) -> Option<Link> {
+        let table = self.lock();
+        let (host, _) = table.owners.get(worker_id)?;
+        Some(table.hosts.get(host)?.link.clone())
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Table> {
+        // No holder of the lock can panic between two changes.
+        self.table.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Entry {
+    fn is_alive(&self, now: Duration) -> bool {
+        now <= self.heard_at + ALIVE_FOR
+    }
+}
--- /dev/null
+++ b/crates/node/src/control/fleet/routes.rs
@@ -0,0 +1,193 @@
+//! HTTP of a control host for operators and workers of the platform.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use hornbeam_control::{PublishCommand, PublishResult, PublishedDocument};
+use hornbeam_core::event::Event;
+use hornbeam_core::ids::{HostId, WorkerId};
+use hornbeam_core::{Findings, log_event};
+use hornbeam_fleet::{ReportAnswer, WorkerReport};
+use hornbeam_platform::{ControlCall, control_call, read_document, read_report, report_answer};
+use hornbeam_timer::TimerService;
+use tokio::sync::watch;
+use volo_http::request::Request as HttpRequest;
+use volo_http::response::Response;
+use volo_http::server::Router;
+
+use super::super::leader::LeaderCalls;
+use super::registry::EntryRegistry;
+use crate::lifecycle::{LifeState, Lifecycle};
+use crate::reply::{self, BodyBudget};
+use crate::wire::{PublishAnswer, Request, RequestAnswer};
+
+/// Largest document in bytes; one of 400 queues has some 100 KB.
+const MAX_DOCUMENT_BYTES: usize = 4 << 20;
+
+/// Bytes of the bodies of all requests at once.
+const MAX_BODIES_BYTES: usize = 16 << 20;
+
+/// Time within which an entry host must take a report. A worker turns to
+/// another host after a second, and a second entry host must fit into that.
+const RELAY_TIMEOUT: Duration = Duration::from_millis(350);
+
+/// Entry hosts that are asked to take a report.
+const MAX_RELAYS: usize = 2;
+
+const OK: u16 = 200;
+const NOT_FOUND: u16 = 404;
+const UNAVAILABLE: u16 = 503;
+
+/// `FleetRoutes` answers the platform's operators and workers.
+#[derive(Debug)]
+pub(crate) struct FleetRoutes {
+    /// Id of this host.
+    pub(crate) host_id: HostId,
+    /// Ways to the leader and to this host's replica.
+    pub(crate) leader: LeaderCalls,
+    /// The document in force here.
+    pub(crate) document: watch::Sender<PublishedDocument>,
+    /// Entry hosts that are alive.
+    pub(crate) registry: Arc<EntryRegistry>,
+    /// The time.
+    pub(crate) timer: TimerService,
+    /// The life cycle of the process.
+    pub(crate) life: Arc<Lifecycle>,
+}
+
+/// Builds the router.
+pub(crate) fn router(routes: Arc<FleetRoutes>) -> Router {
+    let bodies = BodyBudget::new(MAX_BODIES_BYTES);
+    Router::new().fallback(move |request: HttpRequest| {
+        let routes = Arc::clone(&routes);
+        let bodies = bodies.clone();
+        async move { routes.answer(request, &bodies).await }
+    })
+}
+
+impl FleetRoutes {
+    async fn answer(&self, request: HttpRequest, bodies: &BodyBudget) -> Response {
+        let call = control_call(request.method().as_str(), request.uri().path());
+        let Some(call) = call else {
+            return reply::text(NOT_FOUND, "no such call\n");
+        };
+        if call == ControlCall::ReadConfiguration {
+            return self.read().await;
+        }
+        let body = reply::read_body(&self.timer, request, MAX_DOCUMENT_BYTES, bodies).await;
+        let body = match body {
+            Ok(body) => body,
+            Err(cause) => return reply::refused_body(&cause),
+        };
+        match call {
+            ControlCall::Publish => self.publish(&body.bytes).await,
+            ControlCall::Report(worker_id) => self.report(worker_id, &body.bytes).await,
+            ControlCall::Departure(worker_id) => self.departure(worker_id).await,
+            ControlCall::ReadConfiguration => reply::text(NOT_FOUND, "no such call\n"),
+        }
+    }
+
+    async fn publish(&self, body: &[u8]) -> Response {
+        let checked = std::str::from_utf8(body)
+            .map_err(|_| Findings::new())
+            .and_then(|text| read_document(text).map(|table| (text, table.version)));
+        let (text, version) = match checked {
+            Ok(checked) => checked,
+            Err(findings) => {
+                log_event!(
+                    Event::PublishRejected, host = self.host_id;
+                    "a document of {} bytes is invalid: {}",
+                    body.len(), reply::sentences(&findings)
+                );
+                return reply::invalid(findings);
+            }
+        };
+        if self.life.state() != LifeState::Ready {
+            return reply::text(UNAVAILABLE, "this control host is leaving\n");
+        }
+        let command = PublishCommand {
+            version,
+            document: text.to_owned(),
+            proposed_unix_ms: 0,
+        };
+        let answer = self.leader.publish(&command).await;
+        log_event!(
+            Event::PublishAccepted, host = self.host_id;
+            "document of version {version} with {} bytes: {answer:?}", text.len()
+        );
+        match answer {
+            PublishAnswer::Decided(PublishResult::InForce | PublishResult::Superseded(_)) => {
+                reply::json(OK, &serde_json::json!({}))
+            }
+            PublishAnswer::Refused(cause) => reply::text(413, format!("{cause}\n")),
+            PublishAnswer::NotLeader(_) | PublishAnswer::Unknown => {
+                reply::text(UNAVAILABLE, "no leader can be reached\n")
+            }
+        }
+    }
+
+    /// Answers with the newest document, or not at all if that cannot be
+    /// confirmed by a quorum.
+    async fn read(&self) -> Response {
+        if !self.leader.confirm_read().await {
+            return reply::text(UNAVAILABLE, "the newest document cannot be confirmed\n");
+        }
+        let document = self.document.borrow().clone();
+        if document.version == 0 {
+            return reply::text(NOT_FOUND, "no document was published\n");
+        }
+        reply::json_text(OK, &document.text)
+    }
+
+    async fn report(&self, worker_id: WorkerId, body: &[u8]) -> Response {
+        let report = match read_report(worker_id.clone(), body) {
+            Ok(report) => report,
+            Err(cause) => {
+                log_event!(
+                    Event::MessageRejected, host = self.host_id, worker = worker_id;
+                    "a status report of {worker_id} is not as documented: {}",
+                    reply::sentences(&cause.findings)
+                );
+                return reply::invalid(cause.findings);
+            }
+        };
+        self.relay(report).await
+    }
+
+    /// Brings a report to an entry host that owns the worker from then on.
+    async fn relay(&self, report: WorkerReport) -> Response {
+        let now = self.timer.now();
+        let candidates = self.registry.candidates(&report, now);
+        let asked = candidates.len().min(MAX_RELAYS);
+        for candidate in candidates.into_iter().take(MAX_RELAYS) {
+            let request = Request::Announce(Box::new(report.clone()));
+            let answer = candidate.link.call(&request, RELAY_TIMEOUT).await;
+            if let Ok(RequestAnswer::Announced(ReportAnswer::Taken)) = answer {
+                let worker_id = &report.worker_id;
+                self.registry.took(worker_id, &candidate.host_id, now);
+                let next = report_answer(Some(candidate.report_address));
+                return reply::json(OK, &next);
+            }
+        }
+        log_event!(
+            Event::ReportDeclined, host = self.host_id, worker = report.worker_id;
+            "no entry host took the report of worker {}; {asked} were asked", report.worker_id
+        );
+        reply::text(UNAVAILABLE, "no entry host took the report\n")
+    }
+
+    async fn departure(&self, worker_id: WorkerId) -> Response {
+        if let Some(link) = self.registry.owner(&worker_id) {
+            let request = Request::Departed(worker_id.clone());
+            let answer: hornbeam_core::Result<RequestAnswer> =
+                link.call(&request, RELAY_TIMEOUT).await;
+            if let Err(cause) = answer {
+                log_event!(
+                    Event::ReportDeclined, host = self.host_id, worker = worker_id;
+                    "the owner of worker {worker_id} did not learn that it has left: {cause}"
+                );
+            }
+        }
+        reply::json(OK, &serde_json::json!({}))
+    }
+}
--- a/crates/node/src/control/leader.rs
+++ b/crates/node/src/control/leader.rs
@@ -5,6 +5,7 @@
 
 use hornbeam_control::{
     ChangeCommand, ClaimCommand, ClaimResult, Command, CommandResult, MembersCommand, ProposalEnd,
+    PublishCommand,
 };
 use hornbeam_core::Error;
 use hornbeam_core::ids::ReplicaId;
@@ -13,7 +14,7 @@
 
 use super::input::{ControlHandle, ControlInput};
 use super::replicas::ReplicaTable;
-use crate::wire::{ApplyAnswer, MembersAnswer, Request, RequestAnswer};
+use crate::wire::{ApplyAnswer, MembersAnswer, PublishAnswer, Request, RequestAnswer};
 
 /// Longest wait for a leader that is not known yet. An election takes up to
 /// about a second.
@@ -67,6 +68,42 @@
         }
     }
 
+    /// Publishes a document at this host or at the leader.
+    pub(crate) async fn publish(&self, command: &PublishCommand) -> PublishAnswer {
+        let give_up = self.timer.now() + LEADER_WAIT;
+        loop {
+            let answer = match self.publish_here(command.clone()).await {
+                PublishAnswer::NotLeader(Some(leader)) => {
+                    self.forward_document(leader, command).await
+                }
+                answer => answer,
+            };
+            if !matches!(answer, PublishAnswer::NotLeader(_)) || self.timer.now() >= give_up {
+                return answer;
+            }
+            self.timer.sleep(LEADER_PAUSE).await;
+        }
+    }
+
+    /// Publishes a document only if this host leads.
+    pub(crate) async fn publish_here(&self, command: PublishCommand) -> PublishAnswer {
+        match self.propose(Command::Publish(Box::new(command))).await {
+            ProposalEnd::Applied(CommandResult::Publish(result)) => PublishAnswer::Decided(result),
+            ProposalEnd::NotLeader(leader) => PublishAnswer::NotLeader(leader),
+            ProposalEnd::Refused(cause) => PublishAnswer::Refused(cause.to_string()),
+            ProposalEnd::Applied(_) | ProposalEnd::Unknown => PublishAnswer::Unknown,
+        }
+    }
+
+    async fn forward_document(&self, leader: ReplicaId, command: &PublishCommand) -> PublishAnswer {
+        let request = Request::Publish(Box::new(command.clone()));
+        match self.forward(leader, &request).await {
+            Ok(RequestAnswer::Published(answer)) => answer,
+            Err(Error::NotSent(_) | Error::Refused(_)) => PublishAnswer::NotLeader(None),
+            Ok(_) | Err(_) => PublishAnswer::Unknown,
+        }
+    }
+
     /// Records a claim at this host or at the leader.
     pub(crate) async fn claim(&self, command: &ClaimCommand) -> ClaimEnd {
         match self.propose(Command::Claim(command.clone())).await {
--- a/crates/node/src/control/links.rs
+++ b/crates/node/src/control/links.rs
@@ -3,16 +3,20 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use hornbeam_control::PublishedDocument;
 use hornbeam_core::ids::ReplicaId;
 use hornbeam_core::{Error, Result};
 use hornbeam_timer::TimerService;
 use hornbeam_transport::Service;
+use tokio::sync::watch;
 
+use super::fleet::registry::EntryRegistry;
 use super::input::ControlInput;
 use super::leader::LeaderCalls;
+use super::replicas;
 use crate::config_watch::{self, ConfigWatch};
 use crate::lifecycle::{LifeState, Lifecycle};
-use crate::wire::{Request, RequestAnswer};
+use crate::wire::{Membership, Request, RequestAnswer};
 
 /// `ControlLinks` answers the links of a control host.
 #[derive(Debug)]
@@ -27,6 +31,12 @@
     pub(crate) timer: TimerService,
     /// The life cycle of the process.
     pub(crate) life: Arc<Lifecycle>,
+    /// The document in force here.
+    pub(crate) document: watch::Sender<PublishedDocument>,
+    /// Entry hosts that are alive.
+    pub(crate) registry: Arc<EntryRegistry>,
+    /// Port of the links of all control hosts.
+    pub(crate) id_port: u16,
 }
 
 impl Service for ControlLinks {
@@ -59,6 +69,19 @@
                 let newer = self.life.unless_leaving(poll).await;
                 Ok(RequestAnswer::Configuration(newer.flatten()))
             }
+            Request::Register(registration) => {
+                self.registry.register(registration, self.timer.now());
+                Ok(RequestAnswer::Registered(self.membership().await?))
+            }
+            Request::Voters => {
+                let status = self.leader.shell.ask(ControlInput::Status).await?;
+                Ok(RequestAnswer::Voters(status.voters))
+            }
+            Request::Document(have_version) => {
+                let document = self.document.borrow();
+                let newer = (document.version > have_version).then(|| document.clone());
+                Ok(RequestAnswer::Document(newer))
+            }
             Request::Read => Ok(RequestAnswer::ReadAt(self.leader.read_here().await)),
             request => self.propose(request).await,
         }
@@ -66,6 +89,18 @@
 }
 
 impl ControlLinks {
+    async fn membership(&self) -> Result<Membership> {
+        let status = self.leader.shell.ask(ControlInput::Status).await?;
+        let learners = status.learners.iter().map(|learner| learner.replica_id);
+        let ids = status.voters.iter().copied().chain(learners);
+        let addresses = ids.filter_map(|id| replicas::address_of(id, self.id_port));
+        Ok(Membership {
+            entry_hosts: self.registry.entry_hosts(self.timer.now()),
+            control_hosts: addresses.collect(),
+            document_version: self.document.borrow().version,
+        })
+    }
+
     async fn propose(&self, request: Request) -> Result<RequestAnswer> {
         if self.life.state() != LifeState::Ready {
             return Err(Error::refused("this control host is leaving"));
@@ -83,6 +118,10 @@
                 let answer = self.leader.change_here(*command).await;
                 Ok(RequestAnswer::Change(answer))
             }
+            Request::Publish(command) => {
+                let answer = self.leader.publish_here(*command).await;
+                Ok(RequestAnswer::Published(answer))
+            }
             Request::Members(command) => {
                 let answer = self.leader.members_here(command).await;
                 Ok(RequestAnswer::Members(answer))
--- a/crates/node/src/control/replicas.rs
+++ b/crates/node/src/control/replicas.rs
@@ -1,9 +1,10 @@
 //! Links to the other replicas by id.
 
 use std::collections::HashMap;
-use std::net::SocketAddr;
+use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
+use hornbeam_control::host_of;
 use hornbeam_core::ids::ReplicaId;
 use hornbeam_transport::{Link, LinkOptions};
 
@@ -11,22 +12,41 @@
 /// only come from replicas that lost their disks one after the other.
 const MAX_REPLICAS: usize = 64;
 
+/// Makes the id of a replica at an address; `random` tells apart the replicas
+/// that a host has had.
+pub(crate) fn id_at(address: Ipv4Addr, random: u32) -> ReplicaId {
+    u64::from(address.to_bits()) << 32 | u64::from(random)
+}
+
+/// Gets the address that a replica id holds.
+pub(crate) fn address_of(id: ReplicaId, port: u16) -> Option<SocketAddr> {
+    let bits = u32::try_from(host_of(id)).ok()?;
+    Some(SocketAddr::from((Ipv4Addr::from_bits(bits), port)))
+}
+
 /// `ReplicaTable` finds the other control hosts: those of the settings, and
 /// those with a new id by the address in their messages.
 #[derive(Debug)]
 pub(crate) struct ReplicaTable {
     options: LinkOptions,
+    /// Port of the links of all control hosts, if replica ids hold addresses.
+    id_port: Option<u16>,
     links: Mutex<HashMap<ReplicaId, Link>>,
 }
 
 impl ReplicaTable {
     /// Creates a table of the replicas in the settings.
-    pub(crate) fn new(options: LinkOptions, known: &[(ReplicaId, SocketAddr)]) -> Self {
+    pub(crate) fn new(
+        options: LinkOptions,
+        known: &[(ReplicaId, SocketAddr)],
+        id_port: Option<u16>,
+    ) -> Self {
         let link = |(id, at): &(ReplicaId, SocketAddr)| (*id, Link::new(*at, options.clone()));
         let links = known.iter().map(link).collect();
         Self {
             links: Mutex::new(links),
             options,
+            id_port,
         }
     }
 
@@ -43,7 +63,17 @@
 
     /// Gets the link to a replica.
     pub(crate) fn link(&self, id: ReplicaId) -> Option<Link> {
-        self.lock().get(&id).cloned()
+        let mut links = self.lock();
+        if let Some(link) = links.get(&id) {
+            return Some(link.clone());
+        }
+        let address = address_of(id, self.id_port?)?;
+        if links.len() >= MAX_REPLICAS {
+            return None;
+        }
+        let link = Link::new(address, self.options.clone());
+        links.insert(id, link.clone());
+        Some(link)
     }
 
     fn lock(&self) -> MutexGuard<'_, HashMap<ReplicaId, Link>> {
--- a/crates/node/src/control/shell.rs
+++ b/crates/node/src/control/shell.rs
@@ -2,16 +2,18 @@
 
 use std::collections::HashMap;
 use std::sync::{Arc, mpsc as std_mpsc};
+use std::time::Duration;
 
 use hornbeam_control::{
-    Command, PersistRequest, ProposalEnd, ProposalId, ReadId, Replica, ReplicaInput, ReplicaOutput,
+    Command, MembersCommand, PersistRequest, ProposalEnd, ProposalId, PublishedDocument, ReadId,
+    RepairOptions, Replica, ReplicaInput, ReplicaOutput,
 };
 use hornbeam_core::api::operator::{ConfigAnswer, ControlStatus};
 use hornbeam_core::event::Event;
 use hornbeam_core::ids::{ConfigVersion, HostId, ReplicaId};
 use hornbeam_core::{Error, log_event};
 use hornbeam_timer::TimerService;
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{mpsc, oneshot, watch};
 
 use super::disk::DiskEvent;
 use super::input::ControlInput;
@@ -19,6 +21,9 @@
 use crate::config_watch::ConfigWatch;
 use crate::lifecycle::{FailOnDrop, LifeEvent, Lifecycle};
 
+/// Time between looks for a needed repair.
+const REPAIR_PERIOD: Duration = Duration::from_millis(100);
+
 /// `ControlShell` runs the replica: inputs in, outputs carried out.
 #[derive(Debug)]
 pub(crate) struct ControlShell {
@@ -42,6 +47,10 @@
     pub(crate) disk_bytes: u64,
     /// Those who wait for an answer.
     pub(crate) waiting: Waiting,
+    /// The document in force here.
+    pub(crate) document: watch::Sender<PublishedDocument>,
+    /// How the group repairs itself, if it does.
+    pub(crate) repair: Option<RepairOptions>,
 }
 
 /// `Waiting` holds the senders that answers go to.
@@ -90,6 +99,7 @@
         let mut draining = false;
         // Publishes what the snapshot held.
         self.publish();
+        let mut repair_ticks = self.timer.ticks(REPAIR_PERIOD);
         loop {
             let wakeup = self.replica.next_wakeup();
             tokio::select! {
@@ -112,6 +122,7 @@
                     log_event!(Event::DrainStarted, host = self.host_id; "new work is refused");
                 }
                 () = self.timer.sleep_until(wakeup) => self.step(ReplicaInput::Tick),
+                _ = repair_ticks.next(), if self.repair.is_some() => self.repair_group(),
             }
             if draining && self.waiting.is_idle() && self.life.on(LifeEvent::Drained) {
                 log_event!(Event::DrainFinished; "no proposal and no read is left");
@@ -167,6 +178,33 @@
         self.step(ReplicaInput::Propose(id, command));
     }
 
+    /// Proposes the next change of members that the group needs, if any.
+    fn repair_group(&mut self) {
+        let Some(options) = self.repair else {
+            return;
+        };
+        let Some(voters) = self.replica.next_repair(&options) else {
+            return;
+        };
+        log_event!(
+            Event::GroupRepair, host = self.host_id;
+            "voters {:x?} become {voters:x?}", self.replica.voters()
+        );
+        let command = Command::Members(MembersCommand {
+            voters,
+            change_id: format!(
+                "repair-{}-{}",
+                self.replica.term(),
+                self.replica.last_index()
+            ),
+            operator: self.host_id.clone(),
+            reason: "repair of the group".to_owned(),
+            proposed_unix_ms: 0,
+        });
+        let (waiter, _) = oneshot::channel();
+        self.propose(command, waiter);
+    }
+
     fn step(&mut self, input: ReplicaInput) {
         let outputs = self.replica.step(self.timer.now(), input);
         for output in outputs {
@@ -213,6 +251,14 @@
             let configuration = Arc::new(state.configuration().clone());
             self.config.publish(version, configuration);
         }
+        let published = state.published();
+        self.document.send_if_modified(|current| {
+            let is_newer = published.version > current.version;
+            if is_newer {
+                *current = published.clone();
+            }
+            is_newer
+        });
     }
 
     fn release_applied(&mut self) {
@@ -263,6 +309,7 @@
         Command::Change(change) => change.proposed_unix_ms = unix_ms,
         Command::Claim(claim) => claim.now_unix_ms = unix_ms,
         Command::Members(members) => members.proposed_unix_ms = unix_ms,
+        Command::Publish(publish) => publish.proposed_unix_ms = unix_ms,
         Command::Noop => {}
     }
 }
--- /dev/null
+++ b/crates/node/src/fleet_entry/caller.rs
@@ -0,0 +1,166 @@
+//! HTTP for callers.
+
+use std::sync::Arc;
+
+use hornbeam_core::event::Event;
+use hornbeam_core::ids::HostId;
+use hornbeam_core::{Error, log_event};
+use hornbeam_fleet::{JobKey, JobOutcome, NotRun, Queue, QueueTable};
+use hornbeam_platform::{
+    CallerPath, JobRequest, PATIENCE_HEADER, caller_path, count_answer, job_answer, read_job,
+};
+use hornbeam_timer::TimerService;
+use tokio::sync::watch;
+use volo_http::http::Method;
+use volo_http::http::header::HOST;
+use volo_http::request::Request;
+use volo_http::response::Response;
+use volo_http::server::Router;
+
+use super::input::{EntryHandle, EntryInput};
+use super::shell::InForce;
+use crate::reply::{self, BodyBudget};
+
+/// Bytes of the bodies of all jobs at once.
+const MAX_BODIES_BYTES: usize = 16 << 20;
+
+const BAD_REQUEST: u16 = 400;
+const METHOD_NOT_ALLOWED: u16 = 405;
+const GONE: u16 = 410;
+const UNAVAILABLE: u16 = 503;
+
+/// `CallerRoutes` answers callers.
+#[derive(Debug)]
+pub(crate) struct CallerRoutes {
+    host_id: HostId,
+    shell: EntryHandle,
+    in_force: watch::Receiver<InForce>,
+    timer: TimerService,
+    bodies: BodyBudget,
+}
+
+/// Builds the router.
+pub(crate) fn router(routes: CallerRoutes) -> Router {
+    let routes = Arc::new(routes);
+    Router::new().fallback(move |request: Request| {
+        let routes = Arc::clone(&routes);
+        async move { routes.answer(request).await }
+    })
+}
+
+impl CallerRoutes {
+    pub(crate) fn new(
+        host_id: HostId,
+        shell: EntryHandle,
+        in_force: watch::Receiver<InForce>,
+        timer: TimerService,
+    ) -> Self {
+        Self {
+            host_id,
+            shell,
+            in_force,
+            timer,
+            bodies: BodyBudget::new(MAX_BODIES_BYTES),
+        }
+    }
+
+    async fn answer(&self, request: Request) -> Response {
+        let Some(queues) = self.in_force.borrow().queues.clone() else {
+            return job_answer(JobOutcome::NotRun(NotRun::NotReady));
+        };
+        let path = request.uri().path().to_owned();
+        let Some(queue) = queues.find(host_name(&request), &path) else {
+            self.log_rejected(&path, "no such queue");
+            return job_answer(JobOutcome::NotRun(NotRun::UnknownQueue));
+        };
+        match (request.method(), caller_path(queue, &path)) {
+            (&Method::POST, CallerPath::Job(job)) => {
+                self.submit(&queues, queue, job, request).await
+            }
+            (&Method::GET, CallerPath::Queue) => self.pending(queue).await,
+            // A job that need not be stored is known only to its own call.
+            (&Method::GET | &Method::DELETE, CallerPath::Job(_)) => {
+                reply::text(GONE, "no such job is stored\n")
+            }
+            (&Method::POST | &Method::GET | &Method::DELETE, _) => {
+                self.log_rejected(&path, "the job id is not 16 hexadecimal digits");
+                reply::text(BAD_REQUEST, "a job id has 16 hexadecimal digits\n")
+            }
+            _ => reply::text(METHOD_NOT_ALLOWED, "no such method\n"),
+        }
+    }
+
+    async fn submit(
+        &self,
+        queues: &QueueTable,
+        queue: &Queue,
+        job: JobKey,
+        request: Request,
+    ) -> Response {
+        let patience_ms = patience_ms(&request);
+        let max_bytes = queues.limits.max_body_bytes;
+        let body = reply::read_body(&self.timer, request, max_bytes, &self.bodies).await;
+        let body = match body {
+            Ok(body) => body,
+            Err(cause) => {
+                self.log_rejected(&format!("job {job:016x}"), "its body could not be read");
+                return reply::refused_body(&cause);
+            }
+        };
+        let submission = match read_job(job, queue, patience_ms, &body.bytes) {
+            Ok(JobRequest::Run(submission)) => submission,
+            Ok(JobRequest::Unsupported(feature)) => {
+                log_event!(
+                    Event::FleetJobRefused, host = self.host_id;
+                    "job {job:016x} of queue {} refused, nothing ran: {feature} is not supported",
+                    queue.name
+                );
+                return reply::text(UNAVAILABLE, format!("not run: no support for {feature}\n"));
+            }
+            Err(rejected) => {
+                let findings = reply::sentences(&rejected.findings);
+                self.log_rejected(&format!("job {job:016x}"), &findings);
+                return reply::json(rejected.status, &rejected.findings);
+            }
+        };
+        drop(body);
+        match self.shell.submit(submission).await {
+            Ok(outcome) => job_answer(outcome),
+            Err(Error::Refused(_)) => job_answer(JobOutcome::NotRun(NotRun::Draining)),
+            Err(_) => job_answer(JobOutcome::TimedOut),
+        }
+    }
+
+    async fn pending(&self, queue: &Queue) -> Response {
+        let name = queue.name.clone();
+        match self
+            .shell
+            .ask(|sender| EntryInput::Pending(name, sender))
+            .await
+        {
+            Ok(jobs) => count_answer(jobs),
+            Err(cause) => reply::text(UNAVAILABLE, cause.to_string()),
+        }
+    }
+
+    fn log_rejected(&self, what: &str, reason: &str) {
+        log_event!(
+            Event::MessageRejected, host = self.host_id;
+            "a caller's request for {what} is rejected: {reason}"
+        );
+    }
+}
+
+/// Gets the host name of a request without a port.
+fn host_name(request: &Request) -> &str {
+    let header = request.headers().get(HOST);
+    let name = header.and_then(|value| value.to_str().ok());
+    let name = name.or_else(|| request.uri().host()).unwrap_or_default();
+    name.split(':').next().unwrap_or_default()
+}
+
+fn patience_ms(request: &Request) -> Option<u64> {
+    let header = request.headers().get(PATIENCE_HEADER)?;
+    let text = header.to_str().ok()?;
+    text.trim().parse::<f64>().ok().map(|ms| ms.max(0.0) as u64)
+}
--- /dev/null
+++ b/crates/node/src/fleet_entry/reports.rs
@@ -0,0 +1,120 @@
+//! HTTP for the reports of owned workers and for the load balancer.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use hornbeam_core::event::Event;
+use hornbeam_core::ids::{HostId, WorkerId};
+use hornbeam_core::log_event;
+use hornbeam_fleet::{FleetInput, ReportAnswer};
+use hornbeam_platform::{ControlCall, READINESS_PATH, control_call, read_report, report_answer};
+use hornbeam_timer::TimerService;
+use tokio::sync::watch;
+use volo_http::request::Request;
+use volo_http::response::Response;
+use volo_http::server::Router;
+
+use super::input::{EntryHandle, EntryInput};
+use super::shell::InForce;
+use crate::lifecycle::{LifeState, Lifecycle};
+use crate::reply::{self, BodyBudget};
+
+/// Largest status report in bytes.
+const MAX_REPORT_BYTES: usize = 64 << 10;
+
+/// Bytes of the bodies of all reports at once.
+const MAX_BODIES_BYTES: usize = 4 << 20;
+
+const OK: u16 = 200;
+const NOT_FOUND: u16 = 404;
+const UNAVAILABLE: u16 = 503;
+
+/// `ReportRoutes` answers the workers that this host owns.
+#[derive(Debug)]
+pub(crate) struct ReportRoutes {
+    /// Id of this host.
+    pub(crate) host_id: HostId,
+    /// The shell loop.
+    pub(crate) shell: EntryHandle,
+    /// The time.
+    pub(crate) timer: TimerService,
+    /// Port for reports, the same on all entry hosts.
+    pub(crate) report_port: u16,
+}
+
+/// Builds the router of the reports.
+pub(crate) fn router(routes: ReportRoutes) -> Router {
+    let routes = Arc::new(routes);
+    let bodies = BodyBudget::new(MAX_BODIES_BYTES);
+    Router::new().fallback(move |request: Request| {
+        let routes = Arc::clone(&routes);
+        let bodies = bodies.clone();
+        async move { routes.answer(request, &bodies).await }
+    })
+}
+
+/// Builds the router of the readiness.
+pub(crate) fn readiness_router(
+    in_force: watch::Receiver<InForce>,
+    life: &Arc<Lifecycle>,
+) -> Router {
+    let life = Arc::clone(life);
+    Router::new().fallback(move |request: Request| {
+        let is_ready = in_force.borrow().is_ready && life.state() == LifeState::Ready;
+        async move {
+            match (request.uri().path(), is_ready) {
+                (READINESS_PATH, true) => reply::text(OK, "ready\n"),
+                (READINESS_PATH, false) => reply::text(UNAVAILABLE, "not ready\n"),
+                _ => reply::text(NOT_FOUND, "no such path\n"),
+            }
+        }
+    })
+}
+
+impl ReportRoutes {
+    async fn answer(&self, request: Request, bodies: &BodyBudget) -> Response {
+        let call = control_call(request.method().as_str(), request.uri().path());
+        let body = reply::read_body(&self.timer, request, MAX_REPORT_BYTES, bodies).await;
+        let body = match body {
+            Ok(body) => body,
+            Err(cause) => return reply::refused_body(&cause),
+        };
+        match call {
+            Some(ControlCall::Report(worker_id)) => self.report(worker_id, &body.bytes).await,
+            Some(ControlCall::Departure(worker_id)) => self.departure(worker_id),
+            _ => reply::text(NOT_FOUND, "no such call\n"),
+        }
+    }
+
+    async fn report(&self, worker_id: WorkerId, body: &[u8]) -> Response {
+        let report = match read_report(worker_id.clone(), body) {
+            Ok(report) => Box::new(report),
+            Err(cause) => {
+                log_event!(
+                    Event::MessageRejected, host = self.host_id, worker = worker_id;
+                    "a status report of {worker_id} is not as documented: {}",
+                    reply::sentences(&cause.findings)
+                );
+                return reply::invalid(cause.findings);
+            }
+        };
+        let taking = self.shell.ask(|sender| EntryInput::Report(report, sender));
+        match taking.await {
+            Ok(ReportAnswer::Taken) => reply::json(OK, &report_answer(None)),
+            Ok(ReportAnswer::Moved(owner)) => {
+                let next = SocketAddr::new(owner.ip(), self.report_port);
+                reply::json(OK, &report_answer(Some(next)))
+            }
+            Ok(ReportAnswer::Declined) => reply::text(UNAVAILABLE, "the host is leaving\n"),
+            Err(cause) => reply::text(UNAVAILABLE, cause.to_string()),
+        }
+    }
+
+    fn departure(&self, worker_id: WorkerId) -> Response {
+        let departed = EntryInput::Fleet(FleetInput::Departed(worker_id));
+        match self.shell.send(departed) {
+            Ok(()) => reply::json(OK, &serde_json::json!({})),
+            Err(cause) => reply::text(UNAVAILABLE, cause.to_string()),
+        }
+    }
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -10,12 +10,17 @@
 pub mod control;
 mod credential;
 pub mod entry;
+pub mod fleet_entry;
 mod lifecycle;
 mod link_server;
 mod metrics;
 mod reply;
 mod wire;
 
-pub use control::{ControlHost, ControlOptions};
+pub use control::{ControlHost, ControlOptions, FleetControlOptions};
 pub use entry::{EntryHost, EntryOptions};
-pub use wire::{ApplyAnswer, MembersAnswer, Request, RequestAnswer};
+pub use fleet_entry::{FleetEntryHost, FleetEntryOptions};
+pub use wire::{
+    ApplyAnswer, EntryRegistration, MembersAnswer, Membership, PublishAnswer, Request,
+    RequestAnswer,
+};
--- a/crates/node/src/reply.rs
+++ b/crates/node/src/reply.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use hornbeam_core::Findings;
 use hornbeam_core::api::operator::CheckAnswer;
 use hornbeam_http::{BodyLimits, BodyRejection};
 use hornbeam_timer::TimerService;
@@ -11,6 +12,8 @@
 use serde::de::DeserializeOwned;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 use volo_http::body::Body;
+use volo_http::http::HeaderValue;
+use volo_http::http::header::CONTENT_TYPE;
 use volo_http::request::Request;
 use volo_http::response::Response;
 
@@ -169,3 +172,32 @@
 pub(crate) fn text(status: u16, body: impl Into<String>) -> Response {
     hornbeam_http::text_answer(status, body.into())
 }
+
+/// Builds the answer to a body that could not be read.
+pub(crate) fn refused_body(cause: &BodyError) -> Response {
+    match cause {
+        BodyError::TooLarge(_) => text(413, "the body is too large\n"),
+        BodyError::NoRoom(_) => text(503, "the host holds too many bodies now\n"),
+        BodyError::Late => text(408, "the body did not arrive in time\n"),
+        BodyError::Broken(cause) => text(400, format!("the body was cut: {cause}\n")),
+    }
+}
+
+/// Builds the answer to a body that is not as documented.
+pub(crate) fn invalid(findings: Findings) -> Response {
+    json(400, &CheckAnswer { findings })
+}
+
+/// Joins findings for one line of the log.
+pub(crate) fn sentences(findings: &Findings) -> String {
+    let each = findings.iter().map(ToString::to_string);
+    each.collect::<Vec<_>>().join("; ")
+}
+
+/// Builds an answer with a text that is JSON already.
+pub(crate) fn json_text(status: u16, body: &str) -> Response {
+    let mut response = text(status, body);
+    let json = HeaderValue::from_static("application/json");
+    response.headers_mut().insert(CONTENT_TYPE, json);
+    response
+}
--- a/crates/node/src/wire.rs
+++ b/crates/node/src/wire.rs
@@ -2,10 +2,14 @@
 
 use std::net::SocketAddr;
 
-use hornbeam_control::{ChangeCommand, ChangeResult, ClaimCommand, MembersCommand, Message};
+use hornbeam_control::{
+    ChangeCommand, ChangeResult, ClaimCommand, MembersCommand, Message, PublishCommand,
+    PublishResult, PublishedDocument,
+};
 use hornbeam_core::config::Configuration;
-use hornbeam_core::ids::{ChunkId, ConfigVersion, HostId, ReplicaId};
+use hornbeam_core::ids::{ChunkId, ConfigVersion, HostId, ReplicaId, WorkerId};
 use hornbeam_dispatch::{Chunk, ChunkAnswer, ChunkFate, ClaimEnd, PeerStatus};
+use hornbeam_fleet::{PeerAddress, PeerBatch, ReportAnswer, WorkerReport};
 use serde::{Deserialize, Serialize};
 
 /// `Request` is a request of one process to another.
@@ -55,6 +59,47 @@
     /// Control host to the leader: confirm that the leader leads and get the
     /// commit index to read at.
     Read,
+    /// Control host to the leader: publish a document.
+    Publish(Box<PublishCommand>),
+    /// Entry host to control host: this entry host is alive.
+    Register(EntryRegistration),
+    /// To a control host: which replicas vote.
+    Voters,
+    /// To a control host or an entry host: send the published document if it
+    /// is newer than this version.
+    Document(ConfigVersion),
+    /// Control host to entry host: a worker without an owner reports.
+    Announce(Box<WorkerReport>),
+    /// Control host to entry host: a worker says that it has left.
+    Departed(WorkerId),
+    /// Entry host to entry host: messages about tasks and room.
+    Batch(Box<PeerBatch>),
+}
+
+/// `EntryRegistration` is what an entry host tells the control hosts.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields, rename_all = "snake_case")]
+pub struct EntryRegistration {
+    /// Its id, link address and failure domain.
+    pub host: PeerAddress,
+    /// Address for the reports of the workers that it owns.
+    pub report_address: SocketAddr,
+    /// Workers that it owns.
+    pub owned: u32,
+    /// Whether it is about to end.
+    pub draining: bool,
+}
+
+/// `Membership` is what a control host knows of the system.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields, rename_all = "snake_case")]
+pub struct Membership {
+    /// Entry hosts heard from lately.
+    pub entry_hosts: Vec<PeerAddress>,
+    /// Link addresses of the control hosts.
+    pub control_hosts: Vec<SocketAddr>,
+    /// Version of the published document.
+    pub document_version: ConfigVersion,
 }
 
 /// `RequestAnswer` answers a [`Request`].
@@ -79,6 +124,30 @@
     /// Answers [`Request::Read`]: the index to read at, or `None` if this
     /// host does not lead.
     ReadAt(Option<u64>),
+    /// Answers [`Request::Publish`].
+    Published(PublishAnswer),
+    /// Answers [`Request::Register`].
+    Registered(Membership),
+    /// Answers [`Request::Voters`].
+    Voters(Vec<ReplicaId>),
+    /// Answers [`Request::Document`]; `None` if there is nothing newer.
+    Document(Option<PublishedDocument>),
+    /// Answers [`Request::Announce`].
+    Announced(ReportAnswer),
+}
+
+/// `PublishAnswer` is the leader's answer to a forwarded document.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum PublishAnswer {
+    /// Decided.
+    Decided(PublishResult),
+    /// Not recorded: the asked host does not lead.
+    NotLeader(Option<ReplicaId>),
+    /// Not recorded: the leader refused it for this reason.
+    Refused(String),
+    /// It may or may not be recorded.
+    Unknown,
 }
 
 /// `ApplyAnswer` is the leader's answer to a forwarded change.
--- a/crates/node/tests/harness/mod.rs
+++ b/crates/node/tests/harness/mod.rs
@@ -279,6 +279,7 @@
         peers: others.copied().collect(),
         link_credential: Some("link-secret".into()),
         operator_credential: Some(OPERATOR.into()),
+        fleet: None,
     }
 }
 
