--- a/crates/fleet/src/admission.rs
+++ b/crates/fleet/src/admission.rs
@@ -122,7 +122,7 @@
     ) -> Job {
         let expected = self.estimates.expect(&queue.name, submission.estimate);
         let objective = expected.mul_f64(queue.stretch) + queue.objective_extra;
-        let patience = submission.patience.min(queue.timeout);
+        let patience = submission.patience;
         let state = match recent {
             Some(end) if end.over_at > self.now => TaskState::Lingering(end.over_at),
             _ => TaskState::Queued,
