Treat a start as unclear when only its repetition provably failed

Ruled out: the client's mark of what left; the first order was reported as unanswered. The same holds for a refusal of a repetition, which is now unclear too. A job that is sent again is no longer told that nothing ran.

--- a/crates/fleet/src/admission.rs
+++ b/crates/fleet/src/admission.rs
@@ -155,7 +155,9 @@
             tasks: vec![task; submission.tasks as usize],
             done: 0,
             queued,
-            started: false,
+            // An earlier call for the job may have run some of it, so this one
+            // must not be told that nothing ran.
+            started: recent.is_some_and(|end| end.attempt > 0),
             first_start_at: None,
         }
     }
--- a/crates/fleet/src/starts.rs
+++ b/crates/fleet/src/starts.rs
@@ -42,38 +42,54 @@
         let RunState::Starting(tries) = run.state else {
             return;
         };
+        let is_first = tries == 1;
         match answer {
             StartAnswer::Accepted(_) => run.state = RunState::Running(now),
-            StartAnswer::Refused(refusal) => self.on_start_refused(number, id, refusal),
-            StartAnswer::NotSent => {
+            StartAnswer::Refused(StartRefusal::Generation) => self.lose_ownership(number),
+            StartAnswer::Refused(StartRefusal::OtherIncarnation) => self.worker_restarted(number),
+            StartAnswer::Refused(refusal) if is_first => {
+                self.on_start_refused(number, id, refusal);
+            }
+            StartAnswer::NotSent if is_first => {
                 worker.block(now + UNANSWERED_PAUSE);
                 self.unstart(number, id, "its worker could not be reached");
             }
             StartAnswer::Unanswered if (tries as usize) < START_WITHIN.len() => {
                 self.order_start(number, id);
             }
-            StartAnswer::Unanswered => {
-                run.state = RunState::Unclear;
-                run.stopping = true;
-                run.stop_at = Some(now);
-                worker.block(now + UNANSWERED_PAUSE);
-                let worker_id = worker.report.worker_id.clone();
-                self.log(
-                    Event::WorkerUnanswered,
-                    format!("worker {worker_id} answered none of {tries} starts of run {id}"),
-                );
-            }
+            // What a repetition proves says nothing about the orders before
+            // it, which may still be carried out.
+            _ => self.leave_unclear(number, id, answer),
         }
     }
 
+    /// Stops a run of which it is not known whether it started, and waits for
+    /// a look to list it or for its lease to end.
+    fn leave_unclear(&mut self, number: WorkerNumber, id: RunId, answer: StartAnswer) {
+        let now = self.now;
+        let Some(worker) = self.workers.get_mut(&number) else {
+            return;
+        };
+        worker.block(now + UNANSWERED_PAUSE);
+        let worker_id = worker.report.worker_id.clone();
+        if let Some(run) = worker.runs.get_mut(&id) {
+            run.state = RunState::Unclear;
+            run.stopping = true;
+            run.stop_at = Some(now);
+        }
+        self.log(
+            Event::WorkerUnanswered,
+            format!("it is not clear if worker {worker_id} starts run {id}: {answer:?}"),
+        );
+    }
+
     fn on_start_refused(&mut self, number: WorkerNumber, id: RunId, refusal: StartRefusal) {
         let now = self.now;
         let Some(worker) = self.workers.get_mut(&number) else {
             return;
         };
         match refusal {
-            StartRefusal::Generation => return self.lose_ownership(number),
-            StartRefusal::OtherIncarnation => return self.worker_restarted(number),
+            StartRefusal::Generation | StartRefusal::OtherIncarnation => {}
             StartRefusal::Room => worker.block(now + NO_ROOM_PAUSE),
             StartRefusal::Unhealthy => self.note_failure(number),
             StartRefusal::Late => worker.next_look_at = now,
--- /dev/null
+++ b/crates/fleet/tests/common/mod.rs
@@ -0,0 +1,252 @@
+//! A fleet with workers that answer by hand.
+#![allow(dead_code)]
+// Justification: each test file uses a part of the helpers.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use hornbeam_fleet::{
+    CallId, EndRow, Fleet, FleetInput, FleetOptions, FleetOutput, JobOutcome, Limits, LookAnswer,
+    LookOrder, Observation, PeerBatch, PeerMessage, Queue, QueueTable, Room, RunEnd, RunId,
+    RunningRow, ServiceTerms, StartAnswer, StartOrder, StopOrder, Submission, WorkerReport,
+};
+use indexmap::IndexMap;
+
+/// Name of the only service.
+pub const SERVICE: &str = "subscribe";
+
+/// Time of day at the start of a test.
+pub const UNIX_MS: u64 = 1_800_000_000_000;
+
+/// `Bench` drives one fleet by hand.
+pub struct Bench {
+    pub fleet: Fleet,
+    pub now: Duration,
+    pub unix_ms: u64,
+    /// Outputs that no helper has taken.
+    pub outputs: Vec<FleetOutput>,
+    last_call: CallId,
+}
+
+impl Bench {
+    /// Creates a fleet with a configuration, at the address `10.1.0.HOST`.
+    pub fn new(host: u8) -> Self {
+        let options = options(host);
+        let mut bench = Self {
+            fleet: Fleet::new(options),
+            now: Duration::from_secs(1),
+            unix_ms: UNIX_MS,
+            outputs: Vec::new(),
+            last_call: 0,
+        };
+        bench.step(FleetInput::Queues(Arc::new(queues(1))));
+        bench
+    }
+
+    pub fn step(&mut self, input: FleetInput) {
+        let outputs = self.fleet.step(self.now, self.unix_ms, input);
+        self.outputs.extend(outputs);
+    }
+
+    /// Lets time pass in steps of 1 ms, without answers to orders.
+    pub fn pass(&mut self, ms: u64) {
+        for _ in 0..ms {
+            self.skip(1);
+        }
+    }
+
+    /// Lets time pass in one step, as after a pause of the process.
+    pub fn skip(&mut self, ms: u64) {
+        self.now += Duration::from_millis(ms);
+        self.unix_ms += ms;
+        self.step(FleetInput::Tick);
+    }
+
+    /// Submits a job and gets the number of the call.
+    pub fn submit(&mut self, job: u64, tasks: u32) -> CallId {
+        self.last_call += 1;
+        let submission = Submission {
+            job,
+            queue: "orders".into(),
+            spec: Arc::from("work"),
+            tasks,
+            need: Room {
+                cpu_milli: 8000,
+                memory_mb: 64,
+                accelerators: 0,
+            },
+            estimate: Duration::from_millis(200),
+            patience: Duration::from_secs(4),
+        };
+        self.step(FleetInput::Submitted(self.last_call, submission));
+        self.last_call
+    }
+
+    /// Reports a worker and answers the look of its take-over.
+    pub fn own(&mut self, name: &str) -> u64 {
+        self.looks();
+        self.step(FleetInput::Reported(1, report(name, 1)));
+        let number = self.look().target.number;
+        self.seen(number, &[], &[]);
+        // The look that waits for the first end.
+        self.looks();
+        number
+    }
+
+    /// Answers the look under way at a worker.
+    pub fn seen(&mut self, number: u64, running: &[RunId], ended: &[(u64, RunId, RunEnd)]) {
+        let observation = Observation {
+            clock_ms: u64::try_from(self.now.as_millis()).expect("a small time"),
+            born_unix_ms: None,
+            running: running.iter().map(|run| row(*run)).collect(),
+            ended: ended
+                .iter()
+                .map(|(number, run, end)| EndRow {
+                    number: *number,
+                    run: Some(*run),
+                    end: *end,
+                })
+                .collect(),
+        };
+        self.step(FleetInput::Looked(number, LookAnswer::Seen(observation)));
+    }
+
+    /// Answers a start with the worker's clock.
+    pub fn accept(&mut self, order: &StartOrder) {
+        let clock_ms = u64::try_from(self.now.as_millis()).expect("a small time");
+        self.answer(order, StartAnswer::Accepted(clock_ms));
+    }
+
+    pub fn answer(&mut self, order: &StartOrder, answer: StartAnswer) {
+        let number = order.target.number;
+        self.step(FleetInput::StartAnswered(number, order.run, answer));
+    }
+
+    /// Takes the start orders given so far.
+    pub fn starts(&mut self) -> Vec<StartOrder> {
+        self.take(|output| match output {
+            FleetOutput::Start(order) => Some(order.clone()),
+            _ => None,
+        })
+    }
+
+    pub fn stops(&mut self) -> Vec<StopOrder> {
+        self.take(|output| match output {
+            FleetOutput::Stop(order) => Some(order.clone()),
+            _ => None,
+        })
+    }
+
+    pub fn looks(&mut self) -> Vec<LookOrder> {
+        self.take(|output| match output {
+            FleetOutput::Look(order) => Some(order.clone()),
+            _ => None,
+        })
+    }
+
+    /// Takes the only look given so far.
+    pub fn look(&mut self) -> LookOrder {
+        let looks = self.looks();
+        assert_eq!(looks.len(), 1, "one look is expected: {looks:?}");
+        looks[0].clone()
+    }
+
+    pub fn answers(&mut self) -> Vec<(CallId, JobOutcome)> {
+        self.take(|output| match output {
+            FleetOutput::Answer(call, outcome) => Some((*call, *outcome)),
+            _ => None,
+        })
+    }
+
+    pub fn batches(&mut self) -> Vec<PeerBatch> {
+        self.take(|output| match output {
+            FleetOutput::SendBatch(_, _, batch) => Some(batch.clone()),
+            _ => None,
+        })
+    }
+
+    /// Brings a batch of messages from the peer at `10.1.0.HOST`.
+    pub fn receive(&mut self, host: u8, sequence: u64, messages: Vec<PeerMessage>) {
+        let batch = PeerBatch {
+            from: format!("entry-{host}"),
+            address: address(host),
+            failure_domain: "a".into(),
+            incarnation: 7,
+            sequence,
+            messages,
+        };
+        self.step(FleetInput::Batch(batch));
+    }
+
+    fn take<T>(&mut self, select: impl Fn(&FleetOutput) -> Option<T>) -> Vec<T> {
+        let selected = self.outputs.iter().filter_map(&select).collect();
+        self.outputs.retain(|output| select(output).is_none());
+        selected
+    }
+}
+
+pub fn address(host: u8) -> SocketAddr {
+    SocketAddr::from(([10, 1, 0, host], 7000))
+}
+
+pub fn options(host: u8) -> FleetOptions {
+    let mut options = FleetOptions::new(format!("entry-{host}"), "a", address(host));
+    options.incarnation = u64::from(host);
+    options
+}
+
+pub fn report(name: &str, sequence: u64) -> WorkerReport {
+    WorkerReport {
+        worker_id: name.into(),
+        born_unix_ms: 5,
+        sequence,
+        service: SERVICE.into(),
+        address: SocketAddr::from(([10, 9, 0, 1], 80)),
+        failure_domain: "a".into(),
+        draining: false,
+        capacity: Room {
+            cpu_milli: 16000,
+            memory_mb: 65536,
+            accelerators: 0,
+        },
+        labels: vec!["kind".into(), "rack".into()],
+    }
+}
+
+pub fn queues(version: u64) -> QueueTable {
+    let queue = Queue {
+        name: "orders".into(),
+        host_name: "orders.example".into(),
+        path_prefix: "/orders/".into(),
+        service: SERVICE.into(),
+        priority: 0,
+        attempts: 2,
+        stretch: 1.6,
+        objective_extra: Duration::from_millis(60),
+        timeout: Duration::from_millis(1500),
+    };
+    let terms = ServiceTerms {
+        max_connections: 64,
+        guards_capacity: true,
+    };
+    QueueTable {
+        version,
+        queues: vec![queue],
+        services: IndexMap::from([(SERVICE.to_owned(), terms)]),
+        limits: Limits {
+            max_body_bytes: 262_144,
+        },
+    }
+}
+
+fn row(run: RunId) -> RunningRow {
+    RunningRow {
+        run,
+        done_percent: 0,
+    }
+}
+
+pub fn run(job: u64, task: u32, attempt: u32) -> RunId {
+    RunId { job, task, attempt }
+}
--- /dev/null
+++ b/crates/fleet/tests/peers.rs
@@ -0,0 +1,257 @@
+//! Tasks and room between entry hosts.
+
+mod common;
+
+use std::time::Duration;
+
+use common::{Bench, SERVICE, run};
+use googletest::prelude::*;
+use hornbeam_fleet::{
+    ChunkTask, FleetInput, PeerBatch, PeerMessage, PeerStatus, Room, RoomOfService, RunEnd, RunId,
+    TaskChunk,
+};
+
+fn status(free: &[u32], waiting: u32) -> PeerMessage {
+    let room = |cpu_milli: &u32| Room {
+        cpu_milli: *cpu_milli,
+        memory_mb: 1000,
+        accelerators: 0,
+    };
+    PeerMessage::Status(PeerStatus {
+        rooms: vec![RoomOfService {
+            service: SERVICE.into(),
+            free: free.iter().map(room).collect(),
+            largest: room(&16000),
+        }],
+        waiting,
+        owned: 1,
+        ..PeerStatus::default()
+    })
+}
+
+fn chunk(job: u64, tasks: u32) -> PeerMessage {
+    let task = |task| ChunkTask { task, attempt: 1 };
+    PeerMessage::Run(TaskChunk {
+        job,
+        service: SERVICE.into(),
+        spec: "work".into(),
+        need: Room {
+            cpu_milli: 8000,
+            memory_mb: 64,
+            accelerators: 0,
+        },
+        expected_ms: 200,
+        tasks: (0..tasks).map(task).collect(),
+    })
+}
+
+/// Tells the fleet that the peer has just taken its batch.
+fn confirm(bench: &mut Bench, host: u8) {
+    bench.step(FleetInput::BatchEnded(format!("entry-{host}"), true));
+}
+
+fn messages(batches: Vec<PeerBatch>) -> Vec<PeerMessage> {
+    batches
+        .into_iter()
+        .flat_map(|batch| batch.messages)
+        .collect()
+}
+
+fn forwarded(bench: &mut Bench) -> Vec<RunId> {
+    let messages = messages(bench.batches());
+    let chunks = messages.into_iter().filter_map(|message| match message {
+        PeerMessage::Run(chunk) => Some(chunk),
+        _ => None,
+    });
+    let runs = chunks.flat_map(|chunk| {
+        let job = chunk.job;
+        let runs = chunk.tasks.into_iter();
+        runs.map(move |task| run(job, task.task, task.attempt))
+    });
+    runs.collect()
+}
+
+/// Guards against tasks that wait here while a peer has room.
+#[gtest]
+fn tasks_without_room_go_to_a_peer_with_room() {
+    let mut bench = Bench::new(1);
+    bench.receive(2, 1, vec![status(&[16000], 0)]);
+    bench.batches();
+    confirm(&mut bench, 2);
+    bench.submit(1, 2);
+    expect_that!(forwarded(&mut bench).len(), eq(2));
+}
+
+/// Guards against more tasks for a peer than it has said it has room for.
+#[gtest]
+fn room_of_a_peer_is_given_out_once() {
+    let mut bench = Bench::new(1);
+    bench.receive(2, 1, vec![status(&[16000], 0)]);
+    bench.batches();
+    confirm(&mut bench, 2);
+    bench.submit(1, 5);
+    expect_that!(forwarded(&mut bench).len(), eq(2));
+}
+
+/// Guards against a peer in another failure domain while there is room in the
+/// own one.
+#[gtest]
+fn own_failure_domain_comes_first() {
+    let mut bench = Bench::new(1);
+    let far = PeerBatch {
+        from: "entry-3".into(),
+        address: common::address(3),
+        failure_domain: "b".into(),
+        incarnation: 7,
+        sequence: 1,
+        messages: vec![status(&[16000, 16000, 16000], 0)],
+    };
+    bench.step(FleetInput::Batch(far));
+    bench.receive(2, 1, vec![status(&[8000], 0)]);
+    bench.outputs.clear();
+    confirm(&mut bench, 2);
+    confirm(&mut bench, 3);
+    bench.submit(1, 1);
+    let sent = bench.outputs.iter().find_map(|output| match output {
+        hornbeam_fleet::FleetOutput::SendBatch(host, _, batch)
+            if batch.messages.iter().any(|m| matches!(m, PeerMessage::Run(_))) =>
+        {
+            Some(host.clone())
+        }
+        _ => None,
+    });
+    expect_that!(sent, some(eq("entry-2")));
+}
+
+/// Guards against a job that waits for a peer that has sent its task back.
+#[gtest]
+fn task_that_a_peer_sends_back_is_queued_again() {
+    let mut bench = Bench::new(1);
+    bench.receive(2, 1, vec![status(&[8000], 0)]);
+    bench.batches();
+    confirm(&mut bench, 2);
+    bench.submit(1, 1);
+    let sent = forwarded(&mut bench);
+    confirm(&mut bench, 2);
+    bench.receive(2, 2, vec![PeerMessage::Refused(sent), status(&[8000], 0)]);
+    expect_that!(forwarded(&mut bench), elements_are![eq(&run(1, 0, 2))]);
+}
+
+/// Guards against a batch that is carried out twice because its answer was
+/// lost.
+#[gtest]
+fn repeated_batch_is_carried_out_once() {
+    let mut bench = Bench::new(1);
+    bench.own("w1");
+    bench.receive(2, 1, Vec::new());
+    bench.batches();
+    confirm(&mut bench, 2);
+    bench.receive(2, 2, vec![chunk(5, 1)]);
+    let order = bench.starts().remove(0);
+    bench.accept(&order);
+    bench.seen(order.target.number, &[], &[(1, order.run, RunEnd::Done)]);
+    bench.receive(2, 2, vec![chunk(5, 1)]);
+    expect_that!(bench.starts(), is_empty());
+}
+
+/// Guards against runs for a host that has given them up and starts them
+/// elsewhere: without a batch taken for 600 ms they are stopped.
+#[gtest]
+fn runs_for_a_silent_origin_are_stopped_before_it_gives_them_up() {
+    let mut bench = Bench::new(1);
+    bench.own("w1");
+    bench.receive(2, 1, Vec::new());
+    bench.batches();
+    confirm(&mut bench, 2);
+    let confirmed_at = bench.now;
+    bench.receive(2, 2, vec![chunk(5, 1)]);
+    let order = bench.starts().remove(0);
+    bench.accept(&order);
+    while bench.stops().is_empty() {
+        bench.pass(1);
+        assert_that!(bench.now - confirmed_at, lt(Duration::from_millis(700)));
+    }
+    expect_that!(bench.now - confirmed_at, ge(Duration::from_millis(600)));
+}
+
+/// Guards against a second run of a task while its first goes on at a peer
+/// that has fallen silent: it starts elsewhere only after 1,200 ms.
+#[gtest]
+fn tasks_at_a_silent_peer_start_elsewhere_after_they_are_over() {
+    let mut bench = Bench::new(1);
+    bench.receive(2, 1, vec![status(&[8000], 0)]);
+    bench.batches();
+    confirm(&mut bench, 2);
+    bench.submit(1, 1);
+    expect_that!(forwarded(&mut bench).len(), eq(1));
+    let heard_at = bench.now;
+    bench.own("w1");
+    while bench.starts().is_empty() {
+        bench.pass(1);
+        assert_that!(bench.now - heard_at, lt(Duration::from_millis(1400)));
+    }
+    expect_that!(bench.now - heard_at, ge(Duration::from_millis(1200)));
+}
+
+/// Guards against a task for a host that may already have given it up: it has
+/// taken no batch lately, so it could not hear of the end either.
+#[gtest]
+fn chunk_of_an_unconfirmed_origin_is_sent_back() {
+    let mut bench = Bench::new(1);
+    bench.own("w1");
+    bench.receive(2, 1, vec![chunk(5, 1)]);
+    expect_that!(bench.starts(), is_empty());
+}
+
+/// Guards against a second run while a peer that has started anew has left one
+/// behind on a worker: its lease must end first.
+#[gtest]
+fn restart_of_a_peer_keeps_its_tasks_back_for_a_lease() {
+    let mut bench = Bench::new(1);
+    bench.receive(2, 1, vec![status(&[8000], 0)]);
+    bench.batches();
+    confirm(&mut bench, 2);
+    bench.submit(1, 1);
+    expect_that!(forwarded(&mut bench).len(), eq(1));
+    confirm(&mut bench, 2);
+    let anew = PeerBatch {
+        from: "entry-2".into(),
+        address: common::address(2),
+        failure_domain: "a".into(),
+        incarnation: 8,
+        sequence: 1,
+        messages: vec![status(&[16000], 0)],
+    };
+    bench.step(FleetInput::Batch(anew));
+    expect_that!(forwarded(&mut bench), is_empty());
+    bench.own("w1");
+    bench.pass(900);
+    expect_that!(bench.starts(), is_empty());
+    bench.pass(300);
+    expect_that!(bench.starts().len(), eq(1));
+}
+
+/// Guards against a host that waits for room of which it is not told: peers
+/// with room answer a status that says that tasks wait.
+#[gtest]
+fn host_whose_tasks_wait_is_told_of_room() {
+    let mut bench = Bench::new(1);
+    let worker = bench.own("w1");
+    bench.submit(1, 2);
+    let orders = bench.starts();
+    for order in &orders {
+        bench.accept(order);
+    }
+    bench.receive(2, 1, vec![status(&[], 3)]);
+    bench.batches();
+    confirm(&mut bench, 2);
+    bench.pass(15);
+    bench.batches();
+    confirm(&mut bench, 2);
+    bench.seen(worker, &[orders[1].run], &[(1, orders[0].run, RunEnd::Done)]);
+    bench.pass(11);
+    let told = messages(bench.batches()).into_iter().any(|message| {
+        matches!(message, PeerMessage::Status(status) if !status.rooms[0].free.is_empty())
+    });
+    expect_that!(told, eq(true));
+}
