--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -26,6 +26,7 @@
 mod runs;
 mod scheduling;
 mod starts;
+mod stragglers;
 mod worker;
 
 pub use fleet::Fleet;
--- a/crates/fleet/src/looks.rs
+++ b/crates/fleet/src/looks.rs
@@ -45,7 +45,7 @@
         };
         // A worker that was silent is asked for an answer at once.
         let wait = if is_ready && worker.misses == 0 {
-            look_wait
+            worker.look_wait(now, look_wait)
         } else {
             Duration::ZERO
         };
@@ -111,6 +111,7 @@
             Some(Phase::Ready) => {
                 self.take_ends(number, seen);
                 self.compare_runs(number, sent_at, seen);
+                self.watch_progress(number, seen);
             }
             None => {}
         }
--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -50,6 +50,17 @@
         Some(host)
     }
 
+    /// Whether there is room for a task on a worker other than `except`.
+    pub(crate) fn has_room(&self, service: &ServiceId, need: &Room, except: WorkerNumber) -> bool {
+        let own = self.choose_worker(service, need, Some(except));
+        let has_peer = self.peers.values().any(|peer| {
+            peer.is_lively(self.now)
+                && !peer.status.draining
+                && best_fit(peer, service, need).is_some()
+        });
+        own.is_some_and(|number| number != except) || has_peer
+    }
+
     /// Whether a task fits no worker that this host or a peer has, while some
     /// are known.
     pub(crate) fn fits_nowhere(&self, service: &ServiceId, need: &Room) -> bool {
--- a/crates/fleet/tests/ownership.rs
+++ b/crates/fleet/tests/ownership.rs
@@ -75,7 +75,10 @@
     let mut bench = Bench::new(1);
     bench.step(FleetInput::Reported(1, report("w1", 1)));
     let refused = bench.look();
-    bench.step(FleetInput::Looked(refused.target.number, LookAnswer::Generation));
+    bench.step(FleetInput::Looked(
+        refused.target.number,
+        LookAnswer::Generation,
+    ));
     let raised = bench.look();
     expect_that!(raised.target.generation, gt(refused.target.generation));
 }
@@ -135,7 +138,10 @@
     bench.submit(1, 1);
     let order = bench.starts().remove(0);
     bench.accept(&order);
-    bench.step(FleetInput::Looked(order.target.number, LookAnswer::Unanswered));
+    bench.step(FleetInput::Looked(
+        order.target.number,
+        LookAnswer::Unanswered,
+    ));
     bench.pass(1019);
     expect_that!(bench.starts(), is_empty());
 }
--- a/crates/fleet/tests/peers.rs
+++ b/crates/fleet/tests/peers.rs
@@ -114,7 +114,10 @@
     bench.submit(1, 1);
     let sent = bench.outputs.iter().find_map(|output| match output {
         hornbeam_fleet::FleetOutput::SendBatch(host, _, batch)
-            if batch.messages.iter().any(|m| matches!(m, PeerMessage::Run(_))) =>
+            if batch
+                .messages
+                .iter()
+                .any(|m| matches!(m, PeerMessage::Run(_))) =>
         {
             Some(host.clone())
         }
@@ -248,7 +251,11 @@
     bench.pass(15);
     bench.batches();
     confirm(&mut bench, 2);
-    bench.seen(worker, &[orders[1].run], &[(1, orders[0].run, RunEnd::Done)]);
+    bench.seen(
+        worker,
+        &[orders[1].run],
+        &[(1, orders[0].run, RunEnd::Done)],
+    );
     bench.pass(11);
     let told = messages(bench.batches()).into_iter().any(|message| {
         matches!(message, PeerMessage::Status(status) if !status.rooms[0].free.is_empty())
--- a/crates/fleet/tests/starts.rs
+++ b/crates/fleet/tests/starts.rs
@@ -4,8 +4,8 @@
 
 use common::{Bench, run};
 use googletest::prelude::*;
-use hornbeam_fleet::{JobOutcome, RunEnd, StartAnswer, StartRefusal, StopAnswer};
 use hornbeam_fleet::FleetInput;
+use hornbeam_fleet::{JobOutcome, RunEnd, StartAnswer, StartRefusal, StopAnswer};
 
 /// Guards against a second run of a task when the first order got no answer
 /// and only the repetition provably did not leave: the first may be carried
@@ -135,7 +135,10 @@
     bench.seen(worker, &[run(1, 1, 1)], &[(1, run(1, 0, 1), RunEnd::Done)]);
     expect_that!(bench.answers(), is_empty());
     bench.seen(worker, &[], &[(2, run(1, 1, 1), RunEnd::Done)]);
-    expect_that!(bench.answers(), elements_are![eq(&(call, JobOutcome::Completed))]);
+    expect_that!(
+        bench.answers(),
+        elements_are![eq(&(call, JobOutcome::Completed))]
+    );
 }
 
 /// Guards against more failed runs than the queue allows, and against a
@@ -152,6 +155,9 @@
     let second = bench.starts().remove(0);
     bench.accept(&second);
     bench.seen(worker, &[], &[(2, second.run, RunEnd::Failed)]);
-    expect_that!(bench.answers(), elements_are![eq(&(call, JobOutcome::Failed))]);
+    expect_that!(
+        bench.answers(),
+        elements_are![eq(&(call, JobOutcome::Failed))]
+    );
     expect_that!(bench.starts(), is_empty());
 }
