--- /dev/null
+++ b/crates/daemon/tests/harness/fleet.rs
@@ -0,0 +1,355 @@
+//! A system of separate processes that runs jobs on stand-in guarded workers.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::time::Duration;
+
+use hornbeam_http::{ClientOptions, HttpClient, Reply};
+use hornbeam_platform::standin::{
+    self, Conduct, PUBLISH_PATH, READ_PATH, RunLog, StandinWorker, WorkerOptions,
+};
+use serde_json::Value;
+use tempfile::TempDir;
+
+use super::relay::{Manner, Relay};
+
+/// Service of the workers.
+const SERVICE: &str = "subscribe";
+/// Ports of every host.
+const FIRST_PORT: u16 = 7000;
+const LAST_PORT: u16 = 7010;
+const CALLERS_PORT: u16 = 7020;
+const READY_PORT: u16 = 7021;
+const OPERATORS_PORT: u16 = 7022;
+/// Thousandths of a core of a worker; two tasks fit.
+const WORKER_MILLI: u64 = 16000;
+/// Time within which an operator expects an answer.
+const OPERATOR_WITHIN: Duration = Duration::from_millis(1500);
+
+/// `Host` is one process of the system.
+pub struct Host {
+    pub name: String,
+    pub ip: String,
+    is_control: bool,
+    child: Option<Child>,
+}
+
+/// `Fleet` is a whole system.
+pub struct Fleet {
+    folder: TempDir,
+    network: String,
+    pub hosts: Vec<Host>,
+    pub workers: Vec<Worker>,
+    pub log: RunLog,
+    controls: usize,
+}
+
+/// `Worker` is a stand-in behind a relay.
+pub struct Worker {
+    options: WorkerOptions,
+    pub relay: Relay,
+    life: Option<StandinWorker>,
+}
+
+/// `Size` says how many processes a system has.
+#[derive(Clone, Copy, Debug)]
+pub struct Size {
+    pub controls: usize,
+    pub entries: usize,
+    pub workers: usize,
+}
+
+impl Fleet {
+    /// Starts all processes; `network` tells apart the systems of tests that
+    /// run at the same time.
+    pub async fn start(size: Size, network: u16) -> Self {
+        let [high, low] = network.to_be_bytes();
+        let mut fleet = Self {
+            folder: TempDir::new().expect("a folder"),
+            network: format!("127.{}.{low}", 10 + high % 200),
+            hosts: Vec::new(),
+            workers: Vec::new(),
+            log: RunLog::default(),
+            controls: size.controls,
+        };
+        for at in 0..size.controls + size.entries {
+            let is_control = at < size.controls;
+            let kind = if is_control { "control" } else { "entry" };
+            fleet.hosts.push(Host {
+                name: format!("{kind}-{at}"),
+                ip: format!("{}.{}", fleet.network, at + 1),
+                is_control,
+                child: None,
+            });
+        }
+        for at in 0..fleet.hosts.len() {
+            fleet.run(at, true);
+        }
+        for at in 0..size.workers {
+            fleet.add_worker(at).await;
+        }
+        fleet
+    }
+
+    async fn add_worker(&mut self, at: usize) {
+        let listen = self.address(&format!("{}.{}", self.network, at + 101), 9000);
+        let relay = Relay::start(listen);
+        let options = WorkerOptions {
+            worker_id: format!("w-{at}"),
+            service: SERVICE.into(),
+            failure_domain: domain(at).into(),
+            cpu_milli: WORKER_MILLI,
+            listen,
+            reported: relay.address(),
+            control_hosts: self.control_addresses(),
+        };
+        let mut worker = Worker {
+            options,
+            relay,
+            life: None,
+        };
+        worker.start(&self.log).await;
+        self.workers.push(worker);
+    }
+
+    fn address(&self, ip: &str, port: u16) -> SocketAddr {
+        SocketAddr::new(ip.parse().expect("an address"), port)
+    }
+
+    /// Gets the addresses of the control hosts for operators and workers.
+    pub fn control_addresses(&self) -> Vec<SocketAddr> {
+        let controls = self.hosts.iter().filter(|host| host.is_control);
+        controls
+            .map(|host| self.address(&host.ip, OPERATORS_PORT))
+            .collect()
+    }
+
+    /// Gets the addresses of the entry hosts for callers.
+    pub fn caller_addresses(&self) -> Vec<SocketAddr> {
+        let entries = self.hosts.iter().filter(|host| !host.is_control);
+        entries
+            .map(|host| self.address(&host.ip, CALLERS_PORT))
+            .collect()
+    }
+
+    /// Gets the positions of the control hosts or of the entry hosts.
+    pub fn positions(&self, control: bool) -> std::ops::Range<usize> {
+        if control {
+            0..self.controls
+        } else {
+            self.controls..self.hosts.len()
+        }
+    }
+
+    fn data_folder(&self, at: usize) -> PathBuf {
+        self.folder.path().join(format!("data-{at}"))
+    }
+
+    /// Starts the process of a host.
+    pub fn run(&mut self, at: usize, first_start: bool) {
+        let path = self.folder.path().join(format!("host-{at}.toml"));
+        std::fs::write(&path, self.settings(at, first_start)).expect("a settings file");
+        let log = self.folder.path().join(format!("host-{at}.log"));
+        let log = std::fs::OpenOptions::new()
+            .append(true)
+            .create(true)
+            .open(log)
+            .expect("a log file");
+        let host = &mut self.hosts[at];
+        let role = if host.is_control {
+            "fleet-control"
+        } else {
+            "fleet-entry"
+        };
+        let child = Command::new(env!("CARGO_BIN_EXE_hornbeamd"))
+            .args(["--role", role, "--log-format", "json", "--settings-file"])
+            .arg(&path)
+            .stdin(Stdio::null())
+            .stdout(log.try_clone().expect("a log file"))
+            .stderr(log)
+            .spawn();
+        host.child = Some(child.expect("the binary starts"));
+    }
+
+    fn settings(&self, at: usize, first_start: bool) -> String {
+        let host = &self.hosts[at];
+        let controls: Vec<String> = self
+            .control_addresses()
+            .iter()
+            .map(|address| format!("\"{address}\""))
+            .collect();
+        let folder = self.data_folder(at);
+        let (name, ip) = (&host.name, &host.ip);
+        format!(
+            "[host]\nid = \"{name}\"\nfailure_domain = \"{}\"\naddress = \"{ip}\"\n\
+             first_port = {FIRST_PORT}\nlast_port = {LAST_PORT}\nfirst_start = {first_start}\n\
+             control_hosts = [{}]\ndata_folder = \"{}\"\n[listen]\n\
+             callers = \"{ip}:{CALLERS_PORT}\"\nreadiness = \"{ip}:{READY_PORT}\"\n\
+             operators = \"{ip}:{OPERATORS_PORT}\"\n[terms]\nmax_lease_ms = 1000\n\
+             stop_ms = 50\nlosses_borne = 1\n",
+            domain(at),
+            controls.join(", "),
+            folder.display()
+        )
+    }
+
+    /// Sends a signal to a host's process.
+    pub fn signal(&self, at: usize, name: &str) {
+        let Some(child) = &self.hosts[at].child else {
+            return;
+        };
+        let id = child.id().to_string();
+        let status = Command::new("kill")
+            .args([&format!("-{name}"), &id])
+            .status();
+        // Fails only if the process has ended already.
+        let _ = status.expect("the kill command");
+    }
+
+    /// Ends a host's process as a crash would.
+    pub fn kill(&mut self, at: usize) {
+        if let Some(mut child) = self.hosts[at].child.take() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+
+    /// Ends a host's process by SIGTERM, and by SIGKILL after the grace period.
+    pub async fn terminate(&mut self, at: usize, grace: Duration) -> bool {
+        self.signal(at, "TERM");
+        let give_up = tokio::time::Instant::now() + grace;
+        while tokio::time::Instant::now() < give_up {
+            let child = self.hosts[at].child.as_mut();
+            let ended = child.is_none_or(|child| matches!(child.try_wait(), Ok(Some(_))));
+            if ended {
+                return true;
+            }
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+        self.kill(at);
+        false
+    }
+
+    /// Empties the data folder of a control host whose process has ended.
+    pub fn wipe(&self, at: usize) {
+        // Fails only if the folder was never made.
+        let _ = std::fs::remove_dir_all(self.data_folder(at));
+    }
+
+    /// Gets the last lines of a host's log for a failure message.
+    pub fn log_tail(&self, at: usize, lines: usize) -> String {
+        let path = self.folder.path().join(format!("host-{at}.log"));
+        let text = std::fs::read_to_string(path).unwrap_or_default();
+        let tail: Vec<&str> = text.lines().rev().take(lines).collect();
+        tail.into_iter().rev().collect::<Vec<_>>().join("\n")
+    }
+
+    /// Gets all lines of all logs that hold a text.
+    pub fn grep(&self, text: &str) -> String {
+        let mut found = String::new();
+        for at in 0..self.hosts.len() {
+            let path = self.folder.path().join(format!("host-{at}.log"));
+            let log = std::fs::read_to_string(path).unwrap_or_default();
+            for line in log.lines().filter(|line| line.contains(text)) {
+                found.push_str(line);
+                found.push('\n');
+            }
+        }
+        found
+    }
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        for at in 0..self.hosts.len() {
+            self.kill(at);
+        }
+    }
+}
+
+impl Worker {
+    /// Starts the worker, anew if it runs.
+    pub async fn start(&mut self, log: &RunLog) {
+        self.crash();
+        for _ in 0..50 {
+            match StandinWorker::start(self.options.clone(), log.clone()).await {
+                Ok(life) => {
+                    self.life = Some(life);
+                    return;
+                }
+                // The port of its former life is still being closed.
+                Err(_) => tokio::time::sleep(Duration::from_millis(20)).await,
+            }
+        }
+        panic!("the worker's port stays in use");
+    }
+
+    pub fn crash(&mut self) {
+        self.life = None;
+    }
+
+    pub fn conduct(&self, conduct: Conduct) {
+        if let Some(life) = &self.life {
+            life.conduct(conduct);
+        }
+    }
+
+    pub fn link(&self, manner: Manner) {
+        self.relay.set(manner);
+    }
+}
+
+/// `Caller` sends jobs and operators' orders.
+#[derive(Clone)]
+pub struct Caller {
+    client: HttpClient,
+}
+
+impl Caller {
+    pub fn new() -> Self {
+        Self {
+            client: HttpClient::new(ClientOptions::default()).expect("a client"),
+        }
+    }
+
+    /// Submits a job; gets the status and state of the answer, if one came.
+    pub async fn submit(
+        &self,
+        to: SocketAddr,
+        job: u64,
+        tasks: u32,
+        work_ms: u64,
+    ) -> Option<(u16, String)> {
+        let body: Value = serde_json::from_str(&standin::job(tasks, work_ms)).expect("JSON");
+        let path = format!("/orders/{job:016x}");
+        let header = ("host", "orders.example");
+        let within = Duration::from_secs(4);
+        let posting = self.client.post_for_bytes(to, &path, header, &body, within);
+        let reply = posting.await.ok()?;
+        let body: Value = serde_json::from_slice(&reply.body).unwrap_or_default();
+        let state = body["state"].as_str().unwrap_or_default().to_owned();
+        Some((reply.status, state))
+    }
+
+    /// Publishes a document; whether it was acknowledged.
+    pub async fn publish(&self, to: SocketAddr, version: u64, more: &[String]) -> bool {
+        let text = standin::document(version, SERVICE, more);
+        let body: Value = serde_json::from_str(&text).expect("JSON");
+        let posting = self
+            .client
+            .post_text(to, PUBLISH_PATH, &body, OPERATOR_WITHIN);
+        matches!(posting.await, Ok(Reply { status: 200, .. }))
+    }
+
+    /// Reads the version in force, if the host is sure of it.
+    pub async fn read_version(&self, from: SocketAddr) -> Option<u64> {
+        let reading = self.client.get::<Value>(from, READ_PATH, OPERATOR_WITHIN);
+        let reply = reading.await.ok().filter(|reply| reply.status == 200)?;
+        reply.body["version"].as_u64()
+    }
+}
+
+fn domain(at: usize) -> &'static str {
+    ["fd-a", "fd-b"][at % 2]
+}
--- a/crates/daemon/tests/harness/mod.rs
+++ b/crates/daemon/tests/harness/mod.rs
@@ -1,6 +1,7 @@
 //! Separate daemon processes and the requests that a test sends to them.
 #![allow(dead_code)] // Justification: each test file uses a part of it.
 
+pub mod fleet;
 pub mod history;
 pub mod recorder;
 pub mod relay;
