--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -46,6 +46,8 @@
     ProcessFailed = 104, Error;
     /// The settings file changed and was read again.
     SettingsReloaded = 105, Info;
+    /// Lines of an event were left out because there were too many.
+    LinesLeftOut = 106, Warn;
     /// A backend server leased its slots to this host.
     ServerLeased = 200, Info;
     /// A backend server withdrew.
--- a/crates/ctl/src/cli.rs
+++ b/crates/ctl/src/cli.rs
@@ -5,7 +5,7 @@
 
 use crate::commands::{
     apply, check, demo, diff, drain, export, history, import, load, members, rollback, show,
-    standin, status, submit,
+    standin, status, story, submit,
 };
 use crate::exit::{EXIT_CODES_HELP, Exit};
 use crate::globals::Globals;
@@ -35,6 +35,8 @@
     Status(status::Status),
     /// Drains hosts.
     Drain(drain::Drain),
+    /// Tells what happened to a job.
+    Story(story::Story),
     /// Submits a job.
     Submit(Box<submit::Submit>),
     /// Runs or compares loads.
@@ -60,6 +62,7 @@
             Self::Members(command) => &command.globals,
             Self::Status(command) => &command.globals,
             Self::Drain(command) => &command.globals,
+            Self::Story(command) => &command.globals,
             Self::Submit(command) => &command.globals,
             Self::Load(command) => command.globals(),
             Self::Standin(command) => &command.globals,
@@ -84,6 +87,7 @@
             Self::Members(command) => command.run().await,
             Self::Status(command) => command.run().await,
             Self::Drain(command) => command.run().await,
+            Self::Story(command) => command.run(),
             Self::Submit(command) => command.run().await,
             Self::Load(command) => command.run().await,
             Self::Standin(command) => command.run().await,
@@ -105,12 +109,13 @@
     let members = members::parser().map(Command::Members);
     let status = status::parser().map(Command::Status);
     let drain = drain::parser().map(Command::Drain);
+    let story = story::parser().map(Command::Story);
     let submit = submit::parser().map(|command| Command::Submit(Box::new(command)));
     let load = load::parser().map(|command| Command::Load(Box::new(command)));
     let standin = standin::parser().map(|command| Command::Standin(Box::new(command)));
     let demo = demo::parser().map(Command::Demo);
     construct!([
-        check, apply, show, diff, history, rollback, export, import, members, status, drain,
+        check, apply, show, diff, history, rollback, export, import, members, status, drain, story,
         submit, load, standin, demo
     ])
     .to_options()
--- a/crates/ctl/src/commands.rs
+++ b/crates/ctl/src/commands.rs
@@ -14,4 +14,5 @@
 pub(crate) mod show;
 pub(crate) mod standin;
 pub(crate) mod status;
+pub(crate) mod story;
 pub(crate) mod submit;
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -27,7 +27,7 @@
 /// Names of all commands, in the order of the help text.
 pub const COMMANDS: &[&str] = &[
     "check", "apply", "show", "diff", "history", "rollback", "export", "import", "members",
-    "status", "drain", "submit", "load", "standin", "demo",
+    "status", "drain", "story", "submit", "load", "standin", "demo",
 ];
 
 /// Widest line of a message about the arguments, in characters.
--- a/crates/ctl/tests/cli.rs
+++ b/crates/ctl/tests/cli.rs
@@ -122,3 +122,29 @@
     expect_that!(line["address"].as_str(), some(eq("127.0.0.1:1")));
     expect_that!(line["error"].as_str(), some(starts_with("not sent")));
 }
+
+/// Guards against a story that leaves out what another host or the worker of a
+/// run says. The logs are of a played day: a job whose worker was handed over
+/// between two entry hosts and then cut off.
+#[gtest]
+fn story_follows_a_job_through_the_logs_of_several_hosts() {
+    let folder = manifest_folder().join("tests/golden/story");
+    let file = |host: &str| folder.join(format!("{host}.log")).display().to_string();
+    let files = ["edge-almaty-b-2", "edge-almaty-d-1", "edge-almaty-a-1"].map(file);
+    let mut arguments = vec!["story", "--job", "99e4bbd27efbf8eb"];
+    arguments.extend(files.iter().map(String::as_str));
+    let output = hornbeam(&arguments);
+    expect_that!(output.status.code(), some(eq(Exit::Ok as i32)));
+    let mut mint = Mint::new(manifest_folder().join("tests/golden"));
+    let mut golden = mint.new_goldenfile("story.txt").unwrap();
+    golden.write_all(&output.stdout).unwrap();
+}
+
+/// Guards against an exit code that hides that no line was found.
+#[gtest]
+fn story_of_an_unknown_job_is_a_finding() {
+    let log = manifest_folder().join("tests/golden/story/edge-almaty-a-1.log");
+    let log = log.display().to_string();
+    let code = exit_of(&["story", "--job", "0000000000000000", &log]);
+    expect_that!(code, some(eq(Exit::Findings as i32)));
+}
--- a/crates/daemon/tests/fleet_soak.rs
+++ b/crates/daemon/tests/fleet_soak.rs
@@ -108,7 +108,9 @@
             if let Some(read) = caller.read_version(to).await
                 && read < least
             {
-                book.report(format!("{to} reads version {read} after {least} was accepted"));
+                book.report(format!(
+                    "{to} reads version {read} after {least} was accepted"
+                ));
             }
         }
         tokio::time::sleep(Duration::from_millis(random.random_range(50..500))).await;
@@ -162,7 +164,11 @@
             fleet.workers[worker].start(&log).await;
         }
         7 => {
-            let conducts = [Conduct::FailsAll, Conduct::StandsStill, Conduct::DelaysOrders];
+            let conducts = [
+                Conduct::FailsAll,
+                Conduct::StandsStill,
+                Conduct::DelaysOrders,
+            ];
             fleet.workers[worker].conduct(conducts[pick(0..3)]);
             tokio::time::sleep(pause).await;
             fleet.workers[worker].conduct(Conduct::Sound);
@@ -223,7 +229,9 @@
         .map(|run| run.task.as_str())
         .collect();
     for (job, record) in book.jobs.lock().expect("no panic").iter() {
-        let tasks: Vec<String> = (0..record.tasks).map(|index| task_of(*job, index)).collect();
+        let tasks: Vec<String> = (0..record.tasks)
+            .map(|index| task_of(*job, index))
+            .collect();
         let missing = tasks.iter().find(|task| !done.contains(task.as_str()));
         if let Some(task) = missing.filter(|_| record.completed) {
             book.report(format!("job {job:016x} completed without task {task}"));
@@ -254,7 +262,11 @@
         let entries = fleet.caller_addresses();
         clients.spawn(call(Arc::clone(&book), entries, seed ^ (at + 1) << 32));
     }
-    clients.spawn(operate(Arc::clone(&book), controls.clone(), seed ^ 99 << 32));
+    clients.spawn(operate(
+        Arc::clone(&book),
+        controls.clone(),
+        seed ^ 99 << 32,
+    ));
     let end = Instant::now() + length;
     while Instant::now() < end {
         strike(&mut fleet, &mut random).await;
--- a/crates/fleet/src/admission.rs
+++ b/crates/fleet/src/admission.rs
@@ -6,7 +6,7 @@
 use indexmap::IndexMap;
 
 use crate::fleet::Fleet;
-use crate::io::{CallId, FleetOutput};
+use crate::io::{CallId, FleetOutput, Subject};
 use crate::job::{Job, JobKey, JobOutcome, NotRun, RunId, Submission, Task, TaskState};
 use crate::peer::PeerMessage;
 use crate::queues::Queue;
@@ -86,6 +86,7 @@
         if self.fits_nowhere(&queue.service, &submission.need) {
             self.log(
                 Event::FleetJobFailed,
+                Subject::Job(submission.job),
                 format!(
                     "job {:016x} failed: its tasks need {} thousandths of a core and {} MB, more than any worker has",
                     submission.job, submission.need.cpu_milli, submission.need.memory_mb
@@ -109,7 +110,7 @@
 
     fn refuse(&mut self, call: CallId, job: JobKey, refusal: NotRun) {
         let message = format!("job {job:016x} refused, nothing ran: {refusal:?}");
-        self.log(Event::FleetJobRefused, message);
+        self.log(Event::FleetJobRefused, Subject::Job(job), message);
         self.put(FleetOutput::Answer(call, JobOutcome::NotRun(refusal)));
     }
 
@@ -273,6 +274,7 @@
             .map_or_else(|| "none".to_owned(), |at| format!("{} ms", since(at)));
         self.log(
             event,
+            Subject::Job(key),
             format!(
                 "job {key:016x} of queue {} ended as {outcome:?}: {reason}; {} of {} tasks done after {} ms, first start {first_start}, objective {} ms, waiting tasks {}, owned workers {}",
                 job.queue,
--- a/crates/fleet/src/draining.rs
+++ b/crates/fleet/src/draining.rs
@@ -4,7 +4,7 @@
 use hornbeam_core::ids::HostId;
 
 use crate::fleet::Fleet;
-use crate::io::ReportAnswer;
+use crate::io::{ReportAnswer, Subject};
 use crate::job::{JobKey, JobOutcome, NotRun};
 use crate::peer::{Peer, PeerMessage};
 use crate::report::WorkerReport;
@@ -22,7 +22,7 @@
             self.guests.len(),
             self.workers.len()
         );
-        self.log(Event::DrainStarted, message);
+        self.log(Event::DrainStarted, Subject::Host, message);
         for peer in self.peers.values_mut() {
             peer.want_status();
         }
--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -12,7 +12,7 @@
 use crate::estimates::Estimates;
 use crate::generation::{Generation, Generations};
 use crate::guests::Guest;
-use crate::io::{FleetInput, FleetOutput};
+use crate::io::{FleetInput, FleetOutput, Subject};
 use crate::job::{Job, JobKey, RunId};
 use crate::options::FleetOptions;
 use crate::peer::{Peer, Sender};
@@ -230,6 +230,7 @@
         }
         self.log(
             Event::ConfigInForce,
+            Subject::Host,
             format!(
                 "version {} with {} queues is in force after version {present}",
                 queues.version,
@@ -243,7 +244,8 @@
         self.outputs.push(output);
     }
 
-    pub(crate) fn log(&mut self, event: Event, message: impl Into<String>) {
-        self.outputs.push(FleetOutput::Log(event, message.into()));
+    pub(crate) fn log(&mut self, event: Event, subject: Subject, message: impl Into<String>) {
+        self.outputs
+            .push(FleetOutput::Log(event, subject, message.into()));
     }
 }
--- a/crates/fleet/src/guests.rs
+++ b/crates/fleet/src/guests.rs
@@ -6,7 +6,7 @@
 use hornbeam_core::ids::HostId;
 
 use crate::fleet::Fleet;
-use crate::io::RunEnd;
+use crate::io::{RunEnd, Subject};
 use crate::job::RunId;
 use crate::peer::{PeerMessage, TaskChunk};
 use crate::worker::WorkerNumber;
@@ -96,6 +96,7 @@
         if dropped > 0 {
             self.log(
                 Event::RunLost,
+                Subject::Peer(origin.clone()),
                 format!("{dropped} runs for host {origin} are stopped: it has started anew"),
             );
         }
--- a/crates/fleet/src/io.rs
+++ b/crates/fleet/src/io.rs
@@ -71,8 +71,23 @@
     SendBatch(HostId, SocketAddr, PeerBatch),
     /// Close the idle connections to a worker that is gone.
     Forget(SocketAddr),
-    /// Write a numbered log event.
-    Log(Event, String),
+    /// Write a numbered log event about a subject.
+    Log(Event, Subject, String),
+}
+
+/// `Subject` is what a log event is about; it becomes a field of the line.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Subject {
+    /// This host.
+    Host,
+    /// A job.
+    Job(JobKey),
+    /// A run of a job's task.
+    Run(RunId),
+    /// A worker.
+    Worker(WorkerId),
+    /// Another entry host.
+    Peer(HostId),
 }
 
 /// `PeerAddress` is another entry host.
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -34,7 +34,7 @@
 pub use io::{
     CallId, EndRow, FleetInput, FleetOutput, LookAnswer, LookOrder, Observation, PeerAddress,
     ReportAnswer, ReportId, RunEnd, RunningRow, StartAnswer, StartOrder, StartRefusal, StopAnswer,
-    StopOrder, WorkerTarget,
+    StopOrder, Subject, WorkerTarget,
 };
 pub use job::{JobKey, JobOutcome, NotRun, RunId, Submission};
 pub use options::FleetOptions;
--- a/crates/fleet/src/looks.rs
+++ b/crates/fleet/src/looks.rs
@@ -5,7 +5,7 @@
 use hornbeam_core::event::Event;
 
 use crate::fleet::Fleet;
-use crate::io::{FleetOutput, LookAnswer, LookOrder, Observation, RunEnd, StopOrder};
+use crate::io::{FleetOutput, LookAnswer, LookOrder, Observation, RunEnd, StopOrder, Subject};
 use crate::job::RunId;
 use crate::worker::{Phase, RunState, Worker, WorkerNumber};
 
@@ -84,8 +84,9 @@
             worker.misses,
             worker.runs.len()
         );
+        let subject = Subject::Worker(worker.report.worker_id.clone());
         self.room_changed = true;
-        self.log(Event::WorkerUnanswered, message);
+        self.log(Event::WorkerUnanswered, subject, message);
     }
 
     fn on_seen(&mut self, number: WorkerNumber, sent_at: Duration, seen: &Observation) {
@@ -104,7 +105,8 @@
             worker.misses = 0;
             self.room_changed = true;
             let message = format!("worker {} answers again", worker.report.worker_id);
-            self.log(Event::WorkerRestored, message);
+            let subject = Subject::Worker(worker.report.worker_id.clone());
+            self.log(Event::WorkerRestored, subject, message);
         }
         match self.workers.get(&number).map(|worker| worker.phase) {
             Some(Phase::Taking) => self.take_over(number, seen),
@@ -133,8 +135,9 @@
                 "worker {} of service {} is owned with generation {}",
                 worker.report.worker_id, worker.report.service, worker.generation.0
             );
+            let subject = Subject::Worker(worker.report.worker_id.clone());
             self.room_changed = true;
-            return self.log(Event::WorkerOwned, message);
+            return self.log(Event::WorkerOwned, subject, message);
         }
         worker.next_look_at = now + stop_time;
         let target = worker.target();
@@ -203,6 +206,7 @@
             }
             self.log(
                 Event::RunLost,
+                Subject::Run(id),
                 format!("run {id} is no longer on its worker and its end was not listed"),
             );
             self.end_lost(number, id);
@@ -234,6 +238,7 @@
             let runs: Vec<RunId> = worker.runs.keys().copied().collect();
             self.log(
                 Event::LeaseEnded,
+                Subject::Worker(worker_id.clone()),
                 format!(
                     "the lease of worker {worker_id} ended with {} runs",
                     runs.len()
--- a/crates/fleet/src/ownership.rs
+++ b/crates/fleet/src/ownership.rs
@@ -7,7 +7,7 @@
 
 use crate::fleet::Fleet;
 use crate::generation::Generation;
-use crate::io::{FleetOutput, ReportAnswer, ReportId};
+use crate::io::{FleetOutput, ReportAnswer, ReportId, Subject};
 use crate::job::RunId;
 use crate::report::WorkerReport;
 use crate::worker::{Phase, Worker, WorkerNumber};
@@ -53,6 +53,7 @@
         let starts_to_drain = report.draining && !worker.report.draining;
         worker.reported_at = now;
         worker.report = report;
+        let worker_id = worker.report.worker_id.clone();
         if starts_to_drain {
             let message = format!(
                 "worker {} drains and gets no new run; {} runs on it",
@@ -60,7 +61,7 @@
                 worker.runs.len()
             );
             self.room_changed = true;
-            self.log(Event::WorkerDraining, message);
+            self.log(Event::WorkerDraining, Subject::Worker(worker_id), message);
         }
         ReportAnswer::Taken
     }
@@ -119,6 +120,7 @@
         self.put(FleetOutput::Forget(worker.report.address));
         self.log(
             Event::WorkerForgotten,
+            Subject::Worker(worker.report.worker_id.clone()),
             format!(
                 "worker {} is no longer owned: {reason}; {} runs on it",
                 worker.report.worker_id,
--- a/crates/fleet/src/peering.rs
+++ b/crates/fleet/src/peering.rs
@@ -4,7 +4,7 @@
 use hornbeam_core::ids::HostId;
 
 use crate::fleet::Fleet;
-use crate::io::{FleetOutput, PeerAddress};
+use crate::io::{FleetOutput, PeerAddress, Subject};
 use crate::job::{RunId, TaskState};
 use crate::peer::{Peer, PeerBatch, PeerMessage, PeerStatus};
 
@@ -46,7 +46,11 @@
         let is_new = batch.sequence > peer.last_sequence;
         peer.last_sequence = peer.last_sequence.max(batch.sequence);
         if was_lost {
-            self.log(Event::PeerFound, format!("host {host} is heard from again"));
+            self.log(
+                Event::PeerFound,
+                Subject::Peer(host.clone()),
+                format!("host {host} is heard from again"),
+            );
         }
         if is_new {
             for message in batch.messages {
@@ -101,7 +105,11 @@
 
     /// A peer has started anew: its runs end with the leases that it granted.
     fn peer_restarted(&mut self, host: &HostId) {
-        self.log(Event::PeerFound, format!("host {host} has started anew"));
+        self.log(
+            Event::PeerFound,
+            Subject::Peer(host.clone()),
+            format!("host {host} has started anew"),
+        );
         let over_at = self.now + self.options.max_lease + self.options.stop_time;
         for run in self.runs_at(host) {
             self.linger(run, over_at);
@@ -134,6 +142,7 @@
                 let runs = self.runs_at(&host);
                 self.log(
                     Event::PeerLost,
+                    Subject::Peer(host.clone()),
                     format!("host {host} is silent; {} runs there are over", runs.len()),
                 );
                 for run in runs {
--- a/crates/fleet/src/runs.rs
+++ b/crates/fleet/src/runs.rs
@@ -5,7 +5,7 @@
 use hornbeam_core::event::Event;
 
 use crate::fleet::Fleet;
-use crate::io::RunEnd;
+use crate::io::{RunEnd, Subject};
 use crate::job::{JobOutcome, RunId, TaskState};
 use crate::peer::PeerMessage;
 use crate::worker::WorkerNumber;
@@ -75,6 +75,7 @@
                 }
                 self.log(
                     Event::RunRetried,
+                    Subject::Run(id),
                     format!("run {id} failed and is repeated"),
                 );
                 self.requeue(id);
@@ -83,6 +84,7 @@
                 task.avoid = on;
                 self.log(
                     Event::RunRetried,
+                    Subject::Run(id),
                     format!("run {id} was lost and is repeated"),
                 );
                 self.requeue(id);
--- a/crates/fleet/src/starts.rs
+++ b/crates/fleet/src/starts.rs
@@ -5,7 +5,7 @@
 use hornbeam_core::event::Event;
 
 use crate::fleet::Fleet;
-use crate::io::{FleetOutput, RunEnd, StartAnswer, StartRefusal, StopAnswer, StopOrder};
+use crate::io::{FleetOutput, RunEnd, StartAnswer, StartRefusal, StopAnswer, StopOrder, Subject};
 use crate::job::RunId;
 use crate::scheduling::START_WITHIN;
 use crate::worker::{RunState, WorkerNumber};
@@ -79,6 +79,7 @@
         }
         self.log(
             Event::WorkerUnanswered,
+            Subject::Run(id),
             format!("it is not clear if worker {worker_id} starts run {id}: {answer:?}"),
         );
     }
@@ -111,6 +112,7 @@
         self.room_changed = true;
         self.log(
             Event::RunNotStarted,
+            Subject::Run(id),
             format!("run {id} did not start on worker {worker_id}: {reason}"),
         );
         self.run_unstarted(id, number);
@@ -194,7 +196,8 @@
             pause.as_millis(),
             worker.failures
         );
-        self.log(Event::WorkerEjected, message);
+        let subject = Subject::Worker(worker.report.worker_id.clone());
+        self.log(Event::WorkerEjected, subject, message);
     }
 
     /// Counts a success of a worker.
@@ -205,7 +208,8 @@
         if worker.failures >= FAILURES_TO_EJECT {
             let message = format!("worker {} serves again", worker.report.worker_id);
             worker.failures = 0;
-            return self.log(Event::WorkerRestored, message);
+            let subject = Subject::Worker(worker.report.worker_id.clone());
+            return self.log(Event::WorkerRestored, subject, message);
         }
         worker.failures = 0;
     }
--- a/crates/fleet/src/stragglers.rs
+++ b/crates/fleet/src/stragglers.rs
@@ -5,7 +5,7 @@
 use hornbeam_core::event::Event;
 
 use crate::fleet::Fleet;
-use crate::io::Observation;
+use crate::io::{Observation, Subject};
 use crate::job::RunId;
 use crate::worker::{Run, RunState, Worker, WorkerNumber};
 
@@ -84,18 +84,20 @@
             return;
         }
         worker.block(now + SLOW_PAUSE);
+        let subject = Subject::Worker(worker.report.worker_id.clone());
         self.room_changed = true;
         let message = format!(
             "worker {} gets no run for {} ms: {runs} runs make too little progress",
             worker.report.worker_id,
             SLOW_PAUSE.as_millis()
         );
-        self.log(Event::WorkerEjected, message);
+        self.log(Event::WorkerEjected, subject, message);
     }
 
     fn move_run(&mut self, number: WorkerNumber, id: RunId, remaining: Duration) {
         self.log(
             Event::RunRetried,
+            Subject::Run(id),
             format!(
                 "run {id} is stopped to start elsewhere: it would take {} ms more",
                 remaining.as_millis()
--- a/crates/node/src/fleet_entry.rs
+++ b/crates/node/src/fleet_entry.rs
@@ -4,6 +4,7 @@
 mod caller;
 mod input;
 mod links;
+mod log_budget;
 mod membership;
 mod metrics;
 mod orders;
@@ -101,6 +102,7 @@
             orders: Orders::new(WorkerCalls::new()?),
             metrics: Arc::clone(&metrics),
             waiting: Default::default(),
+            log_budget: Default::default(),
         };
         tasks.spawn(entry_shell.run(inputs));
         let membership = Membership {
--- a/crates/node/src/fleet_entry/shell.rs
+++ b/crates/node/src/fleet_entry/shell.rs
@@ -8,12 +8,13 @@
 use hornbeam_core::ids::{ConfigVersion, HostId};
 use hornbeam_core::log_event;
 use hornbeam_fleet::{
-    CallId, Fleet, FleetInput, FleetOutput, JobOutcome, QueueTable, ReportAnswer, ReportId,
+    CallId, Fleet, FleetInput, FleetOutput, JobOutcome, QueueTable, ReportAnswer, ReportId, Subject,
 };
 use hornbeam_timer::TimerService;
 use tokio::sync::{mpsc, oneshot, watch};
 
 use super::input::{EntryInput, Figures};
+use super::log_budget::LogBudget;
 use super::metrics::FleetMetrics;
 use super::orders::Orders;
 use crate::lifecycle::{FailOnDrop, LifeEvent, Lifecycle};
@@ -67,6 +68,8 @@
     pub(crate) metrics: Arc<FleetMetrics>,
     /// Those who wait for an answer.
     pub(crate) waiting: Waiting,
+    /// Lines of the log that may still be written this second.
+    pub(crate) log_budget: LogBudget,
 }
 
 /// `Waiting` holds the senders that answers go to.
@@ -186,9 +189,36 @@
                 self.orders.send_batch((host, address), batch);
             }
             FleetOutput::Forget(worker) => self.orders.forget(worker),
-            FleetOutput::Log(event, message) => {
-                log_event!(event, host = self.host_id; "{message}");
+            FleetOutput::Log(event, subject, message) => self.log(event, &subject, &message),
+        }
+    }
+
+    /// Writes a line unless too many of its event were written this second.
+    fn log(&mut self, event: Event, subject: &Subject, message: &str) {
+        let second = self.timer.now().as_secs();
+        for (event, count) in self.log_budget.begin(second) {
+            log_event!(
+                Event::LinesLeftOut, host = self.host_id;
+                "{count} lines of event {} were left out in a second", event.name()
+            );
+        }
+        if !self.log_budget.allows(event) {
+            return;
+        }
+        let host = &self.host_id;
+        match subject {
+            Subject::Host => log_event!(event, host = host; "{message}"),
+            Subject::Job(job) => {
+                log_event!(event, host = host, job = format!("{job:016x}"); "{message}");
+            }
+            Subject::Run(run) => {
+                let job = format!("{:016x}", run.job);
+                log_event!(event, host = host, job = job, run = run; "{message}");
+            }
+            Subject::Worker(worker) => {
+                log_event!(event, host = host, worker = worker; "{message}");
             }
+            Subject::Peer(peer) => log_event!(event, host = host, peer = peer; "{message}"),
         }
     }
 
