--- a/crates/control/src/election.rs
+++ b/crates/control/src/election.rs
@@ -40,7 +40,12 @@
 
     /// Sets a new random time for the next election.
     pub(crate) fn reset_election_timer(&mut self) {
-        let shortest = self.options.election_timeout;
+        self.set_election_timer(self.options.election_timeout);
+    }
+
+    /// Sets a random time between `shortest` and twice that for the next
+    /// election.
+    pub(crate) fn set_election_timer(&mut self, shortest: Duration) {
         let extra = self.random.random::<f64>();
         self.election_at = self.now + shortest + shortest.mul_f64(extra);
     }
--- a/crates/control/src/io.rs
+++ b/crates/control/src/io.rs
@@ -28,6 +28,10 @@
     /// Shortest election timeout; each wait is random up to twice it;
     /// default 500 ms.
     pub election_timeout: Duration,
+    /// Shortest wait for a leader after a start; each is random up to twice
+    /// it. A leader that the others hear is not deposed by an early campaign,
+    /// because they deny the pre-vote; default 500 ms.
+    pub first_election_timeout: Duration,
     /// Interval of the leader's heartbeats; default 100 ms.
     pub heartbeat: Duration,
     /// Log entries after which a snapshot replaces them; default 4096.
@@ -42,6 +46,7 @@
             id: 0,
             initial_voters: Vec::new(),
             election_timeout: Duration::from_millis(500),
+            first_election_timeout: Duration::from_millis(500),
             heartbeat: Duration::from_millis(100),
             snapshot_entries: 4096,
             seed: 0,
--- a/crates/control/src/replica.rs
+++ b/crates/control/src/replica.rs
@@ -116,7 +116,7 @@
             replica.persist.put_hard_state(replica.hard_state);
             replica.persist.put_snapshot(first);
         }
-        replica.reset_election_timer();
+        replica.set_election_timer(replica.options.first_election_timeout);
         Ok(replica)
     }
 
--- a/crates/control/tests/common/cluster.rs
+++ b/crates/control/tests/common/cluster.rs
@@ -117,6 +117,7 @@
             id,
             initial_voters: host.initial_voters.clone(),
             election_timeout: ELECTION_TIMEOUT,
+            first_election_timeout: ELECTION_TIMEOUT,
             heartbeat: HEARTBEAT,
             snapshot_entries: self.snapshot_entries,
             seed,
--- a/crates/daemon/src/host_file.rs
+++ b/crates/daemon/src/host_file.rs
@@ -20,6 +20,11 @@
 /// for 15 s and must not find one closed that they are about to use.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
 
+/// Shortest wait for a leader after a start. When all hosts lost power nobody
+/// serves before there is a leader, and processes start within 0.3 s of each
+/// other.
+const FIRST_ELECTION_TIMEOUT: Duration = Duration::from_millis(150);
+
 /// Entries of the log after which a snapshot replaces them. A document has up
 /// to 100 KB, and they all count as memory.
 const SNAPSHOT_ENTRIES: u64 = 64;
@@ -120,6 +125,7 @@
             };
             Some(ControlOptions {
                 replica: ReplicaOptions {
+                    first_election_timeout: FIRST_ELECTION_TIMEOUT,
                     snapshot_entries: SNAPSHOT_ENTRIES,
                     seed: rand::random(),
                     ..ReplicaOptions::default()
--- a/crates/node/src/fleet_entry/membership.rs
+++ b/crates/node/src/fleet_entry/membership.rs
@@ -23,6 +23,9 @@
 /// noticed by them and must be in force within 2 s.
 const PERIOD: Duration = Duration::from_millis(400);
 
+/// Time between two registrations before the first document.
+const FIRST_PERIOD: Duration = Duration::from_millis(80);
+
 /// Time within which a control host must answer.
 const ANSWER_WITHIN: Duration = Duration::from_millis(700);
 
@@ -78,10 +81,13 @@
     async fn register_all(&self) {
         let mut known = HashMap::new();
         let mut calls: JoinSet<Answered> = JoinSet::new();
-        let mut ticks = self.timer.ticks(PERIOD);
+        let mut next_at = self.timer.now();
         loop {
             tokio::select! {
-                _ = ticks.next() => self.register(&mut known, &mut calls),
+                () = self.timer.sleep_until(next_at) => {
+                    self.register(&mut known, &mut calls);
+                    next_at = self.timer.now() + self.period();
+                }
                 Some(ended) = calls.join_next() => {
                     // Calls neither panic nor are aborted while this runs.
                     let Ok((address, answer)) = ended else { continue };
@@ -91,6 +97,16 @@
         }
     }
 
+    /// Gets the time until the next registration. A host without a document
+    /// serves nobody, so it asks more often.
+    fn period(&self) -> Duration {
+        if self.version() == 0 {
+            FIRST_PERIOD
+        } else {
+            PERIOD
+        }
+    }
+
     fn learn(&self, known: &mut HashMap<SocketAddr, Known>, address: SocketAddr) {
         known.entry(address).or_insert_with(|| Known {
             link: Link::new(address, self.link_options.clone()),
