--- /dev/null
+++ b/crates/daemon/tests/fleet_processes.rs
@@ -0,0 +1,238 @@
+//! Separate processes of the fleet roles: calm service, repair of the control
+//! group, rejected input, settings.
+
+mod harness;
+
+use std::process::{Command, Output};
+use std::time::{Duration, Instant};
+
+use harness::fleet::{Caller, Fleet, Size};
+use hornbeam_http::{ClientOptions, HttpClient};
+use serde_json::{Value, json};
+
+/// Time after which the next loss of a control host may come.
+const CATCH_UP: Duration = Duration::from_secs(4);
+
+/// Longest wait for anything.
+const PATIENCE: Duration = Duration::from_secs(10);
+
+/// Gets a network for a test that differs from those of other processes.
+fn network(test: u16) -> u16 {
+    let process = u16::try_from(std::process::id() % 0x3fff).unwrap_or(0);
+    process << 2 | test
+}
+
+/// Publishes a document at any control host; fails the test if none accepts it
+/// in time.
+async fn publish(fleet: &Fleet, version: u64) {
+    let caller = Caller::new();
+    let give_up = Instant::now() + PATIENCE;
+    loop {
+        for control in fleet.control_addresses() {
+            if caller.publish(control, version, &[]).await {
+                return;
+            }
+        }
+        assert!(Instant::now() < give_up, "{}", fleet.log_tail(0, 20));
+    }
+}
+
+/// Submits jobs until one completes.
+async fn wait_until_served(fleet: &Fleet) {
+    let caller = Caller::new();
+    let entries = fleet.caller_addresses();
+    let give_up = Instant::now() + PATIENCE;
+    for job in 1.. {
+        let to = entries[job % entries.len()];
+        if let Some((200, _)) = caller.submit(to, job as u64, 1, 20).await {
+            return;
+        }
+        assert!(Instant::now() < give_up, "{}", fleet.log_tail(1, 20));
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+}
+
+/// Guards against a system that does not serve a calm day: every job completes
+/// in little more than its work, from every entry host, with room at peers.
+#[tokio::test(flavor = "multi_thread")]
+async fn jobs_complete_on_a_calm_day() {
+    let size = Size {
+        controls: 3,
+        entries: 2,
+        workers: 6,
+    };
+    let fleet = Fleet::start(size, network(0)).await;
+    publish(&fleet, 1).await;
+    wait_until_served(&fleet).await;
+    // The workers that report last have an owner too.
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    let caller = Caller::new();
+    let entries = fleet.caller_addresses();
+    for job in 0..20_u64 {
+        let to = entries[usize::try_from(job).expect("small") % entries.len()];
+        let answer = caller.submit(to, 1000 + job, 8, 100).await;
+        assert_eq!(answer, Some((200, "completed".into())), "job {job}");
+    }
+    let runs = fleet.log.runs();
+    let done = runs
+        .iter()
+        .filter(|run| matches!(run.ended, Some((_, "done"))))
+        .count();
+    assert!(done >= 160, "{done} runs are done");
+}
+
+/// Guards against a group that cannot lose a second control host after one has
+/// lost its disk and had the time to catch up, and that twice in turn.
+#[tokio::test(flavor = "multi_thread")]
+async fn control_host_without_disk_votes_again_before_the_next_loss() {
+    let size = Size {
+        controls: 3,
+        entries: 1,
+        workers: 0,
+    };
+    let mut fleet = Fleet::start(size, network(1)).await;
+    publish(&fleet, 1).await;
+    for (lost, next, version) in [(0, 1, 2), (1, 2, 3)] {
+        fleet.kill(lost);
+        fleet.wipe(lost);
+        fleet.run(lost, false);
+        tokio::time::sleep(CATCH_UP).await;
+        fleet.kill(next);
+        publish(&fleet, version).await;
+        let caller = Caller::new();
+        let read = caller.read_version(fleet.control_addresses()[lost]).await;
+        assert_eq!(read, Some(version));
+        if next == 1 {
+            continue;
+        }
+        fleet.run(next, false);
+    }
+}
+
+/// Guards against a start on behalf of a request that is not as documented,
+/// and against an answer that does not say so.
+#[tokio::test(flavor = "multi_thread")]
+async fn ill_formed_requests_get_clear_answers() {
+    let size = Size {
+        controls: 1,
+        entries: 1,
+        workers: 1,
+    };
+    let fleet = Fleet::start(size, network(2)).await;
+    publish(&fleet, 1).await;
+    wait_until_served(&fleet).await;
+    let served = fleet.log.runs().len();
+    let client = HttpClient::new(ClientOptions::default()).expect("a client");
+    let job = |more: Value| {
+        let mut job = json!({"spec": "20", "bestEffort": true,
+            "steps": [{"count": 1, "cpu": 8000, "memMb": 64, "estimateMs": 20}]});
+        job.as_object_mut()
+            .expect("an object")
+            .extend(more.as_object().expect("an object").clone());
+        job
+    };
+    let good_path = "/orders/00000000000000aa";
+    let cases = [
+        (good_path, "orders.example", json!("no job"), 400),
+        ("/orders/12", "orders.example", job(json!({})), 400),
+        (good_path, "nowhere.example", job(json!({})), 404),
+        (
+            "/none/00000000000000aa",
+            "orders.example",
+            job(json!({})),
+            404,
+        ),
+        (
+            good_path,
+            "orders.example",
+            job(json!({"bestEffort": false})),
+            503,
+        ),
+        (
+            good_path,
+            "orders.example",
+            job(json!({"more": "x".repeat(300_000)})),
+            413,
+        ),
+    ];
+    for (path, host, body, status) in cases {
+        let to = fleet.caller_addresses()[0];
+        let posting = client.post_for_bytes(to, path, ("host", host), &body, PATIENCE);
+        let reply = posting.await.expect("an answer");
+        assert_eq!(reply.status, status, "{path} at {host}");
+    }
+    assert_eq!(fleet.log.runs().len(), served);
+}
+
+fn hornbeamd(settings: &str) -> Output {
+    let folder = tempfile::TempDir::new().expect("a folder");
+    let path = folder.path().join("host.toml");
+    std::fs::write(&path, settings).expect("a settings file");
+    Command::new(env!("CARGO_BIN_EXE_hornbeamd"))
+        .args(["--role", "fleet-entry", "--settings-file"])
+        .arg(&path)
+        .output()
+        .expect("the binary runs")
+}
+
+/// Guards against a process that starts on a settings file with problems, or
+/// that reports only the first of them.
+#[test]
+fn findings_of_a_settings_file_are_reported_together() {
+    let output = hornbeamd(
+        "[host]\nid = 7\nfailure_domain = \"a\"\naddress = \"10.0.0\"\nfirst_port = 70000\n\
+         last_port = 7010\ncontrol_hosts = [\"10.0.0.1:7000\", \"nowhere\"]\nlater = true\n\
+         [listen]\ncallers = \"10.0.0.2:1\"\n[terms]\nmax_lease_ms = 1000\n",
+    );
+    assert_eq!(output.status.code(), Some(2));
+    let text = String::from_utf8(output.stderr).expect("text");
+    let expected = [
+        ":2:6: host.id: It must be a text, not integer.",
+        ":4:11: host.address: It must be an IP address",
+        ":5:14: host.first_port: It must be a port",
+        "host.control_hosts: `nowhere` is no address of the form ip:port.",
+        "listen.readiness: It is required.",
+        "terms.stop_ms: It is required.",
+    ];
+    for finding in expected {
+        assert!(text.contains(finding), "{finding} is missing in\n{text}");
+    }
+}
+
+/// Guards against a message that does not say where a file is no TOML.
+#[test]
+fn syntax_of_a_settings_file_is_checked() {
+    let output = hornbeamd("[host]\nid = \n");
+    assert_eq!(output.status.code(), Some(2));
+    let text = String::from_utf8(output.stderr).expect("text");
+    assert!(text.contains(":2:6: The syntax is not TOML"), "{text}");
+}
+
+/// Guards against a changed settings file that goes unnoticed, with and
+/// without a signal, or that stops the process because it is broken.
+#[tokio::test(flavor = "multi_thread")]
+async fn changes_of_the_settings_file_are_logged() {
+    let size = Size {
+        controls: 1,
+        entries: 1,
+        workers: 0,
+    };
+    let fleet = Fleet::start(size, network(3)).await;
+    publish(&fleet, 1).await;
+    fleet.signal(1, "HUP");
+    wait_for_line(&fleet, "is unchanged").await;
+    fleet.change_settings(1, |text| {
+        text.replace(":7022\"", ":7022\", \"127.9.9.9:7022\"")
+    });
+    wait_for_line(&fleet, "control hosts are now").await;
+    fleet.change_settings(1, |text| text.replace("[listen]", "[listen"));
+    wait_for_line(&fleet, "stays as it was read before").await;
+}
+
+async fn wait_for_line(fleet: &Fleet, text: &str) {
+    let give_up = Instant::now() + PATIENCE;
+    while fleet.grep(text).is_empty() {
+        assert!(Instant::now() < give_up, "{}", fleet.log_tail(1, 20));
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+}
--- a/crates/daemon/tests/harness/fleet.rs
+++ b/crates/daemon/tests/harness/fleet.rs
@@ -194,6 +194,13 @@
         )
     }
 
+    /// Changes the settings file of a running host.
+    pub fn change_settings(&self, at: usize, change: impl Fn(&str) -> String) {
+        let path = self.folder.path().join(format!("host-{at}.toml"));
+        let text = std::fs::read_to_string(&path).expect("a settings file");
+        std::fs::write(&path, change(&text)).expect("a settings file");
+    }
+
     /// Sends a signal to a host's process.
     pub fn signal(&self, at: usize, name: &str) {
         let Some(child) = &self.hosts[at].child else {
