--- a/crates/daemon/tests/fleet_processes.rs
+++ b/crates/daemon/tests/fleet_processes.rs
@@ -222,7 +222,7 @@
     fleet.signal(1, "HUP");
     wait_for_line(&fleet, "is unchanged").await;
     fleet.change_settings(1, |text| {
-        text.replace(":7022\"", ":7022\", \"127.9.9.9:7022\"")
+        text.replace("]\ndata_folder", ", \"127.9.9.9:7022\"]\ndata_folder")
     });
     wait_for_line(&fleet, "control hosts are now").await;
     fleet.change_settings(1, |text| text.replace("[listen]", "[listen"));
