--- a/crates/fleet/src/admission.rs
+++ b/crates/fleet/src/admission.rs
@@ -158,7 +158,8 @@
             queued,
             // An earlier call for the job may have run some of it, so this one
             // must not be told that nothing ran.
-            started: recent.is_some_and(|end| end.attempt > 0),
+            begun: 0,
+            ran_before: recent.is_some_and(|end| end.attempt > 0),
             first_start_at: None,
         }
     }
@@ -189,7 +190,7 @@
             && at <= self.now
         {
             self.deadlines.pop_first();
-            let started = self.jobs.get(&key).is_some_and(|job| job.started);
+            let started = self.jobs.get(&key).is_some_and(Job::may_have_started);
             if started {
                 self.end_job(key, JobOutcome::TimedOut, "its time is over");
             } else {
@@ -203,7 +204,8 @@
     /// objective. Later starts would take the room of jobs that still can.
     fn refuse_late_jobs(&mut self) {
         let is_late = |(at, key): &&(Duration, JobKey)| {
-            *at <= self.now && self.jobs.get(key).is_some_and(|job| !job.started)
+            let job = self.jobs.get(key);
+            *at <= self.now && job.is_some_and(|job| !job.may_have_started())
         };
         let late: Vec<JobKey> = self
             .urgent
--- a/crates/fleet/src/draining.rs
+++ b/crates/fleet/src/draining.rs
@@ -5,7 +5,7 @@
 
 use crate::fleet::Fleet;
 use crate::io::{ReportAnswer, Subject};
-use crate::job::{JobKey, JobOutcome, NotRun};
+use crate::job::{Job, JobKey, JobOutcome, NotRun};
 use crate::peer::{Peer, PeerMessage};
 use crate::report::WorkerReport;
 use crate::worker::{Phase, Worker, WorkerNumber};
@@ -23,6 +23,7 @@
             self.workers.len()
         );
         self.log(Event::DrainStarted, Subject::Host, message);
+        self.send_back_waiting();
         for peer in self.peers.values_mut() {
             peer.want_status();
         }
@@ -39,7 +40,7 @@
         }
         let keys: Vec<JobKey> = self.jobs.keys().copied().collect();
         for key in keys {
-            let started = self.jobs.get(&key).is_some_and(|job| job.started);
+            let started = self.jobs.get(&key).is_some_and(Job::may_have_started);
             let outcome = if started {
                 JobOutcome::TimedOut
             } else {
--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -48,6 +48,8 @@
     pub(crate) last_worker: WorkerNumber,
     pub(crate) generations: Generations,
     pub(crate) guests: IndexMap<RunId, Guest>,
+    /// Tasks of peers that wait for room here, the most urgent first.
+    pub(crate) waiting_guests: BTreeSet<(Duration, RunId)>,
     pub(crate) peers: IndexMap<HostId, Peer>,
     /// Whether room has become free or short since peers were told.
     pub(crate) room_changed: bool,
@@ -85,6 +87,7 @@
             by_id: IndexMap::new(),
             last_worker: 0,
             guests: IndexMap::new(),
+            waiting_guests: BTreeSet::new(),
             peers: IndexMap::new(),
             room_changed: false,
             was_waiting: false,
@@ -145,6 +148,7 @@
             self.deadlines.first().map(|(at, _)| *at),
             self.urgent.first().map(|(at, _)| *at),
             self.lingering.first().map(|(at, _, _)| *at),
+            self.waiting_guests.first().map(|(at, _)| *at),
         ];
         let workers = self
             .workers
@@ -197,16 +201,17 @@
         self.jobs.len()
     }
 
-    /// Gets the number of tasks that wait for room.
+    /// Gets the number of tasks that wait for room here, those of peers
+    /// included.
     pub fn waiting_tasks(&self) -> u32 {
         let queued = self.urgent.iter().filter_map(|(_, key)| self.jobs.get(key));
         let waiting: usize = queued.map(|job| job.queued).sum();
-        u32::try_from(waiting).unwrap_or(u32::MAX)
+        u32::try_from(waiting + self.waiting_guests.len()).unwrap_or(u32::MAX)
     }
 
     /// Counts the jobs of a queue for which no task has started.
     pub fn pending_jobs(&self, queue: &str) -> u64 {
-        let waits = |job: &&Job| job.queue == queue && !job.started;
+        let waits = |job: &&Job| job.queue == queue && !job.may_have_started();
         self.jobs.values().filter(waits).count() as u64
     }
 
--- a/crates/fleet/src/guests.rs
+++ b/crates/fleet/src/guests.rs
@@ -1,5 +1,6 @@
 //! Tasks that this host runs for its peers.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use hornbeam_core::event::Event;
@@ -11,56 +12,103 @@
 use crate::peer::{PeerMessage, TaskChunk};
 use crate::worker::WorkerNumber;
 
-/// `Guest` is a run for a peer.
+/// `Guest` is a task of a peer, which waits for room or runs.
 #[derive(Clone, Debug)]
 pub(crate) struct Guest {
     /// Host whose job it is part of.
     pub(crate) origin: HostId,
-    /// Worker that runs it.
-    pub(crate) worker: WorkerNumber,
+    /// Worker that runs it; `None` while it waits.
+    pub(crate) worker: Option<WorkerNumber>,
+    /// Until when it may wait.
+    pub(crate) start_by: Duration,
+    /// What the task is, without the list of tasks.
+    pub(crate) chunk: Arc<TaskChunk>,
     /// When it is over, if its worker is no longer owned.
     pub(crate) over_at: Option<Duration>,
 }
 
 impl Fleet {
-    /// Starts what fits of a peer's tasks and sends the rest back.
-    pub(crate) fn on_chunk(&mut self, origin: &HostId, chunk: &TaskChunk) {
+    /// Takes the tasks of a peer: they start as soon as there is room, and are
+    /// sent back if there is none in time.
+    pub(crate) fn on_chunk(&mut self, origin: &HostId, mut chunk: TaskChunk) {
         // A peer that has not taken a batch lately may have given up tasks
         // here, and would not hear of their ends.
         let is_confirmed = self
             .peers
             .get(origin)
             .is_some_and(|peer| peer.is_confirmed(self.now));
-        let mut refused = Vec::new();
-        for task in &chunk.tasks {
-            let run = RunId {
+        let tasks = std::mem::take(&mut chunk.tasks);
+        let runs: Vec<RunId> = tasks
+            .iter()
+            .map(|task| RunId {
                 job: chunk.job,
                 task: task.task,
                 attempt: task.attempt,
-            };
+            })
+            .collect();
+        if !is_confirmed || self.drain_started.is_some() {
+            return self.send_back(origin, runs);
+        }
+        let start_by = self.now + Duration::from_millis(chunk.start_within_ms);
+        let chunk = Arc::new(chunk);
+        for run in runs {
             if self.guests.contains_key(&run) {
                 continue;
             }
-            let worker = self.choose_worker(&chunk.service, &chunk.need, None);
-            match worker {
-                Some(worker) if is_confirmed && self.drain_started.is_none() => {
-                    let guest = Guest {
-                        origin: origin.clone(),
-                        worker,
-                        over_at: None,
-                    };
-                    self.guests.insert(run, guest);
-                    let expected = Duration::from_millis(chunk.expected_ms);
-                    self.start_run(worker, run, chunk.spec.clone(), chunk.need, expected);
-                }
-                _ => refused.push(run),
+            let guest = Guest {
+                origin: origin.clone(),
+                worker: None,
+                start_by,
+                chunk: Arc::clone(&chunk),
+                over_at: None,
+            };
+            self.guests.insert(run, guest);
+            self.waiting_guests.insert((start_by, run));
+        }
+    }
+
+    /// Starts a waiting task of a peer; false if there is no room for it.
+    pub(crate) fn start_guest(&mut self, run: RunId) -> bool {
+        let Some(guest) = self.guests.get(&run) else {
+            return true;
+        };
+        let chunk = Arc::clone(&guest.chunk);
+        let Some(worker) = self.choose_worker(&chunk.service, &chunk.need, None) else {
+            return false;
+        };
+        self.waiting_guests.remove(&(guest.start_by, run));
+        if let Some(guest) = self.guests.get_mut(&run) {
+            guest.worker = Some(worker);
+        }
+        let expected = Duration::from_millis(chunk.expected_ms);
+        self.start_run(worker, run, chunk.spec.clone(), chunk.need, expected);
+        true
+    }
+
+    /// Sends tasks back that have waited for as long as they may.
+    pub(crate) fn refuse_late_guests(&mut self) {
+        while let Some((start_by, run)) = self.waiting_guests.first().copied()
+            && start_by <= self.now
+        {
+            self.waiting_guests.pop_first();
+            if let Some(guest) = self.guests.swap_remove(&run) {
+                self.send_back(&guest.origin, vec![run]);
             }
         }
-        if refused.is_empty() {
-            return;
+    }
+
+    /// Sends all waiting tasks of peers back, because this host drains.
+    pub(crate) fn send_back_waiting(&mut self) {
+        for (_, run) in std::mem::take(&mut self.waiting_guests) {
+            if let Some(guest) = self.guests.swap_remove(&run) {
+                self.send_back(&guest.origin, vec![run]);
+            }
         }
+    }
+
+    fn send_back(&mut self, origin: &HostId, runs: Vec<RunId>) {
         if let Some(peer) = self.peers.get_mut(origin) {
-            peer.push(PeerMessage::Refused(refused));
+            peer.push(PeerMessage::Refused(runs));
             peer.want_status();
         }
     }
@@ -68,22 +116,33 @@
     /// Stops runs that their origin no longer wants.
     pub(crate) fn on_stop_guests(&mut self, runs: &[RunId]) {
         for run in runs {
-            if let Some(guest) = self.guests.get(run) {
-                self.want_stop(guest.worker, *run);
+            self.stop_guest(*run);
+        }
+    }
+
+    fn stop_guest(&mut self, run: RunId) {
+        let Some(guest) = self.guests.get(&run) else {
+            return;
+        };
+        match guest.worker {
+            Some(worker) => self.want_stop(worker, run),
+            None => {
+                self.waiting_guests.remove(&(guest.start_by, run));
+                self.guests.swap_remove(&run);
             }
         }
     }
 
     /// Stops the runs for an origin that may have given them up.
     pub(crate) fn stop_guests_of(&mut self, origin: &HostId) {
-        let theirs: Vec<(RunId, WorkerNumber)> = self
+        let theirs: Vec<RunId> = self
             .guests
             .iter()
             .filter(|(_, guest)| guest.origin == *origin)
-            .map(|(run, guest)| (*run, guest.worker))
+            .map(|(run, _)| *run)
             .collect();
-        for (run, worker) in theirs {
-            self.want_stop(worker, run);
+        for run in theirs {
+            self.stop_guest(run);
         }
     }
 
--- a/crates/fleet/src/job.rs
+++ b/crates/fleet/src/job.rs
@@ -113,8 +113,10 @@
     pub(crate) done: usize,
     /// Tasks that wait for a start.
     pub(crate) queued: usize,
-    /// Whether any task may have been started.
-    pub(crate) started: bool,
+    /// Runs that were ordered and did not provably stay unstarted.
+    pub(crate) begun: usize,
+    /// Whether an earlier call for the job may have run some of it.
+    pub(crate) ran_before: bool,
     /// When the first task was ordered to start.
     pub(crate) first_start_at: Option<Duration>,
 }
@@ -150,6 +152,11 @@
 }
 
 impl Job {
+    /// Whether any task may have been started.
+    pub(crate) fn may_have_started(&self) -> bool {
+        self.begun > 0 || self.ran_before
+    }
+
     /// Gets a task.
     pub(crate) fn task_mut(&mut self, index: TaskIndex) -> Option<&mut Task> {
         self.tasks.get_mut(index as usize)
--- a/crates/fleet/src/peer.rs
+++ b/crates/fleet/src/peer.rs
@@ -98,6 +98,8 @@
     pub need: Room,
     /// Expected run time of a task, in ms.
     pub expected_ms: u64,
+    /// Time for which the tasks may wait for room, in ms.
+    pub start_within_ms: u64,
     /// The tasks.
     pub tasks: Vec<ChunkTask>,
 }
--- a/crates/fleet/src/peering.rs
+++ b/crates/fleet/src/peering.rs
@@ -62,7 +62,7 @@
     fn on_message(&mut self, host: &HostId, message: PeerMessage) {
         match message {
             PeerMessage::Status(status) => self.on_status(host, status),
-            PeerMessage::Run(chunk) => self.on_chunk(host, &chunk),
+            PeerMessage::Run(chunk) => self.on_chunk(host, chunk),
             PeerMessage::Refused(runs) => self.on_refused(host, &runs),
             PeerMessage::Ended(run, end, took_ms) => {
                 if end == crate::io::RunEnd::Done
@@ -99,7 +99,7 @@
             }
         }
         for run in runs {
-            self.requeue(*run);
+            self.take_back(*run);
         }
     }
 
--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -7,6 +7,10 @@
 use crate::room::{Room, RoomOfService};
 use crate::worker::{Worker, WorkerNumber};
 
+/// Waiting tasks per worker, in hundredths, up to which a peer is sent more.
+/// Beyond that tasks wait longer than their objectives allow.
+const MAX_QUEUE_LENGTH: u32 = 150;
+
 impl Fleet {
     /// Chooses the worker of this host that the task fits best, so that large
     /// tasks find room later; `avoid` comes last.
@@ -50,6 +54,27 @@
         Some(host)
     }
 
+    /// Chooses the peer at which the fewest tasks wait for each worker, if that
+    /// is clearly fewer than here, and counts one more there.
+    pub(crate) fn choose_queue(&mut self, service: &ServiceId) -> Option<HostId> {
+        let own = queue_length(self.waiting_tasks(), self.workers.len() as u32);
+        let now = self.now;
+        let is_fit = |peer: &&Peer| {
+            peer.is_lively(now)
+                && peer.is_confirmed(now)
+                && !peer.status.draining
+                && rooms_of(peer, service).is_some()
+        };
+        let length = |peer: &Peer| queue_length(peer.status.waiting + 1, peer.status.owned);
+        let fit = self.peers.iter().filter(|(_, peer)| is_fit(peer));
+        let shortest = fit.min_by_key(|(_, peer)| length(peer))?;
+        let is_shorter = length(shortest.1) < own && length(shortest.1) <= MAX_QUEUE_LENGTH;
+        let host = is_shorter.then(|| shortest.0.clone())?;
+        let peer = self.peers.get_mut(&host)?;
+        peer.status.waiting += 1;
+        Some(host)
+    }
+
     /// Whether there is room for a task on a worker other than `except`.
     pub(crate) fn has_room(&self, service: &ServiceId, need: &Room, except: WorkerNumber) -> bool {
         let own = self.choose_worker(service, need, Some(except));
@@ -102,6 +127,14 @@
     }
 }
 
+/// Gets the number of tasks that wait for each worker, in hundredths.
+fn queue_length(waiting: u32, workers: u32) -> u32 {
+    match workers {
+        0 => u32::MAX,
+        workers => waiting.saturating_mul(100) / workers,
+    }
+}
+
 fn rooms_mut<'a>(peer: &'a mut Peer, service: &ServiceId) -> Option<&'a mut RoomOfService> {
     let rooms = peer.status.rooms.iter_mut();
     rooms.into_iter().find(|rooms| rooms.service == *service)
--- a/crates/fleet/src/runs.rs
+++ b/crates/fleet/src/runs.rs
@@ -103,6 +103,20 @@
         let job = self.jobs.get_mut(&id.job);
         if let Some(task) = job.and_then(|job| job.current_mut(id)) {
             task.avoid = Some(on);
+            self.take_back(id);
+        }
+    }
+
+    /// Puts the task of a run that provably did not start back into the queue.
+    pub(crate) fn take_back(&mut self, id: RunId) {
+        let Some(job) = self.jobs.get_mut(&id.job) else {
+            return;
+        };
+        let is_out =
+            |state: &TaskState| matches!(state, TaskState::Local(_) | TaskState::Remote(_));
+        let is_current = job.current_mut(id).is_some_and(|task| is_out(&task.state));
+        if is_current {
+            job.begun = job.begun.saturating_sub(1);
             self.requeue(id);
         }
     }
--- a/crates/fleet/src/scheduling.rs
+++ b/crates/fleet/src/scheduling.rs
@@ -21,23 +21,94 @@
     Duration::from_millis(160),
 ];
 
+/// Shortest time for which a task may wait at a peer. A job that is late but
+/// has started goes on wherever there is room, and the room that was known may
+/// be taken for a moment.
+const MIN_GUEST_WAIT: Duration = Duration::from_millis(30);
+
+/// `Waiting` is what waits for room.
+#[derive(Clone, Copy, Debug)]
+enum Waiting {
+    /// Tasks of an own job.
+    Job(JobKey),
+    /// A task of a peer's job.
+    Guest(RunId),
+}
+
 impl Fleet {
-    /// Starts queued tasks wherever there is room, the most urgent job first.
+    /// Starts queued tasks wherever there is room, the most urgent first,
+    /// whether they are of own jobs or of peers.
     pub(crate) fn schedule(&mut self) {
-        let keys: Vec<JobKey> = self.urgent.iter().map(|(_, key)| *key).collect();
+        self.refuse_late_guests();
+        let jobs = self
+            .urgent
+            .iter()
+            .map(|(at, key)| (*at, Waiting::Job(*key)));
+        let guests = self.waiting_guests.iter();
+        let guests = guests.map(|(at, run)| (*at, Waiting::Guest(*run)));
+        let mut waiting: Vec<(Duration, Waiting)> = jobs.chain(guests).collect();
+        waiting.sort_by_key(|(at, _)| *at);
         let mut full: Vec<(String, Room)> = Vec::new();
-        for key in keys {
-            let Some(job) = self.jobs.get(&key) else {
+        for (_, waiting) in waiting {
+            let Some((service, need)) = self.wanted(&waiting) else {
                 continue;
             };
-            let is_full =
-                |(service, need): &(String, Room)| *service == job.service && job.need.holds(need);
+            let is_full = |(full, room): &(String, Room)| *full == service && need.holds(room);
             if full.iter().any(is_full) {
                 continue;
             }
-            let blocked = (job.service.clone(), job.need);
-            if !self.start_queued(key) {
-                full.push(blocked);
+            let has_room = match waiting {
+                Waiting::Job(key) => self.start_queued(key),
+                Waiting::Guest(run) => self.start_guest(run),
+            };
+            if !has_room {
+                full.push((service, need));
+            }
+        }
+        self.spread_queue();
+    }
+
+    /// Gets the service and the room that waiting tasks want.
+    fn wanted(&self, waiting: &Waiting) -> Option<(String, Room)> {
+        match waiting {
+            Waiting::Job(key) => {
+                let job = self.jobs.get(key)?;
+                Some((job.service.clone(), job.need))
+            }
+            Waiting::Guest(run) => {
+                let guest = self.guests.get(run)?;
+                Some((guest.chunk.service.clone(), guest.chunk.need))
+            }
+        }
+    }
+
+    /// Sends waiting tasks of own jobs to peers where fewer wait for each
+    /// worker, so that a wide job does not wait for the few workers of one
+    /// host. The most urgent ones go first.
+    fn spread_queue(&mut self) {
+        let keys: Vec<JobKey> = self.urgent.iter().map(|(_, key)| *key).collect();
+        for key in keys {
+            let mut chunks: IndexMap<HostId, Vec<ChunkTask>> = IndexMap::new();
+            while let Some(index) = self.next_queued(key) {
+                let Some(job) = self.jobs.get(&key) else {
+                    break;
+                };
+                let (service, is_late) = (job.service.clone(), job.start_by <= self.now);
+                let Some(host) = self.choose_queue(&service).filter(|_| !is_late) else {
+                    break;
+                };
+                let run = self.begin(key, index, TaskState::Remote(host.clone()));
+                chunks.entry(host).or_default().push(ChunkTask {
+                    task: run.task,
+                    attempt: run.attempt,
+                });
+            }
+            let is_spread = !chunks.is_empty();
+            for (host, tasks) in chunks {
+                self.send_chunk(key, &host, tasks);
+            }
+            if !is_spread {
+                return;
             }
         }
     }
@@ -113,7 +184,7 @@
         };
         if let Some(job) = self.jobs.get_mut(&key) {
             job.queued -= 1;
-            job.started = true;
+            job.begun += 1;
             job.first_start_at.get_or_insert(now);
             if job.queued == 0 {
                 self.urgent.remove(&(job.start_by, key));
@@ -135,7 +206,8 @@
             service: job.service.clone(),
             spec: job.spec.clone(),
             need: job.need,
-            expected_ms: u64::try_from(job.expected.as_millis()).unwrap_or(u64::MAX),
+            expected_ms: millis(job.expected),
+            start_within_ms: millis(job.start_by.saturating_sub(self.now).max(MIN_GUEST_WAIT)),
             tasks,
         };
         if let Some(peer) = self.peers.get_mut(host) {
@@ -203,3 +275,7 @@
         }));
     }
 }
+
+fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
