--- a/crates/fleet/src/admission.rs
+++ b/crates/fleet/src/admission.rs
@@ -14,6 +14,10 @@
 /// Part of the objective that orders, answers and looks take.
 const OVERHEAD: Duration = Duration::from_millis(12);
 
+/// Time by which jobs of priority 0 go before others that must start at the
+/// same time: longer than the others' jobs usually have until they must start.
+const FIRST_PRIORITY_LEAD: Duration = Duration::from_millis(150);
+
 /// Time after which a refused caller is told to come back.
 const RETRY_AFTER_MS: u64 = 1000;
 
@@ -140,7 +144,9 @@
             avoid: None,
             state,
         };
+        let start_by = self.now + objective.saturating_sub(expected).saturating_sub(OVERHEAD);
         Job {
+            urgency: start_by.saturating_sub(lead_of(queue.priority)),
             call,
             queue: queue.name.clone(),
             service: queue.service.clone(),
@@ -150,7 +156,7 @@
             declared: submission.estimate,
             attempts: queue.attempts.max(1),
             arrived_at: self.now,
-            start_by: self.now + objective.saturating_sub(expected).saturating_sub(OVERHEAD),
+            start_by,
             objective_at: self.now + objective,
             deadline: self.now + patience,
             tasks: vec![task; submission.tasks as usize],
@@ -167,7 +173,7 @@
     fn add_job(&mut self, key: JobKey, job: Job) {
         self.deadlines.insert((job.deadline, key));
         if job.queued > 0 {
-            self.urgent.insert((job.start_by, key));
+            self.urgent.insert((job.urgency, key));
         }
         for (index, task) in (0..).zip(&job.tasks) {
             if let TaskState::Lingering(until) = task.state {
@@ -203,17 +209,12 @@
     /// Refuses jobs that have not started and can no longer meet their
     /// objective. Later starts would take the room of jobs that still can.
     fn refuse_late_jobs(&mut self) {
-        let is_late = |(at, key): &&(Duration, JobKey)| {
+        let is_late = |key: &JobKey| {
             let job = self.jobs.get(key);
-            *at <= self.now && job.is_some_and(|job| !job.may_have_started())
+            job.is_some_and(|job| job.start_by <= self.now && !job.may_have_started())
         };
-        let late: Vec<JobKey> = self
-            .urgent
-            .iter()
-            .take_while(|(at, _)| *at <= self.now)
-            .filter(is_late)
-            .map(|(_, key)| *key)
-            .collect();
+        let keys = self.urgent.iter().map(|(_, key)| *key);
+        let late: Vec<JobKey> = keys.filter(is_late).collect();
         for key in late {
             self.end_job(key, overloaded(), "it can no longer meet its objective");
         }
@@ -225,7 +226,7 @@
             return;
         };
         self.put(FleetOutput::Answer(job.call, outcome));
-        self.urgent.remove(&(job.start_by, key));
+        self.urgent.remove(&(job.urgency, key));
         self.deadlines.remove(&(job.deadline, key));
         self.log_end(key, &job, outcome, reason);
         let mut is_over = true;
@@ -291,6 +292,13 @@
     }
 }
 
+const fn lead_of(priority: u32) -> Duration {
+    match priority {
+        0 => FIRST_PRIORITY_LEAD,
+        _ => Duration::ZERO,
+    }
+}
+
 const fn overloaded() -> JobOutcome {
     JobOutcome::NotRun(NotRun::Overloaded {
         retry_after_ms: RETRY_AFTER_MS,
--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -146,9 +146,8 @@
     pub fn next_wakeup(&self) -> Duration {
         let timers = [
             self.deadlines.first().map(|(at, _)| *at),
-            self.urgent.first().map(|(at, _)| *at),
+            self.first_start_by(),
             self.lingering.first().map(|(at, _, _)| *at),
-            self.waiting_guests.first().map(|(at, _)| *at),
         ];
         let workers = self
             .workers
@@ -165,6 +164,16 @@
         first.unwrap_or(latest).clamp(self.now + MIN_SLEEP, latest)
     }
 
+    /// Gets the first time at which a job or a task of a peer becomes late.
+    fn first_start_by(&self) -> Option<Duration> {
+        let jobs = self.urgent.iter().filter_map(|(_, key)| self.jobs.get(key));
+        let jobs = jobs.filter(|job| !job.may_have_started());
+        let guests = self.waiting_guests.iter();
+        let guests = guests.filter_map(|(_, run)| self.guests.get(run));
+        let starts = jobs.map(|job| job.start_by);
+        starts.chain(guests.map(|guest| guest.start_by)).min()
+    }
+
     /// Whether this host can serve callers: it has a configuration, does not
     /// drain and knows some worker.
     pub fn is_ready(&self) -> bool {
--- a/crates/fleet/src/guests.rs
+++ b/crates/fleet/src/guests.rs
@@ -19,6 +19,8 @@
     pub(crate) origin: HostId,
     /// Worker that runs it; `None` while it waits.
     pub(crate) worker: Option<WorkerNumber>,
+    /// Rank among what waits; the smallest comes first.
+    pub(crate) urgency: Duration,
     /// Until when it may wait.
     pub(crate) start_by: Duration,
     /// What the task is, without the list of tasks.
@@ -50,6 +52,7 @@
             return self.send_back(origin, runs);
         }
         let start_by = self.now + Duration::from_millis(chunk.start_within_ms);
+        let urgency = start_by.saturating_sub(Duration::from_millis(chunk.lead_ms));
         let chunk = Arc::new(chunk);
         for run in runs {
             if self.guests.contains_key(&run) {
@@ -58,12 +61,13 @@
             let guest = Guest {
                 origin: origin.clone(),
                 worker: None,
+                urgency,
                 start_by,
                 chunk: Arc::clone(&chunk),
                 over_at: None,
             };
             self.guests.insert(run, guest);
-            self.waiting_guests.insert((start_by, run));
+            self.waiting_guests.insert((urgency, run));
         }
     }
 
@@ -76,7 +80,7 @@
         let Some(worker) = self.choose_worker(&chunk.service, &chunk.need, None) else {
             return false;
         };
-        self.waiting_guests.remove(&(guest.start_by, run));
+        self.waiting_guests.remove(&(guest.urgency, run));
         if let Some(guest) = self.guests.get_mut(&run) {
             guest.worker = Some(worker);
         }
@@ -87,10 +91,14 @@
 
     /// Sends tasks back that have waited for as long as they may.
     pub(crate) fn refuse_late_guests(&mut self) {
-        while let Some((start_by, run)) = self.waiting_guests.first().copied()
-            && start_by <= self.now
-        {
-            self.waiting_guests.pop_first();
+        let is_late = |run: &RunId| {
+            let guest = self.guests.get(run);
+            guest.is_some_and(|guest| guest.start_by <= self.now)
+        };
+        let waiting = self.waiting_guests.iter().copied();
+        let late: Vec<(Duration, RunId)> = waiting.filter(|(_, run)| is_late(run)).collect();
+        for (urgency, run) in late {
+            self.waiting_guests.remove(&(urgency, run));
             if let Some(guest) = self.guests.swap_remove(&run) {
                 self.send_back(&guest.origin, vec![run]);
             }
@@ -127,7 +135,7 @@
         match guest.worker {
             Some(worker) => self.want_stop(worker, run),
             None => {
-                self.waiting_guests.remove(&(guest.start_by, run));
+                self.waiting_guests.remove(&(guest.urgency, run));
                 self.guests.swap_remove(&run);
             }
         }
--- a/crates/fleet/src/job.rs
+++ b/crates/fleet/src/job.rs
@@ -103,6 +103,8 @@
     pub(crate) arrived_at: Duration,
     /// Last time to start its tasks within the objective.
     pub(crate) start_by: Duration,
+    /// Rank in the queue; the smallest comes first.
+    pub(crate) urgency: Duration,
     /// When its objective ends.
     pub(crate) objective_at: Duration,
     /// When the caller stops waiting.
--- a/crates/fleet/src/peer.rs
+++ b/crates/fleet/src/peer.rs
@@ -98,6 +98,9 @@
     pub need: Room,
     /// Expected run time of a task, in ms.
     pub expected_ms: u64,
+    /// Time by which the tasks go before others that must start at the same
+    /// time, in ms.
+    pub lead_ms: u64,
     /// Time for which the tasks may wait for room, in ms.
     pub start_within_ms: u64,
     /// The tasks.
--- a/crates/fleet/src/runs.rs
+++ b/crates/fleet/src/runs.rs
@@ -134,7 +134,7 @@
         }
         task.state = TaskState::Queued;
         job.queued += 1;
-        self.urgent.insert((job.start_by, id.job));
+        self.urgent.insert((job.urgency, id.job));
     }
 
     /// Keeps a task back until its last run is over.
--- a/crates/fleet/src/scheduling.rs
+++ b/crates/fleet/src/scheduling.rs
@@ -187,7 +187,7 @@
             job.begun += 1;
             job.first_start_at.get_or_insert(now);
             if job.queued == 0 {
-                self.urgent.remove(&(job.start_by, key));
+                self.urgent.remove(&(job.urgency, key));
             }
             let task = &mut job.tasks[index as usize];
             task.attempt += 1 + std::mem::take(&mut task.attempts_skipped);
@@ -207,6 +207,7 @@
             spec: job.spec.clone(),
             need: job.need,
             expected_ms: millis(job.expected),
+            lead_ms: millis(job.start_by.saturating_sub(job.urgency)),
             start_within_ms: millis(job.start_by.saturating_sub(self.now).max(MIN_GUEST_WAIT)),
             tasks,
         };
--- a/crates/fleet/tests/peers.rs
+++ b/crates/fleet/tests/peers.rs
@@ -41,6 +41,7 @@
             accelerators: 0,
         },
         expected_ms: 200,
+        lead_ms: 0,
         start_within_ms: 150,
         tasks: (0..tasks).map(task).collect(),
     })
