--- a/crates/fleet/src/admission.rs
+++ b/crates/fleet/src/admission.rs
@@ -99,6 +99,12 @@
             return self.put(FleetOutput::Answer(call, JobOutcome::Failed));
         }
         let job = self.new_job(call, &submission, queue, recent);
+        if !job.may_have_started() && self.comes_too_late(&job) {
+            let refusal = NotRun::Overloaded {
+                retry_after_ms: RETRY_AFTER_MS,
+            };
+            return self.refuse(call, submission.job, refusal);
+        }
         self.add_job(submission.job, job);
     }
 
--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -17,6 +17,7 @@
 use crate::options::FleetOptions;
 use crate::peer::{Peer, Sender};
 use crate::queues::QueueTable;
+use crate::waits::RunTimes;
 use crate::worker::{Worker, WorkerNumber};
 
 /// Longest time without a tick, so that a forgotten timer cannot stall a host.
@@ -43,6 +44,7 @@
     pub(crate) deadlines: BTreeSet<(Duration, JobKey)>,
     pub(crate) recent: RecentJobs,
     pub(crate) estimates: Estimates,
+    pub(crate) run_times: RunTimes,
     pub(crate) workers: BTreeMap<WorkerNumber, Worker>,
     pub(crate) by_id: IndexMap<WorkerId, WorkerNumber>,
     pub(crate) last_worker: WorkerNumber,
@@ -83,6 +85,7 @@
             deadlines: BTreeSet::new(),
             recent: RecentJobs::default(),
             estimates: Estimates::default(),
+            run_times: RunTimes::default(),
             workers: BTreeMap::new(),
             by_id: IndexMap::new(),
             last_worker: 0,
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -27,6 +27,7 @@
 mod scheduling;
 mod starts;
 mod stragglers;
+mod waits;
 mod worker;
 
 pub use fleet::Fleet;
--- a/crates/fleet/src/runs.rs
+++ b/crates/fleet/src/runs.rs
@@ -25,6 +25,9 @@
         took: Option<Duration>,
     ) {
         self.room_changed = true;
+        if let Some(took) = took {
+            self.run_times.learn(took);
+        }
         match end {
             RunEnd::Done => self.note_success(number),
             RunEnd::Failed => self.note_failure(number),
