--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -17,6 +17,7 @@
 use crate::options::FleetOptions;
 use crate::peer::{Peer, Sender};
 use crate::queues::QueueTable;
+use crate::waits::RunTimes;
 use crate::worker::{Worker, WorkerNumber};
 
 /// Longest time without a tick, so that a forgotten timer cannot stall a host.
@@ -43,11 +44,14 @@
     pub(crate) deadlines: BTreeSet<(Duration, JobKey)>,
     pub(crate) recent: RecentJobs,
     pub(crate) estimates: Estimates,
+    pub(crate) run_times: RunTimes,
     pub(crate) workers: BTreeMap<WorkerNumber, Worker>,
     pub(crate) by_id: IndexMap<WorkerId, WorkerNumber>,
     pub(crate) last_worker: WorkerNumber,
     pub(crate) generations: Generations,
     pub(crate) guests: IndexMap<RunId, Guest>,
+    /// Tasks of peers that wait for room here, the most urgent first.
+    pub(crate) waiting_guests: BTreeSet<(Duration, RunId)>,
     pub(crate) peers: IndexMap<HostId, Peer>,
     /// Whether room has become free or short since peers were told.
     pub(crate) room_changed: bool,
@@ -81,10 +85,12 @@
             deadlines: BTreeSet::new(),
             recent: RecentJobs::default(),
             estimates: Estimates::default(),
+            run_times: RunTimes::default(),
             workers: BTreeMap::new(),
             by_id: IndexMap::new(),
             last_worker: 0,
             guests: IndexMap::new(),
+            waiting_guests: BTreeSet::new(),
             peers: IndexMap::new(),
             room_changed: false,
             was_waiting: false,
@@ -143,7 +149,7 @@
     pub fn next_wakeup(&self) -> Duration {
         let timers = [
             self.deadlines.first().map(|(at, _)| *at),
-            self.urgent.first().map(|(at, _)| *at),
+            self.first_start_by(),
             self.lingering.first().map(|(at, _, _)| *at),
         ];
         let workers = self
@@ -161,6 +167,16 @@
         first.unwrap_or(latest).clamp(self.now + MIN_SLEEP, latest)
     }
 
+    /// Gets the first time at which a job or a task of a peer becomes late.
+    fn first_start_by(&self) -> Option<Duration> {
+        let jobs = self.urgent.iter().filter_map(|(_, key)| self.jobs.get(key));
+        let jobs = jobs.filter(|job| !job.may_have_started());
+        let guests = self.waiting_guests.iter();
+        let guests = guests.filter_map(|(_, run)| self.guests.get(run));
+        let starts = jobs.map(|job| job.start_by);
+        starts.chain(guests.map(|guest| guest.start_by)).min()
+    }
+
     /// Whether this host can serve callers: it has a configuration, does not
     /// drain and knows some worker.
     pub fn is_ready(&self) -> bool {
@@ -197,16 +213,17 @@
         self.jobs.len()
     }
 
-    /// Gets the number of tasks that wait for room.
+    /// Gets the number of tasks that wait for room here, those of peers
+    /// included.
     pub fn waiting_tasks(&self) -> u32 {
         let queued = self.urgent.iter().filter_map(|(_, key)| self.jobs.get(key));
         let waiting: usize = queued.map(|job| job.queued).sum();
-        u32::try_from(waiting).unwrap_or(u32::MAX)
+        u32::try_from(waiting + self.waiting_guests.len()).unwrap_or(u32::MAX)
     }
 
     /// Counts the jobs of a queue for which no task has started.
     pub fn pending_jobs(&self, queue: &str) -> u64 {
-        let waits = |job: &&Job| job.queue == queue && !job.started;
+        let waits = |job: &&Job| job.queue == queue && !job.may_have_started();
         self.jobs.values().filter(waits).count() as u64
     }
 
