--- a/crates/control/src/repair.rs
+++ b/crates/control/src/repair.rs
@@ -95,7 +95,7 @@
     }
 
     fn last_other_voter(&self) -> Option<ReplicaId> {
-        let others = self.log.voters().iter().copied();
-        others.filter(|id| *id != self.options.id).next_back()
+        let mut voters = self.log.voters().iter().copied();
+        voters.rfind(|id| *id != self.options.id)
     }
 }
--- a/crates/fleet/tests/common/mod.rs
+++ b/crates/fleet/tests/common/mod.rs
@@ -65,10 +65,15 @@
 
     /// Submits a job and gets the number of the call.
     pub fn submit(&mut self, job: u64, tasks: u32) -> CallId {
+        self.submit_to("orders", job, tasks)
+    }
+
+    /// Submits a job to a queue.
+    pub fn submit_to(&mut self, queue: &str, job: u64, tasks: u32) -> CallId {
         self.last_call += 1;
         let submission = Submission {
             job,
-            queue: "orders".into(),
+            queue: queue.into(),
             spec: Arc::from("work"),
             tasks,
             need: Room {
--- a/crates/fleet/tests/jobs.rs
+++ b/crates/fleet/tests/jobs.rs
@@ -169,3 +169,59 @@
     let next = bench.starts().remove(0);
     expect_that!(next.run.job, eq(2));
 }
+
+/// Guards against a job that is kept waiting although so many tasks wait that
+/// it cannot start in time; its caller is told at once.
+#[gtest]
+fn job_that_would_come_too_late_is_refused_on_arrival() {
+    let mut bench = Bench::new(1);
+    let worker = bench.own("w1");
+    bench.submit(1, 1);
+    let order = bench.starts().remove(0);
+    bench.accept(&order);
+    bench.pass(200);
+    bench.seen(worker, &[], &[(1, order.run, RunEnd::Done)]);
+    bench.answers();
+    bench.submit(2, 2);
+    for order in bench.starts() {
+        bench.accept(&order);
+    }
+    bench.submit(3, 1);
+    expect_that!(bench.answers(), is_empty());
+    let hopeless = bench.submit(4, 6);
+    let answers = bench.answers();
+    let refused = matches!(
+        answers.as_slice(),
+        [(answered, JobOutcome::NotRun(NotRun::Overloaded { .. }))] if *answered == hopeless
+    );
+    expect_that!(refused, eq(true), "{answers:?}");
+}
+
+/// Guards against jobs of priority 0 that wait behind others.
+#[gtest]
+fn job_of_priority_0_goes_first() {
+    let mut bench = Bench::new(1);
+    let mut table = common::queues(2);
+    let mut later = table.queues[0].clone();
+    later.name = "later".into();
+    later.path_prefix = "/later/".into();
+    later.priority = 1;
+    table.queues.push(later);
+    bench.step(FleetInput::Queues(std::sync::Arc::new(table)));
+    let worker = bench.own("w1");
+    bench.submit(1, 2);
+    let orders = bench.starts();
+    for order in &orders {
+        bench.accept(order);
+    }
+    bench.submit_to("later", 2, 1);
+    bench.pass(20);
+    bench.submit(3, 1);
+    bench.seen(
+        worker,
+        &[orders[1].run],
+        &[(1, orders[0].run, RunEnd::Done)],
+    );
+    let next = bench.starts().remove(0);
+    expect_that!(next.run.job, eq(3));
+}
--- a/crates/fleet/tests/ownership.rs
+++ b/crates/fleet/tests/ownership.rs
@@ -12,11 +12,15 @@
 };
 
 fn report_answer(bench: &Bench) -> Option<ReportAnswer> {
-    let answers = bench.outputs.iter().filter_map(|output| match output {
-        FleetOutput::AnswerReport(_, answer) => Some(*answer),
-        _ => None,
-    });
-    answers.last()
+    let mut answers = bench
+        .outputs
+        .iter()
+        .rev()
+        .filter_map(|output| match output {
+            FleetOutput::AnswerReport(_, answer) => Some(*answer),
+            _ => None,
+        });
+    answers.next()
 }
 
 /// Guards against two owners with one generation, between which a worker
@@ -211,7 +215,7 @@
 #[gtest]
 fn failing_worker_gets_no_run_for_a_time() {
     let mut bench = Bench::new(1);
-    let worker = bench.own("w1");
+    bench.own("w1");
     for job in 1..=2 {
         bench.submit(job, 1);
         let order = bench.starts().remove(0);
@@ -220,7 +224,6 @@
     }
     bench.submit(3, 1);
     expect_that!(bench.starts(), is_empty());
-    let _ = worker;
 }
 
 /// Guards against a run that vanished without an end and holds its job until
