Let the lease of a silent worker end, and send callers away during a drain

A host that drained refused callers that had stayed on its connections from 3.5 s on (28 refusals at 18.6 s). Ruled out: tasks at silent peers, which were repeated after 1.2 s. Tests: unanswered_looks_do_not_extend_the_lease, drain_sends_callers_away_before_it_refuses_them; the first failed before.

--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -193,6 +193,12 @@
         self.drain_started.is_some()
     }
 
+    /// Whether callers are to open new connections, which lead to other hosts.
+    pub fn sends_callers_away(&self) -> bool {
+        let closes = |started: Duration| self.now >= started + self.options.drain_closes;
+        self.drain_started.is_some_and(closes)
+    }
+
     /// Whether nothing is left to do after a drain.
     pub fn is_drained(&self) -> bool {
         let Some(started) = self.drain_started else {
@@ -200,7 +206,7 @@
         };
         let is_idle = self.jobs.is_empty() && self.guests.is_empty() && self.workers.is_empty();
         let since = self.now.saturating_sub(started);
-        is_idle && since >= self.options.drain_accepts || since >= self.options.drain_ends
+        is_idle && since >= self.options.drain_lasts || since >= self.options.drain_ends
     }
 
     /// Gets the number of workers owned.
--- a/crates/fleet/src/looks.rs
+++ b/crates/fleet/src/looks.rs
@@ -37,17 +37,14 @@
             return;
         }
         worker.look_sent_at = Some(now);
-        let is_ready = worker.phase == Phase::Ready;
-        let lease_end_ms = if is_ready {
-            worker.lease.extend(now, max_lease)
+        // A worker that was silent is asked for an answer at once, and its lease
+        // is left to end: its tasks start elsewhere after that.
+        let extends = worker.phase == Phase::Ready && worker.misses == 0;
+        let (lease_end_ms, wait) = if extends {
+            let lease_end_ms = worker.lease.extend(now, max_lease);
+            (lease_end_ms, worker.look_wait(now, look_wait))
         } else {
-            None
-        };
-        // A worker that was silent is asked for an answer at once.
-        let wait = if is_ready && worker.misses == 0 {
-            worker.look_wait(now, look_wait)
-        } else {
-            Duration::ZERO
+            (None, Duration::ZERO)
         };
         let order = LookOrder {
             target: worker.target(),
--- a/crates/fleet/src/options.rs
+++ b/crates/fleet/src/options.rs
@@ -23,9 +23,15 @@
     /// Wait for an end at a worker per look. Lease renewals come at least this
     /// often, so that one lost look does not end a lease; default 400 ms.
     pub look_wait: Duration,
+    /// Time after the start of a drain at which the connections of callers are
+    /// closed after their next answer; default 2.2 s, in which a load balancer
+    /// that asks once a second has missed two answers and names other hosts.
+    pub drain_closes: Duration,
     /// Time after the start of a drain during which jobs are still taken;
-    /// default 3.5 s, the time in which a load balancer notices the drain.
+    /// default 4.4 s, which leaves most jobs the time to end.
     pub drain_accepts: Duration,
+    /// Shortest time of a drain; default 3.5 s, in which callers are moved.
+    pub drain_lasts: Duration,
     /// Time after the start of a drain at which what is left is given up;
     /// default 5.2 s, below the 6 s after which a host is killed.
     pub drain_ends: Duration,
@@ -46,7 +52,9 @@
             max_lease: Duration::from_millis(1000),
             stop_time: Duration::from_millis(50),
             look_wait: Duration::from_millis(400),
-            drain_accepts: Duration::from_millis(3500),
+            drain_closes: Duration::from_millis(2200),
+            drain_accepts: Duration::from_millis(4400),
+            drain_lasts: Duration::from_millis(3500),
             drain_ends: Duration::from_millis(5200),
         }
     }
--- a/crates/fleet/tests/ownership.rs
+++ b/crates/fleet/tests/ownership.rs
@@ -150,6 +150,32 @@
     expect_that!(bench.starts(), is_empty());
 }
 
+/// Guards against a lease that never ends, because looks that a silent worker
+/// may get extend it again and again: its tasks would wait until their callers
+/// give up.
+#[gtest]
+fn unanswered_looks_do_not_extend_the_lease() {
+    let mut bench = Bench::new(1);
+    bench.own("w1");
+    bench.submit(1, 1);
+    let order = bench.starts().remove(0);
+    bench.accept(&order);
+    let silent = order.target.number;
+    bench.step(FleetInput::Looked(silent, LookAnswer::Unanswered));
+    let silent_since = bench.now;
+    bench.own("w2");
+    while bench.starts().is_empty() {
+        bench.pass(1);
+        for look in bench.looks() {
+            if look.target.number == silent {
+                expect_that!(look.lease_end_ms, none());
+                bench.step(FleetInput::Looked(silent, LookAnswer::Unanswered));
+            }
+        }
+        assert_that!(bench.now - silent_since, lt(Duration::from_millis(1300)));
+    }
+}
+
 /// Guards against a job that waits for the end of a lease although its worker
 /// has started anew and runs nothing.
 #[gtest]
@@ -280,3 +306,23 @@
     expect_that!(handed_over(&mut bench), eq(1));
     expect_that!(bench.fleet.owned(), eq(0));
 }
+
+/// Guards against callers that stay on the connections of a host that ends,
+/// and against a drain that refuses them before they could leave.
+#[gtest]
+fn drain_sends_callers_away_before_it_refuses_them() {
+    let mut bench = Bench::new(1);
+    bench.own("w1");
+    bench.step(FleetInput::Drain);
+    expect_that!(bench.fleet.sends_callers_away(), eq(false));
+    bench.pass(2300);
+    expect_that!(bench.fleet.sends_callers_away(), eq(true));
+    bench.submit(1, 1);
+    expect_that!(bench.answers(), is_empty());
+    bench.pass(2200);
+    bench.submit(2, 1);
+    let refused = bench.answers().into_iter().any(|(_, outcome)| {
+        outcome == hornbeam_fleet::JobOutcome::NotRun(hornbeam_fleet::NotRun::Draining)
+    });
+    expect_that!(refused, eq(true));
+}
--- a/crates/node/src/fleet_entry/caller.rs
+++ b/crates/node/src/fleet_entry/caller.rs
@@ -11,8 +11,8 @@
 };
 use hornbeam_timer::TimerService;
 use tokio::sync::watch;
-use volo_http::http::Method;
-use volo_http::http::header::HOST;
+use volo_http::http::header::{CONNECTION, HOST};
+use volo_http::http::{HeaderValue, Method};
 use volo_http::request::Request;
 use volo_http::response::Response;
 use volo_http::server::Router;
@@ -44,7 +44,10 @@
     let routes = Arc::new(routes);
     Router::new().fallback(move |request: Request| {
         let routes = Arc::clone(&routes);
-        async move { routes.answer(request).await }
+        async move {
+            let response = routes.answer(request).await;
+            routes.finish(response)
+        }
     })
 }
 
@@ -90,6 +93,15 @@
         }
     }
 
+    /// Marks an answer after which the connection closes, if the host drains.
+    fn finish(&self, mut response: Response) -> Response {
+        if self.in_force.borrow().sends_callers_away {
+            let close = HeaderValue::from_static("close");
+            response.headers_mut().insert(CONNECTION, close);
+        }
+        response
+    }
+
     async fn submit(
         &self,
         queues: &QueueTable,
--- a/crates/node/src/fleet_entry/shell.rs
+++ b/crates/node/src/fleet_entry/shell.rs
@@ -31,6 +31,8 @@
     pub(crate) text: Arc<str>,
     /// Whether callers can be served.
     pub(crate) is_ready: bool,
+    /// Whether callers are to open new connections.
+    pub(crate) sends_callers_away: bool,
     /// Workers owned.
     pub(crate) owned_workers: u32,
     /// Newest version at a peer, and its link address.
@@ -43,6 +45,7 @@
             queues: None,
             text: Arc::from(""),
             is_ready: false,
+            sends_callers_away: false,
             owned_workers: 0,
             newest_at_peers: None,
         }
@@ -225,13 +228,16 @@
     /// Tells the servers what has changed.
     fn publish(&self) {
         let is_ready = self.fleet.is_ready();
+        let sends_callers_away = self.fleet.sends_callers_away();
         let owned_workers = u32::try_from(self.fleet.owned()).unwrap_or(u32::MAX);
         let newest_at_peers = self.fleet.newest_at_peers();
         self.in_force.send_if_modified(|in_force| {
             let is_changed = in_force.is_ready != is_ready
+                || in_force.sends_callers_away != sends_callers_away
                 || in_force.owned_workers != owned_workers
                 || in_force.newest_at_peers != newest_at_peers;
             in_force.is_ready = is_ready;
+            in_force.sends_callers_away = sends_callers_away;
             in_force.owned_workers = owned_workers;
             in_force.newest_at_peers = newest_at_peers;
             is_changed
