--- a/crates/daemon/tests/fleet_processes.rs
+++ b/crates/daemon/tests/fleet_processes.rs
@@ -8,6 +8,7 @@
 
 use harness::fleet::{Caller, Fleet, Size};
 use hornbeam_http::{ClientOptions, HttpClient};
+use hornbeam_platform::standin;
 use serde_json::{Value, json};
 
 /// Time after which the next loss of a control host may come.
@@ -123,37 +124,23 @@
     wait_until_served(&fleet).await;
     let served = fleet.log.runs().len();
     let client = HttpClient::new(ClientOptions::default()).expect("a client");
-    let job = |more: Value| {
-        let mut job = json!({"spec": "20", "bestEffort": true,
-            "steps": [{"count": 1, "cpu": 8000, "memMb": 64, "estimateMs": 20}]});
-        job.as_object_mut()
-            .expect("an object")
-            .extend(more.as_object().expect("an object").clone());
-        job
-    };
+    let parse = |text: &str| serde_json::from_str::<Value>(text).expect("JSON");
+    let job = || parse(&standin::job(1, 20));
+    let mut large = job();
+    large["more"] = "x".repeat(300_000).into();
     let good_path = "/orders/00000000000000aa";
     let cases = [
         (good_path, "orders.example", json!("no job"), 400),
-        ("/orders/12", "orders.example", job(json!({})), 400),
-        (good_path, "nowhere.example", job(json!({})), 404),
-        (
-            "/none/00000000000000aa",
-            "orders.example",
-            job(json!({})),
-            404,
-        ),
+        ("/orders/12", "orders.example", job(), 400),
+        (good_path, "nowhere.example", job(), 404),
+        ("/none/00000000000000aa", "orders.example", job(), 404),
         (
             good_path,
             "orders.example",
-            job(json!({"bestEffort": false})),
+            parse(&standin::stored_job()),
             503,
         ),
-        (
-            good_path,
-            "orders.example",
-            job(json!({"more": "x".repeat(300_000)})),
-            413,
-        ),
+        (good_path, "orders.example", large, 413),
     ];
     for (path, host, body, status) in cases {
         let to = fleet.caller_addresses()[0];
