--- a/crates/fleet/src/io.rs
+++ b/crates/fleet/src/io.rs
@@ -32,8 +32,7 @@
     Submitted(CallId, Submission),
     /// The caller no longer waits.
     CallerGone(CallId, JobKey),
-    /// A worker reports, to this host or to one that relays it. The generation
-    /// is that of a former owner, if one hands the worker over.
+    /// A worker reports, to this host or to one that relays it.
     Reported(ReportId, WorkerReport),
     /// A worker says that it has left.
     Departed(WorkerId),
--- a/crates/fleet/src/stragglers.rs
+++ b/crates/fleet/src/stragglers.rs
@@ -16,8 +16,8 @@
 const OVERDUE_SLACK: Duration = Duration::from_millis(40);
 
 /// Expected times that a run would need in all for its worker to count as
-/// slow. Declared times are off by some 40 percent, so a sound worker shows
-/// this in far less than one run in a thousand.
+/// slow. Declared times are off by some 40 percent, so a sound worker rarely
+/// shows this.
 const SLOW_FACTOR: f64 = 4.5;
 
 /// Runs on one worker that must be slow for the worker to count as slow. A
--- a/crates/node/src/fleet_entry/log_budget.rs
+++ b/crates/node/src/fleet_entry/log_budget.rs
@@ -4,8 +4,8 @@
 use hornbeam_core::event::Event;
 use indexmap::IndexMap;
 
-/// Lines of one event that are written in a second. An entry host completes
-/// some 40 jobs a second at its share of the load.
+/// Lines of one event that are written in a second: several times the jobs that
+/// an entry host completes at its share of the load.
 const LINES_PER_SECOND: u32 = 100;
 
 /// `LogBudget` counts the lines of this second by event.
