Send late chunks back to their origin

A batch that was delivered seconds after it was sent could bring a chunk whose origin had given this host up, started the tasks elsewhere and heard from it again: both hosts took the other for confirmed, so the task ran twice at a time. A late batch of a process that had ended counted as a new start of the host and reset the numbers that keep repeated batches out.

Each batch now carries the time at which it was sent and the time of the newest batch that its sender has from the receiver. A chunk whose echo is older than the time after which guests are stopped is sent back, and batches of former processes are ignored. Ruled out: the sequence alone, which a late first copy passes when it overtakes its repetition.

The two new tests fail without the two checks and pass with them.

--- a/crates/fleet/src/guests.rs
+++ b/crates/fleet/src/guests.rs
@@ -31,8 +31,10 @@
 
 impl Fleet {
     /// Takes the tasks of a peer: they start as soon as there is room, and are
-    /// sent back if there is none in time.
-    pub(crate) fn on_chunk(&mut self, origin: &HostId, mut chunk: TaskChunk) {
+    /// sent back if there is none in time. A chunk that was long on its way is
+    /// sent back as well, because its origin may have started the tasks
+    /// elsewhere.
+    pub(crate) fn on_chunk(&mut self, origin: &HostId, mut chunk: TaskChunk, is_recent: bool) {
         // A peer that has not taken a batch lately may have given up tasks
         // here, and would not hear of their ends.
         let is_confirmed = self
@@ -48,7 +50,7 @@
                 attempt: task.attempt,
             })
             .collect();
-        if !is_confirmed || self.drain_started.is_some() {
+        if !is_recent || !is_confirmed || self.drain_started.is_some() {
             return self.send_back(origin, runs);
         }
         let start_by = self.now + Duration::from_millis(chunk.start_within_ms);
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -39,7 +39,7 @@
 };
 pub use job::{JobKey, JobOutcome, NotRun, RunId, Submission};
 pub use options::FleetOptions;
-pub use peer::{ChunkTask, PeerBatch, PeerMessage, PeerStatus, TaskChunk};
+pub use peer::{BatchTime, ChunkTask, PeerBatch, PeerMessage, PeerStatus, TaskChunk};
 pub use queues::{Limits, Queue, QueueTable, ServiceTerms};
 pub use report::WorkerReport;
 pub use room::{Room, RoomOfService};
--- a/crates/fleet/src/peer.rs
+++ b/crates/fleet/src/peer.rs
@@ -31,6 +31,16 @@
 /// Messages that a batch may hold; more wait for the next one.
 const MAX_BATCH_MESSAGES: usize = 256;
 
+/// `BatchTime` is when a process sent a batch, by its own clock.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields, rename_all = "snake_case")]
+pub struct BatchTime {
+    /// Start of the process.
+    pub incarnation: u64,
+    /// Monotonic time of the process, in ms.
+    pub sent_ms: u64,
+}
+
 /// `PeerBatch` is a group of messages that arrives as a whole or not at all.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 #[serde(deny_unknown_fields, rename_all = "snake_case")]
@@ -41,8 +51,11 @@
     pub address: SocketAddr,
     /// Failure domain of that host.
     pub failure_domain: FailureDomainId,
-    /// Start of the sending process.
-    pub incarnation: u64,
+    /// When it was sent.
+    pub time: BatchTime,
+    /// Time of the newest batch that the sender has from the receiver, which
+    /// bounds how long this one was on its way.
+    pub echo: Option<BatchTime>,
     /// Number of the batch from that process to this peer, from 1. A batch
     /// that got no answer is sent again under its number.
     pub sequence: u64,
@@ -122,8 +135,10 @@
 pub(crate) struct Peer {
     pub(crate) address: SocketAddr,
     pub(crate) failure_domain: FailureDomainId,
-    /// Process that it was last heard from, 0 before.
-    pub(crate) incarnation: u64,
+    /// Time of its newest batch, which tells the process that sent it.
+    pub(crate) newest: Option<BatchTime>,
+    /// Its former processes, the last one first.
+    former: VecDeque<u64>,
     /// When it was last heard from.
     pub(crate) heard_at: Option<Duration>,
     /// When the last batch that it took was sent.
@@ -150,6 +165,21 @@
     is_sending: bool,
 }
 
+/// Former processes of a peer that are remembered: more than it can start while
+/// a batch is on its way.
+const MAX_FORMER: usize = 16;
+
+/// `SendingProcess` tells which process of a peer has sent a batch.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum SendingProcess {
+    /// The first one heard of, or the one before.
+    Present,
+    /// A new one; the one before has ended.
+    Restarted,
+    /// One that has ended; the batch is late.
+    Former,
+}
+
 /// Shortest time between two statuses to one peer, so that statuses do not
 /// outnumber the tasks.
 const STATUS_PAUSE: Duration = Duration::from_millis(10);
@@ -166,12 +196,33 @@
     pub(crate) incarnation: u64,
 }
 
+impl Sender {
+    /// Gets the time to put on a batch.
+    fn time(&self, now: Duration) -> BatchTime {
+        BatchTime {
+            incarnation: self.incarnation,
+            sent_ms: u64::try_from(now.as_millis()).unwrap_or(u64::MAX),
+        }
+    }
+
+    /// Whether a batch with this echo was sent lately: its sender had by then
+    /// a batch that this process has sent within [`STOP_GUESTS_AFTER`].
+    pub(crate) fn is_recent(&self, echo: Option<BatchTime>, now: Duration) -> bool {
+        echo.is_some_and(|echo| {
+            let sent_at = Duration::from_millis(echo.sent_ms);
+            echo.incarnation == self.incarnation
+                && now.saturating_sub(sent_at) <= STOP_GUESTS_AFTER
+        })
+    }
+}
+
 impl Peer {
     pub(crate) fn new(address: SocketAddr, failure_domain: FailureDomainId) -> Self {
         Self {
             address,
             failure_domain,
-            incarnation: 0,
+            newest: None,
+            former: VecDeque::new(),
             heard_at: None,
             confirmed_at: None,
             last_sequence: 0,
@@ -212,6 +263,27 @@
         self.status_due = true;
     }
 
+    /// Takes note of the time of a batch, and tells which process sent it.
+    pub(crate) fn note_time(&mut self, time: BatchTime) -> SendingProcess {
+        if self.former.contains(&time.incarnation) {
+            return SendingProcess::Former;
+        }
+        match &mut self.newest {
+            Some(newest) if newest.incarnation == time.incarnation => {
+                newest.sent_ms = newest.sent_ms.max(time.sent_ms);
+                SendingProcess::Present
+            }
+            newest => {
+                let Some(former) = newest.replace(time) else {
+                    return SendingProcess::Present;
+                };
+                self.former.truncate(MAX_FORMER - 1);
+                self.former.push_front(former.incarnation);
+                SendingProcess::Restarted
+            }
+        }
+    }
+
     /// Drops what was not sent, because the tasks it is about are over.
     pub(crate) fn clear(&mut self) {
         self.outbox.clear();
@@ -263,6 +335,8 @@
             }
             under_way.is_sending = true;
             under_way.sent_at = now;
+            under_way.batch.time = from.time(now);
+            under_way.batch.echo = self.newest;
             return Some(under_way.batch.clone());
         }
         let is_beat = now >= self.next_batch_at;
@@ -270,7 +344,7 @@
         if self.outbox.is_empty() && !has_status {
             return None;
         }
-        let batch = self.fill_batch(from, has_status.then_some(status));
+        let batch = self.fill_batch(now, from, has_status.then_some(status));
         if has_status {
             self.status_due = false;
             self.last_status_at = Some(now);
@@ -284,7 +358,12 @@
         Some(batch)
     }
 
-    fn fill_batch(&mut self, from: &Sender, status: Option<&PeerStatus>) -> PeerBatch {
+    fn fill_batch(
+        &mut self,
+        now: Duration,
+        from: &Sender,
+        status: Option<&PeerStatus>,
+    ) -> PeerBatch {
         self.sequence += 1;
         let count = self.outbox.len().min(MAX_BATCH_MESSAGES);
         let mut messages: Vec<PeerMessage> = self.outbox.drain(..count).collect();
@@ -293,7 +372,8 @@
             from: from.host_id.clone(),
             address: from.address,
             failure_domain: from.failure_domain.clone(),
-            incarnation: from.incarnation,
+            time: from.time(now),
+            echo: self.newest,
             sequence: self.sequence,
             messages,
         }
--- a/crates/fleet/src/peering.rs
+++ b/crates/fleet/src/peering.rs
@@ -6,7 +6,7 @@
 use crate::fleet::Fleet;
 use crate::io::{FleetOutput, PeerAddress, Subject};
 use crate::job::{RunId, TaskState};
-use crate::peer::{Peer, PeerBatch, PeerMessage, PeerStatus};
+use crate::peer::{Peer, PeerBatch, PeerMessage, PeerStatus, SendingProcess};
 
 impl Fleet {
     pub(crate) fn on_peers(&mut self, addresses: Vec<PeerAddress>) {
@@ -29,18 +29,18 @@
             .peers
             .entry(host.clone())
             .or_insert_with(|| Peer::new(batch.address, batch.failure_domain.clone()));
-        peer.address = batch.address;
-        if batch.incarnation != peer.incarnation {
-            let is_restart = peer.incarnation != 0;
-            peer.incarnation = batch.incarnation;
-            peer.last_sequence = 0;
-            if is_restart {
+        match peer.note_time(batch.time) {
+            SendingProcess::Present => {}
+            SendingProcess::Restarted => {
+                peer.last_sequence = 0;
                 self.peer_restarted(&host);
             }
+            SendingProcess::Former => return,
         }
         let Some(peer) = self.peers.get_mut(&host) else {
             return;
         };
+        peer.address = batch.address;
         peer.heard_at = Some(now);
         let was_lost = std::mem::take(&mut peer.lost);
         let is_new = batch.sequence > peer.last_sequence;
@@ -53,16 +53,17 @@
             );
         }
         if is_new {
+            let is_recent = self.sender.is_recent(batch.echo, now);
             for message in batch.messages {
-                self.on_message(&host, message);
+                self.on_message(&host, message, is_recent);
             }
         }
     }
 
-    fn on_message(&mut self, host: &HostId, message: PeerMessage) {
+    fn on_message(&mut self, host: &HostId, message: PeerMessage, is_recent: bool) {
         match message {
             PeerMessage::Status(status) => self.on_status(host, status),
-            PeerMessage::Run(chunk) => self.on_chunk(host, chunk),
+            PeerMessage::Run(chunk) => self.on_chunk(host, chunk, is_recent),
             PeerMessage::Refused(runs) => self.on_refused(host, &runs),
             PeerMessage::Ended(run, end, took_ms) => {
                 if end == crate::io::RunEnd::Done
--- a/crates/fleet/tests/common/mod.rs
+++ b/crates/fleet/tests/common/mod.rs
@@ -1,13 +1,14 @@
 //! A fleet with workers that answer by hand.
-#![allow(dead_code)]
+
 // Justification: each test file uses a part of the helpers.
+#![allow(dead_code)]
 
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use hornbeam_fleet::{
-    CallId, EndRow, Fleet, FleetInput, FleetOptions, FleetOutput, JobOutcome, Limits, LookAnswer,
+    BatchTime, CallId, EndRow, Fleet, FleetInput, FleetOptions, FleetOutput, JobOutcome, Limits, LookAnswer,
     LookOrder, Observation, PeerBatch, PeerMessage, Queue, QueueTable, Room, RunEnd, RunId,
     RunningRow, ServiceTerms, StartAnswer, StartOrder, StopOrder, Submission, WorkerReport,
 };
@@ -16,6 +17,12 @@
 /// Name of the only service.
 pub const SERVICE: &str = "subscribe";
 
+/// Number of the host that is tested.
+pub const OWN_HOST: u8 = 1;
+
+/// Start of the process of each peer.
+pub const PEER_INCARNATION: u64 = 7;
+
 /// Time of day at the start of a test.
 pub const UNIX_MS: u64 = 1_800_000_000_000;
 
@@ -171,17 +178,28 @@
         })
     }
 
-    /// Brings a batch of messages from the peer at `10.1.0.HOST`.
+    /// Brings a batch of messages from the peer at `10.1.0.HOST`, which has
+    /// just had a batch of this host.
     pub fn receive(&mut self, host: u8, sequence: u64, messages: Vec<PeerMessage>) {
-        let batch = PeerBatch {
+        let batch = self.batch(host, sequence, messages);
+        self.step(FleetInput::Batch(batch));
+    }
+
+    /// Builds a batch that the peer at `10.1.0.HOST` sends now.
+    pub fn batch(&self, host: u8, sequence: u64, messages: Vec<PeerMessage>) -> PeerBatch {
+        let time = |incarnation| BatchTime {
+            incarnation,
+            sent_ms: u64::try_from(self.now.as_millis()).expect("a small time"),
+        };
+        PeerBatch {
             from: format!("entry-{host}"),
             address: address(host),
             failure_domain: "a".into(),
-            incarnation: 7,
+            time: time(PEER_INCARNATION),
+            echo: Some(time(options(OWN_HOST).incarnation)),
             sequence,
             messages,
-        };
-        self.step(FleetInput::Batch(batch));
+        }
     }
 
     fn take<T>(&mut self, select: impl Fn(&FleetOutput) -> Option<T>) -> Vec<T> {
--- a/crates/fleet/tests/peers.rs
+++ b/crates/fleet/tests/peers.rs
@@ -104,14 +104,8 @@
 #[gtest]
 fn own_failure_domain_comes_first() {
     let mut bench = Bench::new(1);
-    let far = PeerBatch {
-        from: "entry-3".into(),
-        address: common::address(3),
-        failure_domain: "b".into(),
-        incarnation: 7,
-        sequence: 1,
-        messages: vec![status(&[16000, 16000, 16000], 0)],
-    };
+    let mut far = bench.batch(3, 1, vec![status(&[16000, 16000, 16000], 0)]);
+    far.failure_domain = "b".into();
     bench.step(FleetInput::Batch(far));
     bench.receive(2, 1, vec![status(&[8000], 0)]);
     bench.outputs.clear();
@@ -212,6 +206,50 @@
     expect_that!(bench.starts(), is_empty());
 }
 
+/// Guards against a second run of a task whose origin gave this host up after
+/// a silence, started the task elsewhere and was heard from again before its
+/// first order came through.
+#[gtest]
+fn chunk_that_was_long_on_its_way_is_sent_back() {
+    let mut bench = Bench::new(1);
+    bench.own("w1");
+    bench.receive(2, 1, vec![status(&[8000], 0)]);
+    let late = bench.batch(2, 2, vec![chunk(5, 1)]);
+    bench.pass(3000);
+    bench.receive(2, 3, vec![status(&[8000], 0)]);
+    // The batch that was sent before the silence, and one after it.
+    confirm(&mut bench, 2);
+    confirm(&mut bench, 2);
+    let mut late = late;
+    late.sequence = 4;
+    bench.step(FleetInput::Batch(late));
+    expect_that!(bench.starts(), is_empty());
+    bench.receive(2, 5, vec![chunk(6, 1)]);
+    expect_that!(bench.starts().len(), eq(1));
+}
+
+/// Guards against a late batch of a process that has ended: it must neither
+/// count as a new start of the host nor bring its tasks.
+#[gtest]
+fn batch_of_a_former_process_is_ignored() {
+    let mut bench = Bench::new(1);
+    bench.own("w1");
+    let late = bench.batch(2, 2, vec![chunk(5, 1)]);
+    bench.receive(2, 1, vec![status(&[8000], 0)]);
+    confirm(&mut bench, 2);
+    let mut anew = bench.batch(2, 1, vec![status(&[16000], 0)]);
+    anew.time.incarnation += 1;
+    bench.step(FleetInput::Batch(anew.clone()));
+    bench.step(FleetInput::Batch(late));
+    expect_that!(bench.starts(), is_empty());
+    anew.sequence = 2;
+    anew.messages = vec![chunk(6, 1)];
+    bench.step(FleetInput::Batch(anew.clone()));
+    expect_that!(bench.starts().len(), eq(1));
+    bench.step(FleetInput::Batch(anew));
+    expect_that!(bench.starts(), is_empty());
+}
+
 /// Guards against a second run while a peer that has started anew has left one
 /// behind on a worker: its lease must end first.
 #[gtest]
@@ -223,14 +261,8 @@
     bench.submit(1, 1);
     expect_that!(forwarded(&mut bench).len(), eq(1));
     confirm(&mut bench, 2);
-    let anew = PeerBatch {
-        from: "entry-2".into(),
-        address: common::address(2),
-        failure_domain: "a".into(),
-        incarnation: 8,
-        sequence: 1,
-        messages: vec![status(&[16000], 0)],
-    };
+    let mut anew = bench.batch(2, 1, vec![status(&[16000], 0)]);
+    anew.time.incarnation += 1;
     bench.step(FleetInput::Batch(anew));
     expect_that!(forwarded(&mut bench), is_empty());
     bench.own("w1");
