Count only workers that take tasks as capacity

The wait that a new job would have was reckoned with all workers that peers own, although some of them do not answer or are kept from new runs, so jobs were taken that could only wait and be refused late. The status between hosts now says how many workers take tasks, and the same number ranks the queues that waiting tasks are sent to.

The new test fails with the number of owned workers (not refused with 0 of 20 serving).

--- a/crates/fleet/src/peer.rs
+++ b/crates/fleet/src/peer.rs
@@ -91,6 +91,8 @@
     pub waiting: u32,
     /// Workers owned.
     pub owned: u32,
+    /// Those of them that take tasks now.
+    pub serving: u32,
     /// Whether the host is about to end.
     pub draining: bool,
     /// Version of the configuration in force there.
@@ -210,8 +212,7 @@
     pub(crate) fn is_recent(&self, echo: Option<BatchTime>, now: Duration) -> bool {
         echo.is_some_and(|echo| {
             let sent_at = Duration::from_millis(echo.sent_ms);
-            echo.incarnation == self.incarnation
-                && now.saturating_sub(sent_at) <= STOP_GUESTS_AFTER
+            echo.incarnation == self.incarnation && now.saturating_sub(sent_at) <= STOP_GUESTS_AFTER
         })
     }
 }
--- a/crates/fleet/src/peering.rs
+++ b/crates/fleet/src/peering.rs
@@ -197,6 +197,7 @@
             rooms: self.own_rooms(),
             waiting: self.waiting_tasks(),
             owned: u32::try_from(self.workers.len()).unwrap_or(u32::MAX),
+            serving: self.serving_workers(),
             draining: self.drain_started.is_some(),
             config_version: self.queues.as_ref().map_or(0, |queues| queues.version),
         }
--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -7,7 +7,7 @@
 use crate::room::{Room, RoomOfService};
 use crate::worker::{Worker, WorkerNumber};
 
-/// Waiting tasks per worker, in hundredths, up to which a peer is sent more.
+/// Waiting tasks per worker that takes tasks, in hundredths, up to which a peer is sent more.
 /// Beyond that tasks wait longer than their objectives allow.
 const MAX_QUEUE_LENGTH: u32 = 150;
 
@@ -54,10 +54,10 @@
         Some(host)
     }
 
-    /// Chooses the peer at which the fewest tasks wait for each worker, if that
-    /// is clearly fewer than here, and counts one more there.
+    /// Chooses the peer at which the fewest tasks wait for each worker that
+    /// takes tasks, if that is fewer than here, and counts one more there.
     pub(crate) fn choose_queue(&mut self, service: &ServiceId) -> Option<HostId> {
-        let own = queue_length(self.waiting_tasks(), self.workers.len() as u32);
+        let own = queue_length(self.waiting_tasks(), self.serving_workers());
         let now = self.now;
         let is_fit = |peer: &&Peer| {
             peer.is_lively(now)
@@ -65,7 +65,7 @@
                 && !peer.status.draining
                 && rooms_of(peer, service).is_some()
         };
-        let length = |peer: &Peer| queue_length(peer.status.waiting + 1, peer.status.owned);
+        let length = |peer: &Peer| queue_length(peer.status.waiting + 1, peer.status.serving);
         let fit = self.peers.iter().filter(|(_, peer)| is_fit(peer));
         let shortest = fit.min_by_key(|(_, peer)| length(peer))?;
         let is_shorter = length(shortest.1) < own && length(shortest.1) <= MAX_QUEUE_LENGTH;
@@ -100,6 +100,13 @@
         largest.peek().is_some() && !largest.any(|room| room.holds(need))
     }
 
+    /// Counts the own workers that take tasks now.
+    pub(crate) fn serving_workers(&self) -> u32 {
+        let serving = self.workers.values();
+        let serving = serving.filter(|worker| worker.takes_runs(self.now));
+        u32::try_from(serving.count()).unwrap_or(u32::MAX)
+    }
+
     /// Gets the free room of the own workers by service.
     pub(crate) fn own_rooms(&self) -> Vec<RoomOfService> {
         let mut rooms: Vec<RoomOfService> = Vec::new();
--- a/crates/fleet/src/waits.rs
+++ b/crates/fleet/src/waits.rs
@@ -33,7 +33,7 @@
 impl Fleet {
     /// Whether a job would start its last task too late for its objective. The
     /// reckoning takes all hosts as one queue, because waiting tasks are spread
-    /// over them, and their workers as alike.
+    /// over them, and the workers that take tasks as alike.
     pub(crate) fn comes_too_late(&self, job: &Job) -> bool {
         let Some(mean) = self.run_times.mean else {
             return false;
@@ -49,8 +49,8 @@
         let tasks = u32::try_from(job.tasks.len()).unwrap_or(u32::MAX);
         let served_at_once = self.free_slots(job);
         let to_wait = ahead.saturating_add(tasks).saturating_sub(served_at_once);
-        let own_workers = self.workers.len() as u32;
-        let peers_workers: u32 = lively().map(|peer| peer.status.owned).sum();
+        let own_workers = self.serving_workers();
+        let peers_workers: u32 = lively().map(|peer| peer.status.serving).sum();
         let own_slots = f64::from(self.own_slots(job));
         if waiting == 0 || to_wait == 0 || own_slots == 0.0 {
             return false;
--- a/crates/fleet/tests/common/mod.rs
+++ b/crates/fleet/tests/common/mod.rs
@@ -8,9 +8,9 @@
 use std::time::Duration;
 
 use hornbeam_fleet::{
-    BatchTime, CallId, EndRow, Fleet, FleetInput, FleetOptions, FleetOutput, JobOutcome, Limits, LookAnswer,
-    LookOrder, Observation, PeerBatch, PeerMessage, Queue, QueueTable, Room, RunEnd, RunId,
-    RunningRow, ServiceTerms, StartAnswer, StartOrder, StopOrder, Submission, WorkerReport,
+    BatchTime, CallId, EndRow, Fleet, FleetInput, FleetOptions, FleetOutput, JobOutcome, Limits,
+    LookAnswer, LookOrder, Observation, PeerBatch, PeerMessage, Queue, QueueTable, Room, RunEnd,
+    RunId, RunningRow, ServiceTerms, StartAnswer, StartOrder, StopOrder, Submission, WorkerReport,
 };
 use indexmap::IndexMap;
 
--- a/crates/fleet/tests/jobs.rs
+++ b/crates/fleet/tests/jobs.rs
@@ -243,6 +243,7 @@
     let waits = hornbeam_fleet::PeerMessage::Status(hornbeam_fleet::PeerStatus {
         waiting: 2,
         owned: 4,
+        serving: 4,
         ..Default::default()
     });
     bench.receive(2, 1, vec![waits]);
@@ -250,3 +251,39 @@
     expect_that!(bench.answers(), is_empty());
     expect_that!(bench.starts().len(), eq(8));
 }
+
+/// Guards against jobs that are taken although they can only wait, because
+/// workers of peers that do not answer count as if they took tasks.
+#[gtest]
+fn workers_that_take_no_tasks_shorten_no_wait() {
+    for (serving, is_refused) in [(20, false), (0, true)] {
+        let mut bench = Bench::new(1);
+        bench.own("w1");
+        bench.submit(1, 2);
+        for order in bench.starts() {
+            bench.accept(&order);
+        }
+        bench.pass(200);
+        let runs = [common::run(1, 0, 1), common::run(1, 1, 1)];
+        bench.seen(
+            1,
+            &[],
+            &[(1, runs[0], RunEnd::Done), (2, runs[1], RunEnd::Done)],
+        );
+        bench.submit(2, 2);
+        let waits = hornbeam_fleet::PeerMessage::Status(hornbeam_fleet::PeerStatus {
+            waiting: 10,
+            owned: 20,
+            serving,
+            ..Default::default()
+        });
+        bench.receive(2, 1, vec![waits]);
+        bench.answers();
+        bench.submit(3, 1);
+        expect_that!(
+            bench.answers().len(),
+            eq(usize::from(is_refused)),
+            "{serving}"
+        );
+    }
+}
--- a/crates/fleet/tests/peers.rs
+++ b/crates/fleet/tests/peers.rs
@@ -25,6 +25,7 @@
         }],
         waiting,
         owned: 1,
+        serving: 1,
         ..PeerStatus::default()
     })
 }
