Serve latency histograms and orders by answer of the fleet entry host

On call one could see neither the time to the first start nor how far jobs missed their objective, nor what orders to workers were answered. Added: three histograms by queue, counters of orders, batches, decisions and lines left out, free cores and the lag of the document.

--- a/crates/fleet/src/admission.rs
+++ b/crates/fleet/src/admission.rs
@@ -6,7 +6,7 @@
 use indexmap::IndexMap;
 
 use crate::fleet::Fleet;
-use crate::io::{CallId, FleetOutput, Subject};
+use crate::io::{CallId, FleetOutput, JobTimes, Subject};
 use crate::job::{Job, JobKey, JobOutcome, NotRun, RunId, Submission, Task, TaskState};
 use crate::peer::PeerMessage;
 use crate::queues::Queue;
@@ -235,6 +235,7 @@
         self.urgent.remove(&(job.urgency, key));
         self.deadlines.remove(&(job.deadline, key));
         self.log_end(key, &job, outcome, reason);
+        self.measure(&job, outcome);
         let mut is_over = true;
         for (index, task) in (0..).zip(&job.tasks) {
             let run = RunId {
@@ -271,6 +272,17 @@
         self.recent.remember(key, end);
     }
 
+    fn measure(&mut self, job: &Job, outcome: JobOutcome) {
+        let first_start = job.first_start_at;
+        self.put(FleetOutput::Measure(JobTimes {
+            queue: job.queue.clone(),
+            outcome,
+            total: self.now.saturating_sub(job.arrived_at),
+            to_first_start: first_start.map(|at| at.saturating_sub(job.arrived_at)),
+            over_objective: self.now.saturating_sub(job.objective_at),
+        }));
+    }
+
     fn log_end(&mut self, key: JobKey, job: &Job, outcome: JobOutcome, reason: &str) {
         let event = match outcome {
             JobOutcome::Completed => Event::FleetJobCompleted,
--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -223,6 +223,14 @@
         self.workers.len()
     }
 
+    /// Gets the processors that are free on the own workers that take tasks, in
+    /// thousandths of a core.
+    pub fn free_cpu_milli(&self) -> u64 {
+        let rooms = self.own_rooms();
+        let free = rooms.iter().flat_map(|rooms| &rooms.free);
+        free.map(|room| u64::from(room.cpu_milli)).sum()
+    }
+
     /// Gets the number of jobs in progress.
     pub fn jobs_in_progress(&self) -> usize {
         self.jobs.len()
--- a/crates/fleet/src/io.rs
+++ b/crates/fleet/src/io.rs
@@ -70,10 +70,27 @@
     SendBatch(HostId, SocketAddr, PeerBatch),
     /// Close the idle connections to a worker that is gone.
     Forget(SocketAddr),
+    /// Take the times of a job that has ended.
+    Measure(JobTimes),
     /// Write a numbered log event about a subject.
     Log(Event, Subject, String),
 }
 
+/// `JobTimes` are the times of a job that has ended.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct JobTimes {
+    /// Name of its queue.
+    pub queue: String,
+    /// Its answer.
+    pub outcome: JobOutcome,
+    /// Time from its arrival to its end.
+    pub total: Duration,
+    /// Time from its arrival to its first start order, if there was one.
+    pub to_first_start: Option<Duration>,
+    /// Time by which it ended after its objective.
+    pub over_objective: Duration,
+}
+
 /// `Subject` is what a log event is about; it becomes a field of the line.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Subject {
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -33,9 +33,9 @@
 pub use fleet::Fleet;
 pub use generation::Generation;
 pub use io::{
-    CallId, EndRow, FleetInput, FleetOutput, LookAnswer, LookOrder, Observation, PeerAddress,
-    ReportAnswer, ReportId, RunEnd, RunningRow, StartAnswer, StartOrder, StartRefusal, StopAnswer,
-    StopOrder, Subject, WorkerTarget,
+    CallId, EndRow, FleetInput, FleetOutput, JobTimes, LookAnswer, LookOrder, Observation,
+    PeerAddress, ReportAnswer, ReportId, RunEnd, RunningRow, StartAnswer, StartOrder, StartRefusal,
+    StopAnswer, StopOrder, Subject, WorkerTarget,
 };
 pub use job::{JobKey, JobOutcome, NotRun, RunId, Submission};
 pub use options::FleetOptions;
--- a/crates/node/src/fleet_entry/input.rs
+++ b/crates/node/src/fleet_entry/input.rs
@@ -33,12 +33,16 @@
 pub(crate) struct Figures {
     /// Workers owned.
     pub(crate) owned_workers: u32,
+    /// Free processors of the workers that take tasks, in thousandths of a core.
+    pub(crate) free_cpu_milli: u64,
     /// Jobs in progress.
     pub(crate) jobs: u32,
     /// Tasks that wait for room.
     pub(crate) waiting_tasks: u32,
     /// Version of the configuration in force.
     pub(crate) document_version: u64,
+    /// Versions by which the newest document at a peer is ahead.
+    pub(crate) document_lag: u64,
 }
 
 /// `EntryHandle` sends inputs to the loop.
--- a/crates/node/src/fleet_entry/metrics.rs
+++ b/crates/node/src/fleet_entry/metrics.rs
@@ -1,13 +1,18 @@
 //! Metrics of an entry host of guarded workers.
 
 use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
 
-use hornbeam_fleet::JobOutcome;
+use hornbeam_core::event::Event;
+use hornbeam_fleet::{
+    FleetInput, JobOutcome, JobTimes, LookAnswer, StartAnswer, StartRefusal, StopAnswer,
+};
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::metrics::counter::Counter;
-use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::family::{Family, MetricConstructor};
 use prometheus_client::metrics::gauge::Gauge;
-use prometheus_client::registry::Registry;
+use prometheus_client::metrics::histogram::Histogram;
+use prometheus_client::registry::{Metric, Registry};
 use volo_http::request::Request;
 use volo_http::server::Router;
 
@@ -17,28 +22,79 @@
 const OK: u16 = 200;
 const UNAVAILABLE: u16 = 503;
 
-/// `QueueLabel` is the label of the counter of submissions.
+/// Upper bounds of the buckets of times, in seconds: from a round trip to the
+/// longest time that a caller waits, closer together where objectives lie.
+const SECONDS: [f64; 14] = [
+    0.005, 0.01, 0.02, 0.05, 0.1, 0.15, 0.2, 0.3, 0.5, 0.8, 1.2, 2.0, 4.0, 8.0,
+];
+
+/// Upper bounds of the buckets of the time over the objective, in seconds. The
+/// first one counts jobs that met it.
+const SECONDS_OVER: [f64; 8] = [0.0, 0.01, 0.05, 0.1, 0.2, 0.5, 1.0, 4.0];
+
+/// `QueueLabel` is the label of metrics by queue.
 #[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
 struct QueueLabel {
     queue: String,
 }
 
-/// `OutcomeLabel` is the label of the counter of answers.
+/// `OutcomeLabel` is the label of metrics by outcome.
 #[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
 struct OutcomeLabel {
     outcome: &'static str,
 }
 
+/// `JobLabel` is the label of the histogram of jobs.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+struct JobLabel {
+    queue: String,
+    outcome: &'static str,
+}
+
+/// `OrderLabel` is the label of the counter of orders.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+struct OrderLabel {
+    order: &'static str,
+    answer: &'static str,
+}
+
+/// `EventLabel` is the label of metrics by log event.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+struct EventLabel {
+    event: &'static str,
+}
+
+/// `Buckets` creates the histograms of a family.
+#[derive(Clone, Copy, Debug)]
+struct Buckets(&'static [f64]);
+
+impl MetricConstructor<Histogram> for Buckets {
+    fn new_metric(&self) -> Histogram {
+        Histogram::new(self.0.iter().copied())
+    }
+}
+
+type Histograms<L> = Family<L, Histogram, Buckets>;
+
 /// `FleetMetrics` are the metrics of one entry host of guarded workers.
 #[derive(Debug)]
 pub(crate) struct FleetMetrics {
     registry: Registry,
     submissions: Family<QueueLabel, Counter>,
     answers: Family<OutcomeLabel, Counter>,
+    job_times: Histograms<JobLabel>,
+    first_starts: Histograms<QueueLabel>,
+    over_objective: Histograms<QueueLabel>,
+    orders: Family<OrderLabel, Counter>,
+    batches: Family<OutcomeLabel, Counter>,
+    events: Family<EventLabel, Counter>,
+    lines_left_out: Family<EventLabel, Counter>,
     owned_workers: Gauge,
+    free_cores: Gauge<f64, AtomicU64>,
     jobs: Gauge,
     waiting_tasks: Gauge,
     document_version: Gauge,
+    document_lag: Gauge,
 }
 
 impl FleetMetrics {
@@ -48,12 +104,23 @@
             registry: Registry::default(),
             submissions: Family::default(),
             answers: Family::default(),
+            job_times: Family::new_with_constructor(Buckets(&SECONDS)),
+            first_starts: Family::new_with_constructor(Buckets(&SECONDS)),
+            over_objective: Family::new_with_constructor(Buckets(&SECONDS_OVER)),
+            orders: Family::default(),
+            batches: Family::default(),
+            events: Family::default(),
+            lines_left_out: Family::default(),
             owned_workers: Gauge::default(),
+            free_cores: Gauge::default(),
             jobs: Gauge::default(),
             waiting_tasks: Gauge::default(),
             document_version: Gauge::default(),
+            document_lag: Gauge::default(),
         };
-        metrics.register();
+        metrics.register_counters();
+        metrics.register_histograms();
+        metrics.register_gauges();
         metrics
     }
 
@@ -65,52 +132,170 @@
 
     /// Counts an answer.
     pub(crate) fn answered(&self, outcome: JobOutcome) {
-        let outcome = match outcome {
-            JobOutcome::Completed => "completed",
-            JobOutcome::Failed => "failed",
-            JobOutcome::NotRun(_) => "not_run",
-            JobOutcome::TimedOut => "timed_out",
-        };
+        let outcome = outcome_name(outcome);
         self.answers.get_or_create(&OutcomeLabel { outcome }).inc();
     }
 
+    /// Takes the times of a job that has ended.
+    pub(crate) fn ended(&self, times: JobTimes) {
+        let label = QueueLabel { queue: times.queue };
+        if let Some(first_start) = times.to_first_start {
+            let histogram = self.first_starts.get_or_create(&label);
+            histogram.observe(first_start.as_secs_f64());
+        }
+        if times.outcome == JobOutcome::Completed {
+            let histogram = self.over_objective.get_or_create(&label);
+            histogram.observe(times.over_objective.as_secs_f64());
+        }
+        let label = JobLabel {
+            queue: label.queue,
+            outcome: outcome_name(times.outcome),
+        };
+        let histogram = self.job_times.get_or_create(&label);
+        histogram.observe(times.total.as_secs_f64());
+    }
+
+    /// Counts the end of an order or of a batch.
+    pub(crate) fn order_ended(&self, end: &FleetInput) {
+        let (order, answer) = match end {
+            FleetInput::StartAnswered(_, _, answer) => ("start", start_answer_name(*answer)),
+            FleetInput::StopAnswered(_, _, answer) => ("stop", stop_answer_name(*answer)),
+            FleetInput::Looked(_, answer) => ("look", look_answer_name(answer)),
+            FleetInput::BatchEnded(_, taken) => {
+                let outcome = if *taken { "taken" } else { "not_taken" };
+                self.batches.get_or_create(&OutcomeLabel { outcome }).inc();
+                return;
+            }
+            _ => return,
+        };
+        let label = OrderLabel { order, answer };
+        self.orders.get_or_create(&label).inc();
+    }
+
+    /// Counts a log event, whether its line is written or not.
+    pub(crate) fn logged(&self, event: Event) {
+        let event = event.name();
+        self.events.get_or_create(&EventLabel { event }).inc();
+    }
+
+    /// Counts a line that was left out.
+    pub(crate) fn left_out(&self, event: Event) {
+        let event = event.name();
+        let counter = self.lines_left_out.get_or_create(&EventLabel { event });
+        counter.inc();
+    }
+
     fn encode(&self, figures: Figures) -> String {
         self.owned_workers.set(figures.owned_workers.into());
+        self.free_cores.set(figures.free_cpu_milli as f64 / 1000.0);
         self.jobs.set(figures.jobs.into());
         self.waiting_tasks.set(figures.waiting_tasks.into());
-        let version = i64::try_from(figures.document_version).unwrap_or(i64::MAX);
-        self.document_version.set(version);
+        self.document_version.set(signed(figures.document_version));
+        self.document_lag.set(signed(figures.document_lag));
         metrics::encode(&self.registry)
     }
 
-    fn register(&mut self) {
-        let registry = &mut self.registry;
-        registry.register(
-            "hornbeam_fleet_submissions",
-            "Jobs submitted, by queue",
-            self.submissions.clone(),
-        );
-        registry.register(
-            "hornbeam_fleet_answers",
-            "Answers to submitted jobs, by outcome",
-            self.answers.clone(),
-        );
-        registry.register(
-            "hornbeam_fleet_owned_workers",
+    fn register(&mut self, name: &'static str, help: &'static str, metric: impl Metric) {
+        let name = format!("hornbeam_fleet_{name}");
+        self.registry.register(name, help, metric);
+    }
+
+    fn register_counters(&mut self) {
+        let submissions = self.submissions.clone();
+        self.register("submissions", "Jobs submitted, by queue", submissions);
+        let answers = self.answers.clone();
+        self.register("answers", "Answers to submitted jobs, by outcome", answers);
+        let orders = self.orders.clone();
+        self.register("orders", "Orders to workers, by answer", orders);
+        let batches = self.batches.clone();
+        self.register("batches", "Batches sent to peers, by outcome", batches);
+        let events = self.events.clone();
+        self.register("events", "Decisions, by log event", events);
+        let left_out = self.lines_left_out.clone();
+        self.register("lines_left_out", "Lines left out, by event", left_out);
+    }
+
+    fn register_histograms(&mut self) {
+        let times = self.job_times.clone();
+        let help = "Time from the arrival of a job to its end, by queue and outcome";
+        self.register("job_seconds", help, times);
+        let first_starts = self.first_starts.clone();
+        let help = "Time from the arrival of a job to its first start order, by queue";
+        self.register("first_start_seconds", help, first_starts);
+        let over = self.over_objective.clone();
+        let help = "Time by which completed jobs missed their objective, by queue";
+        self.register("over_objective_seconds", help, over);
+    }
+
+    fn register_gauges(&mut self) {
+        let owned = self.owned_workers.clone();
+        self.register(
+            "owned_workers",
             "Guarded workers that this host owns",
-            self.owned_workers.clone(),
-        );
-        registry.register("hornbeam_fleet_jobs", "Jobs in progress", self.jobs.clone());
-        registry.register(
-            "hornbeam_fleet_waiting_tasks",
-            "Tasks that wait for room",
-            self.waiting_tasks.clone(),
+            owned,
         );
-        registry.register(
-            "hornbeam_fleet_document_version",
-            "Version of the published document in force",
-            self.document_version.clone(),
+        let free = self.free_cores.clone();
+        self.register(
+            "free_cores",
+            "Free cores of the workers that take tasks",
+            free,
         );
+        let jobs = self.jobs.clone();
+        self.register("jobs", "Jobs in progress", jobs);
+        let waiting = self.waiting_tasks.clone();
+        self.register("waiting_tasks", "Tasks that wait for room", waiting);
+        let version = self.document_version.clone();
+        let help = "Version of the published document in force";
+        self.register("document_version", help, version);
+        let lag = self.document_lag.clone();
+        let help = "Versions by which the newest document at a peer is ahead";
+        self.register("document_lag", help, lag);
+    }
+}
+
+fn signed(value: u64) -> i64 {
+    i64::try_from(value).unwrap_or(i64::MAX)
+}
+
+const fn outcome_name(outcome: JobOutcome) -> &'static str {
+    match outcome {
+        JobOutcome::Completed => "completed",
+        JobOutcome::Failed => "failed",
+        JobOutcome::NotRun(_) => "not_run",
+        JobOutcome::TimedOut => "timed_out",
+    }
+}
+
+const fn start_answer_name(answer: StartAnswer) -> &'static str {
+    match answer {
+        StartAnswer::Accepted(_) => "accepted",
+        StartAnswer::NotSent => "not_sent",
+        StartAnswer::Unanswered => "unanswered",
+        StartAnswer::Refused(StartRefusal::Generation) => "generation",
+        StartAnswer::Refused(StartRefusal::Old) => "old",
+        StartAnswer::Refused(StartRefusal::Late) => "late",
+        StartAnswer::Refused(StartRefusal::Room) => "room",
+        StartAnswer::Refused(StartRefusal::Unhealthy) => "unhealthy",
+        StartAnswer::Refused(StartRefusal::OtherIncarnation) => "other_incarnation",
+        StartAnswer::Refused(StartRefusal::Malformed) => "malformed",
+    }
+}
+
+const fn stop_answer_name(answer: StopAnswer) -> &'static str {
+    match answer {
+        StopAnswer::Accepted => "accepted",
+        StopAnswer::Generation => "generation",
+        StopAnswer::OtherIncarnation => "other_incarnation",
+        StopAnswer::Unanswered => "unanswered",
+    }
+}
+
+const fn look_answer_name(answer: &LookAnswer) -> &'static str {
+    match answer {
+        LookAnswer::Seen(_) => "seen",
+        LookAnswer::Generation => "generation",
+        LookAnswer::OtherIncarnation => "other_incarnation",
+        LookAnswer::Unanswered => "unanswered",
     }
 }
 
--- a/crates/node/src/fleet_entry/shell.rs
+++ b/crates/node/src/fleet_entry/shell.rs
@@ -164,6 +164,7 @@
     }
 
     fn step(&mut self, input: FleetInput) {
+        self.metrics.order_ended(&input);
         let now = self.timer.now();
         let outputs = self.fleet.step(now, self.timer.unix_ms(), input);
         for output in outputs {
@@ -192,6 +193,7 @@
                 self.orders.send_batch((host, address), batch);
             }
             FleetOutput::Forget(worker) => self.orders.forget(worker),
+            FleetOutput::Measure(times) => self.metrics.ended(times),
             FleetOutput::Log(event, subject, message) => self.log(event, &subject, &message),
         }
     }
@@ -205,8 +207,9 @@
                 "{count} lines of event {} were left out in a second", event.name()
             );
         }
+        self.metrics.logged(event);
         if !self.log_budget.allows(event) {
-            return;
+            return self.metrics.left_out(event);
         }
         let host = &self.host_id;
         match subject {
@@ -245,11 +248,16 @@
     }
 
     fn figures(&self) -> Figures {
+        let document_version = self.fleet.queues().map_or(0, |queues| queues.version);
+        let newest = self.fleet.newest_at_peers();
+        let newest = newest.map_or(0, |(version, _)| version);
         Figures {
             owned_workers: u32::try_from(self.fleet.owned()).unwrap_or(u32::MAX),
+            free_cpu_milli: self.fleet.free_cpu_milli(),
             jobs: u32::try_from(self.fleet.jobs_in_progress()).unwrap_or(u32::MAX),
             waiting_tasks: self.fleet.waiting_tasks(),
-            document_version: self.fleet.queues().map_or(0, |queues| queues.version),
+            document_version,
+            document_lag: newest.saturating_sub(document_version),
         }
     }
 }
