--- a/crates/fleet/tests/common/mod.rs
+++ b/crates/fleet/tests/common/mod.rs
@@ -7,10 +7,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use hornbeam_core::event::Event;
 use hornbeam_fleet::{
     BatchTime, CallId, EndRow, Fleet, FleetInput, FleetOptions, FleetOutput, JobOutcome, Limits,
     LookAnswer, LookOrder, Observation, PeerBatch, PeerMessage, Queue, QueueTable, Room, RunEnd,
-    RunId, RunningRow, ServiceTerms, StartAnswer, StartOrder, StopOrder, Submission, WorkerReport,
+    RunId, RunningRow, ServiceTerms, StartAnswer, StartOrder, StopOrder, Subject, Submission,
+    WorkerReport,
 };
 use indexmap::IndexMap;
 
@@ -178,6 +180,14 @@
         })
     }
 
+    /// Takes the log events so far, with what they are about.
+    pub fn logged(&mut self) -> Vec<(Event, Subject)> {
+        self.take(|output| match output {
+            FleetOutput::Log(event, subject, _) => Some((*event, subject.clone())),
+            _ => None,
+        })
+    }
+
     /// Brings a batch of messages from the peer at `10.1.0.HOST`, which has
     /// just had a batch of this host.
     pub fn receive(&mut self, host: u8, sequence: u64, messages: Vec<PeerMessage>) {
