Test that the fleet roles log what they decide

One run of separate processes rejects requests, documents and reports, loses a control host with its disk, starts a host twice and drains one, and waits for the line of each.

--- a/crates/daemon/tests/fleet_processes.rs
+++ b/crates/daemon/tests/fleet_processes.rs
@@ -268,14 +268,21 @@
 /// Tasks that send them.
 const REJECTERS: usize = 20;
 
-/// Sends a request that is rejected.
-async fn reject(caller: &Caller, to: SocketAddr) {
+/// Sends a job and gets the status of the answer.
+async fn post_job(caller: &Caller, to: SocketAddr, path: &str, body: &Value) -> u16 {
     let header = ("host", "orders.example");
-    let body = json!("no job");
     let posting = caller
         .client
-        .post_for_bytes(to, "/orders/12", header, &body, PATIENCE);
-    assert_eq!(posting.await.expect("an answer").status, 400);
+        .post_for_bytes(to, path, header, body, PATIENCE);
+    posting.await.expect("an answer").status
+}
+
+/// Sends a request that is rejected.
+async fn reject(caller: &Caller, to: SocketAddr) {
+    assert_eq!(
+        post_job(caller, to, "/orders/12", &json!("no job")).await,
+        400
+    );
 }
 
 /// Guards against a host that waits for the reader of its log, that keeps any
@@ -322,6 +329,52 @@
     assert!(line.is_some_and(|line| line.contains("LinesLeftOut")));
 }
 
+/// Guards against a change of what a process believes, or a decision about a
+/// request, that leaves no line in the log.
+#[tokio::test(flavor = "multi_thread")]
+async fn decisions_of_the_processes_are_logged() {
+    let size = Size {
+        controls: 3,
+        entries: 1,
+        workers: 1,
+    };
+    let mut fleet = Fleet::start(size, network(6)).await;
+    publish(&fleet, 1).await;
+    wait_until_served(&fleet).await;
+    let entry = 3;
+    let caller = Caller::new();
+    let to = fleet.caller_addresses()[0];
+    reject(&caller, to).await;
+    let stored: Value = serde_json::from_str(&standin::stored_job()).expect("JSON");
+    let status = post_job(&caller, to, "/orders/00000000000000aa", &stored).await;
+    assert_eq!(status, 503);
+    for control in fleet.control_addresses() {
+        let invalid = json!({"version": "none"});
+        let posting = caller
+            .client
+            .post_text(control, standin::PUBLISH_PATH, &invalid, PATIENCE);
+        posting.await.expect("an answer");
+    }
+    for event in ["MessageRejected", "FleetJobRefused", "PublishRejected"] {
+        wait_for_line(&fleet, event).await;
+    }
+    for event in ["ProcessStarting", "ProcessListening", "PublishAccepted"] {
+        wait_for_line(&fleet, event).await;
+    }
+    let second = fleet.run_twice(entry);
+    assert_eq!(second.status.code(), Some(1));
+    let log = String::from_utf8(second.stdout).expect("text");
+    assert!(log.contains("ProcessFailed"), "{log}");
+    fleet.kill(0);
+    wait_for_line(&fleet, "HostReachability").await;
+    fleet.wipe(0);
+    fleet.run(0, false);
+    wait_for_line(&fleet, "GroupRepair").await;
+    assert!(fleet.terminate(entry, PATIENCE).await);
+    wait_for_line(&fleet, "DrainFinished").await;
+    wait_for_line(&fleet, "ReportDeclined").await;
+}
+
 async fn wait_for_line(fleet: &Fleet, text: &str) {
     let give_up = Instant::now() + PATIENCE;
     while fleet.grep(text).is_empty() {
--- a/crates/daemon/tests/harness/fleet.rs
+++ b/crates/daemon/tests/harness/fleet.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 use std::path::PathBuf;
-use std::process::{Child, ChildStdout, Command, Stdio};
+use std::process::{Child, ChildStdout, Command, Output, Stdio};
 use std::time::Duration;
 
 use hornbeam_http::{ClientOptions, HttpClient, Reply};
@@ -171,22 +171,37 @@
     }
 
     fn spawn(&mut self, at: usize, first_start: bool, log: Stdio, errors: Stdio) {
-        let path = self.folder.path().join(format!("host-{at}.toml"));
-        std::fs::write(&path, self.settings(at, first_start)).expect("a settings file");
-        let host = &mut self.hosts[at];
-        let role = if host.is_control {
+        let settings = self.settings(at, first_start);
+        std::fs::write(self.settings_path(at), settings).expect("a settings file");
+        let mut command = self.command(at);
+        let child = command
+            .stdin(Stdio::null())
+            .stdout(log)
+            .stderr(errors)
+            .spawn();
+        self.hosts[at].child = Some(child.expect("the binary starts"));
+    }
+
+    /// Starts a second process of a host that runs, and waits for its end.
+    pub fn run_twice(&self, at: usize) -> Output {
+        self.command(at).output().expect("the binary starts")
+    }
+
+    fn settings_path(&self, at: usize) -> PathBuf {
+        self.folder.path().join(format!("host-{at}.toml"))
+    }
+
+    fn command(&self, at: usize) -> Command {
+        let role = if self.hosts[at].is_control {
             "fleet-control"
         } else {
             "fleet-entry"
         };
-        let child = Command::new(env!("CARGO_BIN_EXE_hornbeamd"))
+        let mut command = Command::new(env!("CARGO_BIN_EXE_hornbeamd"));
+        command
             .args(["--role", role, "--log-format", "json", "--settings-file"])
-            .arg(&path)
-            .stdin(Stdio::null())
-            .stdout(log)
-            .stderr(errors)
-            .spawn();
-        host.child = Some(child.expect("the binary starts"));
+            .arg(self.settings_path(at));
+        command
     }
 
     fn settings(&self, at: usize, first_start: bool) -> String {
@@ -213,7 +228,7 @@
 
     /// Changes the settings file of a running host.
     pub fn change_settings(&self, at: usize, change: impl Fn(&str) -> String) {
-        let path = self.folder.path().join(format!("host-{at}.toml"));
+        let path = self.settings_path(at);
         let text = std::fs::read_to_string(&path).expect("a settings file");
         std::fs::write(&path, change(&text)).expect("a settings file");
     }
