Hold the bodies of the hostile test before it probes

The test probed with a job while the host was still reading the bodies that are to fill the budget. The probe now comes after a wait that doubles with each attempt, on bodies that are opened anew.

--- a/crates/node/tests/hostile.rs
+++ b/crates/node/tests/hostile.rs
@@ -10,7 +10,7 @@
 use harness::{MAX_BODIES_BYTES, MAX_BODY_BYTES, OPERATOR, System, job, until};
 use hornbeam_core::Error;
 use hornbeam_core::api::caller::Reason;
-use hornbeam_node::{Request, RequestAnswer};
+use hornbeam_node::{Host, Request, RequestAnswer};
 use hornbeam_transport::{Link, LinkOptions};
 use log::{LevelFilter, Log, Metadata, Record};
 use rand::{Rng, RngCore, SeedableRng};
@@ -232,10 +232,8 @@
     }
 }
 
-/// Holds the whole budget of bodies by jobs that stop in the middle; further
-/// ones must be refused, and small ones served again when they are gone.
-async fn fill_bodies(system: &System) {
-    let address = system.entries[0].http_address();
+/// Opens jobs that stop in the middle and hold the whole budget of bodies.
+async fn hold_bodies(address: SocketAddr) -> Vec<TcpStream> {
     let mut held = Vec::new();
     for _ in 0..MAX_BODIES_BYTES / MAX_BODY_BYTES {
         let mut stream = TcpStream::connect(address).await.unwrap();
@@ -249,7 +247,23 @@
             .unwrap();
         held.push(stream);
     }
+    held
+}
+
+/// Holds the whole budget of bodies; further jobs must be refused, and small
+/// ones served again when the budget is free. A further job that comes before
+/// the host has read all of the others takes the room of one of them, so the
+/// others get more time at each attempt.
+async fn fill_bodies(system: &System) {
+    let address = system.entries[0].http_address();
+    let mut held = Vec::new();
+    let mut settling = Duration::from_millis(50);
     until("a refusal for want of room", async || {
+        held.clear();
+        tokio::time::sleep(settling).await;
+        held = hold_bodies(address).await;
+        tokio::time::sleep(settling).await;
+        settling *= 2;
         let job = job("no-room", 570, 1);
         let reply = system.submit(&system.entries[0], &job).await;
         reply.status == 503
