Write the life cycle of the three kinds of host once

Entry hosts, control hosts and entry hosts of guarded workers had the same start of links, stop sequence and life cycle calls each, and the daemon a run function each. The trait Host and the struct Running hold them now.

--- a/crates/ctl/src/commands/demo/cluster.rs
+++ b/crates/ctl/src/commands/demo/cluster.rs
@@ -8,7 +8,7 @@
 use hornbeam_core::ids::{ReplicaId, TaskId};
 use hornbeam_dispatch::DispatchOptions;
 use hornbeam_http::{ClientOptions, HttpClient};
-use hornbeam_node::{ControlHost, ControlOptions, EntryHost, EntryOptions};
+use hornbeam_node::{ControlHost, ControlOptions, EntryHost, EntryOptions, Host};
 use hornbeam_standin::{FaultPlan, StandinOptions};
 use tempfile::TempDir;
 
--- a/crates/ctl/tests/common/mod.rs
+++ b/crates/ctl/tests/common/mod.rs
@@ -10,7 +10,7 @@
 
 use hornbeam_control::ReplicaOptions;
 use hornbeam_dispatch::DispatchOptions;
-use hornbeam_node::{ControlHost, ControlOptions, EntryHost, EntryOptions};
+use hornbeam_node::{ControlHost, ControlOptions, EntryHost, EntryOptions, Host};
 use serde_json::Value;
 use tempfile::TempDir;
 use tokio::runtime::Runtime;
--- a/crates/ctl/tests/hosts.rs
+++ b/crates/ctl/tests/hosts.rs
@@ -7,6 +7,7 @@
 use common::{Group, eventually};
 use googletest::prelude::*;
 use hornbeam_ctl::Exit;
+use hornbeam_node::Host;
 use serde_json::Value;
 
 /// `Standins` is a process of stand-ins that ends with the test.
--- a/crates/ctl/tests/operators.rs
+++ b/crates/ctl/tests/operators.rs
@@ -8,6 +8,7 @@
 use goldenfile::Mint;
 use googletest::prelude::*;
 use hornbeam_ctl::Exit;
+use hornbeam_node::Host;
 use serde_json::Value;
 
 /// Guards against a command line that disagrees with a control host on
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -1,63 +1,83 @@
 //! The run of one host from start to the end of its drain.
 
+use std::future::pending;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use eyre::{Result, WrapErr, bail};
 use hornbeam_core::event::Event;
 use hornbeam_core::log_event;
-use hornbeam_node::{
-    ControlHost, ControlOptions, EntryHost, EntryOptions, FleetEntryHost, FleetEntryOptions,
-};
+use hornbeam_node::{ControlHost, EntryHost, FleetEntryHost, Host};
 use tokio::signal::unix::{Signal, SignalKind, signal};
 
 use crate::host_file::HostFile;
 use crate::settings::RoleSettings;
 
-/// Runs a host until it is drained.
+/// Runs the host of a role until it is drained.
 ///
 /// # Errors
 /// If the host cannot start or stops because of an error.
 pub(crate) async fn run(role: RoleSettings) -> Result<()> {
-    let stop_signals = StopSignals::new()?;
     match role {
-        RoleSettings::Entry(options) => run_entry(*options, stop_signals).await,
-        RoleSettings::Control(options) => run_control(*options, stop_signals).await,
+        RoleSettings::Entry(options) => {
+            let host_id = options.dispatch.host_id.clone();
+            let starting = EntryHost::start(*options);
+            run_host(&host_id, "entry host", starting, async |_| pending().await).await
+        }
+        RoleSettings::Control(options) => {
+            let host_id = options.host_id.clone();
+            let starting = ControlHost::start(*options);
+            run_host(&host_id, "control host", starting, async |_| {
+                pending().await
+            })
+            .await
+        }
         RoleSettings::FleetEntry(options, path) => {
-            run_fleet_entry(*options, stop_signals, SettingsWatch::new(path)?).await
+            let mut settings = SettingsWatch::new(path)?;
+            let host_id = options.fleet.host_id.clone();
+            let starting = FleetEntryHost::start(*options);
+            let kind = "entry host of guarded workers";
+            run_host(&host_id, kind, starting, async |host| {
+                loop {
+                    take_over(host, settings.changed().await);
+                }
+            })
+            .await
         }
         RoleSettings::FleetControl(options, path) => {
             let settings = SettingsWatch::new(path)?;
-            tokio::select! {
-                result = run_control(*options, stop_signals) => result,
-                () = note_changes(settings) => Ok(()),
-            }
+            let host_id = options.host_id.clone();
+            let starting = ControlHost::start(*options);
+            let kind = "control host of guarded workers";
+            run_host(&host_id, kind, starting, async |_| {
+                note_changes(settings).await
+            })
+            .await
         }
     }
 }
 
-async fn run_fleet_entry(
-    options: FleetEntryOptions,
-    mut stop_signals: StopSignals,
-    mut settings: SettingsWatch,
+/// Runs a host until it is drained; `watch` runs beside it until then.
+async fn run_host<H: Host>(
+    host_id: &str,
+    kind: &str,
+    starting: impl Future<Output = Result<H>>,
+    watch: impl AsyncFnOnce(&H),
 ) -> Result<()> {
-    let host_id = options.fleet.host_id.clone();
-    log_event!(Event::ProcessStarting, host = host_id; "entry host of guarded workers starts");
-    let (callers, links) = (options.caller_listen, options.fleet.link_address);
-    let host = FleetEntryHost::start(options).await?;
-    log_listening(&host_id, callers, links);
-    loop {
-        tokio::select! {
-            () = stop_signals.next() => break host.start_drain(),
-            () = host.drained() => break,
-            file = settings.changed() => take_over(&host, file),
-        }
+    let mut stop_signals = StopSignals::new()?;
+    log_event!(Event::ProcessStarting, host = host_id; "{kind} starts");
+    let host = starting.await?;
+    log_listening(host_id, host.http_address(), host.link_address());
+    tokio::select! {
+        () = stop_signals.next() => host.start_drain(),
+        () = host.stopped() => {}
+        () = watch(&host) => {}
     }
-    host.drained().await;
+    host.stopped().await;
     let failed = host.has_failed();
     host.stop().await;
     if failed {
-        bail!("the entry host stopped because of an error");
+        bail!("the {kind} stopped because of an error");
     }
     Ok(())
 }
@@ -76,42 +96,6 @@
     }
 }
 
-async fn run_entry(options: EntryOptions, mut stop_signals: StopSignals) -> Result<()> {
-    let host_id = options.dispatch.host_id.clone();
-    log_event!(Event::ProcessStarting, host = host_id; "entry host starts");
-    let host = EntryHost::start(options).await?;
-    log_listening(&host_id, host.http_address(), host.link_address());
-    tokio::select! {
-        () = stop_signals.next() => host.start_drain(),
-        () = host.drained() => {}
-    }
-    host.drained().await;
-    let failed = host.has_failed();
-    host.stop().await;
-    if failed {
-        bail!("the entry host stopped because of an error");
-    }
-    Ok(())
-}
-
-async fn run_control(options: ControlOptions, mut stop_signals: StopSignals) -> Result<()> {
-    let host_id = options.host_id.clone();
-    log_event!(Event::ProcessStarting, host = host_id; "control host starts");
-    let host = ControlHost::start(options).await?;
-    log_listening(&host_id, host.http_address(), host.link_address());
-    tokio::select! {
-        () = stop_signals.next() => host.start_drain(),
-        () = host.stopped() => {}
-    }
-    host.stopped().await;
-    let failed = host.has_failed();
-    host.stop().await;
-    if failed {
-        bail!("the control host stopped because of an error");
-    }
-    Ok(())
-}
-
 /// Time between two looks at the settings file, which may change without a
 /// signal.
 const FILE_PERIOD: Duration = Duration::from_millis(1000);
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -30,7 +30,7 @@
 use hornbeam_timer::TimerService;
 use hornbeam_transport::{LinkOptions, ServerOptions};
 use tokio::net::TcpListener;
-use tokio::sync::{mpsc, oneshot, watch};
+use tokio::sync::{mpsc, watch};
 use tokio::task::JoinSet;
 
 use self::fleet::registry::EntryRegistry;
@@ -44,8 +44,8 @@
 use self::routes::Routes;
 use self::shell::{ControlShell, Waiting};
 use crate::config_watch::ConfigWatch;
-use crate::lifecycle::{LifeEvent, Lifecycle};
-use crate::link_server;
+use crate::host::{Host, Running};
+use crate::lifecycle::Lifecycle;
 
 /// `ControlOptions` are the settings of a control host.
 #[derive(Clone, Debug, PartialEq)]
@@ -91,12 +91,8 @@
 pub struct ControlHost {
     http_address: SocketAddr,
     link_address: SocketAddr,
-    life: Arc<Lifecycle>,
     shell: ControlHandle,
-    http: HttpServer,
-    fleet_http: Option<HttpServer>,
-    end_links: oneshot::Sender<()>,
-    tasks: JoinSet<()>,
+    running: Running,
 }
 
 impl ControlHost {
@@ -148,81 +144,51 @@
         };
         tasks.spawn_blocking(move || disk::run(disk, &disk_requests, &events));
         tasks.spawn(control_shell.run(inputs, disk_events));
-        let (end_links, links_end) = oneshot::channel();
-        let service = parts.links(replica_id, leader, link_address.port());
-        let server_options = ServerOptions {
-            credential: options.link_credential.clone(),
+        let http_address = http.address();
+        let mut servers = vec![http];
+        if let Some(fleet) = &options.fleet {
+            servers.push(parts.serve_fleet(&options, fleet, &shell).await?);
+        }
+        let links = parts.links(replica_id, leader, link_address.port());
+        let options = ServerOptions {
+            credential: options.link_credential,
             ..ServerOptions::default()
         };
-        tasks.spawn(link_server::run(
-            listener,
-            service,
-            server_options,
-            links_end,
-        ));
-        let fleet_http = match &options.fleet {
-            Some(fleet) => Some(parts.serve_fleet(&options, fleet, &shell).await?),
-            None => None,
-        };
-        parts.life.on(LifeEvent::Listening);
+        let running = Running::start(parts.life, servers, tasks, listener, links, options);
         Ok(Self {
-            fleet_http,
-            http_address: http.address(),
+            http_address,
             link_address,
-            life: parts.life,
             shell,
-            http,
-            end_links,
-            tasks,
+            running,
         })
     }
 
-    /// Gets the bound HTTP address.
-    pub fn http_address(&self) -> SocketAddr {
-        self.http_address
-    }
-
-    /// Gets the bound link address.
-    pub fn link_address(&self) -> SocketAddr {
-        self.link_address
-    }
-
-    /// Starts to drain; new changes and claims are refused.
-    pub fn start_drain(&self) {
-        self.life.on(LifeEvent::Drain);
+    /// Stops at once, as a crash would.
+    pub fn abort(self) {
+        self.running.abort();
     }
+}
 
-    /// Waits until the host has stopped by itself, for example because its
-    /// disk failed or an operator drained it.
-    pub async fn stopped(&self) {
-        self.life.stopped().await;
+impl Host for ControlHost {
+    fn life(&self) -> &Lifecycle {
+        &self.running.life
     }
 
-    /// Whether the host stopped because of an error.
-    pub fn has_failed(&self) -> bool {
-        self.life.has_failed()
+    fn http_address(&self) -> SocketAddr {
+        self.http_address
     }
 
-    /// Stops and joins everything.
-    pub async fn stop(mut self) {
-        self.start_drain();
-        self.stopped().await;
-        // Answers that the loop has given are still being written.
-        self.http.stop().await;
-        if let Some(fleet_http) = self.fleet_http {
-            fleet_http.stop().await;
-        }
-        // Both fail only if the receiving task has ended already.
-        let _ = self.end_links.send(());
-        let _ = self.shell.send(ControlInput::Stop).await;
-        while self.tasks.join_next().await.is_some() {}
+    fn link_address(&self) -> SocketAddr {
+        self.link_address
     }
 
-    /// Stops at once, as a crash would.
-    pub fn abort(mut self) {
-        self.http.abort();
-        drop(self.fleet_http.take());
-        self.tasks.abort_all();
+    async fn stop(self) {
+        let shell = self.shell;
+        let stop_loop = async move {
+            // Fails only if the loop has ended already.
+            let _ = shell.send(ControlInput::Stop).await;
+        };
+        self.running.stop(stop_loop).await;
     }
 }
 
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -24,7 +24,6 @@
 use hornbeam_timer::TimerService;
 use hornbeam_transport::{Link, LinkOptions, ServerOptions};
 use tokio::net::TcpListener;
-use tokio::sync::oneshot;
 use tokio::task::JoinSet;
 
 use self::claims::ClaimCaller;
@@ -38,8 +37,8 @@
 use self::routes::Routes;
 use self::shell::Shell;
 use crate::config_watch::ConfigWatch;
-use crate::lifecycle::{LifeEvent, Lifecycle};
-use crate::link_server;
+use crate::host::{Host, Running};
+use crate::lifecycle::Lifecycle;
 use crate::reply::BodyBudget;
 
 /// Connections that a backend server accepts in all.
@@ -99,11 +98,8 @@
 #[derive(Debug)]
 pub struct EntryHost {
     addresses: Addresses,
-    life: Arc<Lifecycle>,
     shell: ShellHandle,
-    http: HttpServer,
-    end_links: oneshot::Sender<()>,
-    tasks: JoinSet<()>,
+    running: Running,
 }
 
 impl EntryHost {
@@ -132,68 +128,38 @@
         tasks.spawn(parts.shell(&options)?.run(receiver));
         tasks.spawn(parts.status_sender(&options, &shell, addresses).run());
         tasks.spawn(parts.follower(&options, &shell).run());
-        let (end_links, links_end) = oneshot::channel();
-        let service = parts.links(&shell);
-        let server_options = server_options(&options);
-        tasks.spawn(link_server::run(
-            listener,
-            service,
-            server_options,
-            links_end,
-        ));
-        parts.life.on(LifeEvent::Listening);
+        let links = parts.links(&shell);
+        let options = server_options(&options);
+        let running = Running::start(parts.life, vec![http], tasks, listener, links, options);
         Ok(Self {
             addresses,
-            life: parts.life,
             shell,
-            http,
-            end_links,
-            tasks,
+            running,
         })
     }
 
-    /// Gets the bound HTTP address.
-    pub fn http_address(&self) -> SocketAddr {
-        self.addresses.http
-    }
-
-    /// Gets the bound link address.
-    pub fn link_address(&self) -> SocketAddr {
-        self.addresses.link
-    }
-
-    /// Starts to drain; new work is refused.
-    pub fn start_drain(&self) {
-        self.life.on(LifeEvent::Drain);
+    /// Stops at once, as a crash would.
+    pub fn abort(self) {
+        self.running.abort();
     }
+}
 
-    /// Waits until a drain is complete. It may have been started by
-    /// [`EntryHost::start_drain`] or by an operator's request.
-    pub async fn drained(&self) {
-        self.life.stopped().await;
+impl Host for EntryHost {
+    fn life(&self) -> &Lifecycle {
+        &self.running.life
     }
 
-    /// Whether the host stopped because of an error.
-    pub fn has_failed(&self) -> bool {
-        self.life.has_failed()
+    fn http_address(&self) -> SocketAddr {
+        self.addresses.http
     }
 
-    /// Drains, stops and joins everything.
-    pub async fn stop(mut self) {
-        self.start_drain();
-        self.drained().await;
-        // Answers that the shell loop has given are still being written.
-        self.http.stop().await;
-        // Fails only if the link server has ended already.
-        let _ = self.end_links.send(());
-        self.shell.stop().await;
-        while self.tasks.join_next().await.is_some() {}
+    fn link_address(&self) -> SocketAddr {
+        self.addresses.link
     }
 
-    /// Stops at once, as a crash would.
-    pub fn abort(mut self) {
-        self.http.abort();
-        self.tasks.abort_all();
+    async fn stop(self) {
+        let shell = self.shell;
+        self.running.stop(async move { shell.stop().await }).await;
     }
 }
 
--- a/crates/node/src/fleet_entry.rs
+++ b/crates/node/src/fleet_entry.rs
@@ -22,7 +22,7 @@
 use hornbeam_timer::TimerService;
 use hornbeam_transport::{LinkOptions, ServerOptions};
 use tokio::net::TcpListener;
-use tokio::sync::{oneshot, watch};
+use tokio::sync::watch;
 use tokio::task::JoinSet;
 
 use self::caller::CallerRoutes;
@@ -33,8 +33,8 @@
 use self::orders::Orders;
 use self::reports::ReportRoutes;
 use self::shell::{EntryShell, InForce};
-use crate::lifecycle::{LifeEvent, Lifecycle};
-use crate::link_server;
+use crate::host::{Host, Running};
+use crate::lifecycle::Lifecycle;
 
 /// `FleetEntryOptions` are the settings of an entry host of guarded workers.
 #[derive(Clone, Debug, PartialEq)]
@@ -58,12 +58,11 @@
 /// `FleetEntryHost` is a running entry host of guarded workers.
 #[derive(Debug)]
 pub struct FleetEntryHost {
-    life: Arc<Lifecycle>,
+    caller_address: SocketAddr,
+    link_address: SocketAddr,
     shell: EntryHandle,
-    servers: Vec<HttpServer>,
     control_hosts: watch::Sender<Vec<SocketAddr>>,
-    end_links: oneshot::Sender<()>,
-    tasks: JoinSet<()>,
+    running: Running,
 }
 
 impl FleetEntryHost {
@@ -116,26 +115,18 @@
             life: Arc::clone(&life),
         };
         tasks.spawn(membership.run());
-        let service = EntryLinks {
+        let links = EntryLinks {
             shell: shell.clone(),
             in_force,
         };
-        let (end_links, links_end) = oneshot::channel();
-        let server_options = ServerOptions::default();
-        tasks.spawn(link_server::run(
-            listener,
-            service,
-            server_options,
-            links_end,
-        ));
-        life.on(LifeEvent::Listening);
+        let link_options = ServerOptions::default();
+        let running = Running::start(life, servers, tasks, listener, links, link_options);
         Ok(Self {
-            life,
+            caller_address: options.caller_listen,
+            link_address,
             shell,
-            servers,
             control_hosts,
-            end_links,
-            tasks,
+            running,
         })
     }
 
@@ -143,34 +134,28 @@
     pub fn use_control_hosts(&self, control_hosts: Vec<SocketAddr>) {
         self.control_hosts.send_replace(control_hosts);
     }
+}
 
-    /// Starts to drain; after a while new jobs are refused.
-    pub fn start_drain(&self) {
-        self.life.on(LifeEvent::Drain);
+impl Host for FleetEntryHost {
+    fn life(&self) -> &Lifecycle {
+        &self.running.life
     }
 
-    /// Waits until nothing is left to do.
-    pub async fn drained(&self) {
-        self.life.stopped().await;
+    fn http_address(&self) -> SocketAddr {
+        self.caller_address
     }
 
-    /// Whether the host stopped because of an error.
-    pub fn has_failed(&self) -> bool {
-        self.life.has_failed()
+    fn link_address(&self) -> SocketAddr {
+        self.link_address
     }
 
-    /// Drains, stops and joins everything.
-    pub async fn stop(mut self) {
-        self.start_drain();
-        self.drained().await;
-        // Answers that the loop has given are still being written.
-        for server in self.servers {
-            server.stop().await;
-        }
-        // Both fail only if the receiving task has ended already.
-        let _ = self.end_links.send(());
-        let _ = self.shell.send(input::EntryInput::Stop);
-        while self.tasks.join_next().await.is_some() {}
+    async fn stop(self) {
+        let shell = self.shell;
+        let stop_loop = async move {
+            // Fails only if the loop has ended already.
+            let _ = shell.send(input::EntryInput::Stop);
+        };
+        self.running.stop(stop_loop).await;
     }
 }
 
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -1,7 +1,7 @@
 //! Entry host and control host: the I/O around the decisions.
 //!
-//! [`EntryHost`] drives `hornbeam-dispatch`, [`ControlHost`] drives
-//! `hornbeam-control`. Both serve HTTP and links; see `docs/design.md`,
+//! [`EntryHost`] drives `hornbeam-dispatch`, [`FleetEntryHost`] drives
+//! `hornbeam-fleet`, [`ControlHost`] drives `hornbeam-control`. Both serve HTTP and links; see `docs/design.md`,
 //! sections 5 and 14.
 
 #![forbid(unsafe_code)]
@@ -11,6 +11,7 @@
 mod credential;
 pub mod entry;
 pub mod fleet_entry;
+mod host;
 mod lifecycle;
 mod link_server;
 mod metrics;
@@ -20,6 +21,8 @@
 pub use control::{ControlHost, ControlOptions, FleetControlOptions};
 pub use entry::{EntryHost, EntryOptions};
 pub use fleet_entry::{FleetEntryHost, FleetEntryOptions};
+pub use host::Host;
+pub use lifecycle::Lifecycle;
 pub use wire::{
     ApplyAnswer, EntryRegistration, MembersAnswer, Membership, PublishAnswer, Request,
     RequestAnswer,
--- a/crates/node/src/lifecycle.rs
+++ b/crates/node/src/lifecycle.rs
@@ -49,7 +49,7 @@
 
 /// `Lifecycle` holds the state of one process and wakes those who wait for it.
 #[derive(Debug)]
-pub(crate) struct Lifecycle {
+pub struct Lifecycle {
     machine: Machine<DaemonChart>,
     state: watch::Sender<LifeState>,
     failed: AtomicBool,
--- a/crates/node/tests/harness/mod.rs
+++ b/crates/node/tests/harness/mod.rs
@@ -17,7 +17,7 @@
 use hornbeam_core::ids::ReplicaId;
 use hornbeam_dispatch::DispatchOptions;
 use hornbeam_http::{ClientOptions, HttpClient, Reply};
-use hornbeam_node::{ControlHost, ControlOptions, EntryHost, EntryOptions};
+use hornbeam_node::{ControlHost, ControlOptions, EntryHost, EntryOptions, Host};
 use hornbeam_standin::{FaultPlan, StandinOptions, StandinServer};
 use tempfile::TempDir;
 
--- a/crates/node/tests/metrics.rs
+++ b/crates/node/tests/metrics.rs
@@ -2,6 +2,7 @@
 
 mod harness;
 
+use hornbeam_node::Host;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
