Check workers whose look may be lost

Cause: a look waits at its worker for the next end, up to 400 ms, and counts as lost 150 ms later.

Ruled out: lost starts (repeated after 40 ms; one unclear start in 4 s) and want of capacity (no waiting tasks in the lines of late jobs).

While looks get lost, a look that has not returned 25 ms after a run should have ended is followed by a check, a second look that waits for nothing. A lost look at a worker that has answered a check is repeated at once.

Nothing is checked while no look is lost.

--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -60,6 +60,8 @@
     pub(crate) was_waiting: bool,
     /// Workers handed over during a drain, with the heir and the generation.
     pub(crate) handed_over: IndexMap<WorkerId, (HostId, Generation)>,
+    /// When a look was last lost.
+    pub(crate) look_lost_at: Option<Duration>,
     pub(crate) drain_started: Option<Duration>,
     pub(crate) outputs: Vec<FleetOutput>,
 }
@@ -96,6 +98,7 @@
             room_changed: false,
             was_waiting: false,
             handed_over: IndexMap::new(),
+            look_lost_at: None,
             drain_started: None,
             outputs: Vec::new(),
         }
@@ -135,6 +138,7 @@
                 self.on_stop_answered(number, run, answer);
             }
             FleetInput::Looked(number, answer) => self.on_looked(number, answer),
+            FleetInput::Checked(number, answer) => self.on_checked(number, answer),
             FleetInput::Batch(batch) => self.on_batch(batch),
             FleetInput::BatchEnded(host, taken) => {
                 if let Some(peer) = self.peers.get_mut(&host) {
--- a/crates/fleet/src/io.rs
+++ b/crates/fleet/src/io.rs
@@ -42,6 +42,8 @@
     StopAnswered(WorkerNumber, RunId, StopAnswer),
     /// A look was answered, or not.
     Looked(WorkerNumber, LookAnswer),
+    /// A check was answered, or not.
+    Checked(WorkerNumber, LookAnswer),
     /// A peer's batch of messages arrived.
     Batch(PeerBatch),
     /// The batch under way to a peer ended; whether the peer took it.
@@ -65,6 +67,9 @@
     Stop(StopOrder),
     /// Look at a worker; the end goes back as [`FleetInput::Looked`].
     Look(LookOrder),
+    /// Look at a worker while another look may be under way; the end goes back
+    /// as [`FleetInput::Checked`].
+    Check(LookOrder),
     /// Send a batch to a peer at an address; its end goes back as
     /// [`FleetInput::BatchEnded`].
     SendBatch(HostId, SocketAddr, PeerBatch),
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -6,6 +6,7 @@
 #![forbid(unsafe_code)]
 
 mod admission;
+mod checks;
 mod draining;
 mod estimates;
 mod fleet;
--- a/crates/fleet/src/looks.rs
+++ b/crates/fleet/src/looks.rs
@@ -23,6 +23,7 @@
         for number in numbers {
             self.send_stops(number);
             self.send_look(number);
+            self.send_check(number);
         }
     }
 
@@ -63,15 +64,21 @@
         match answer {
             LookAnswer::Generation => self.lose_ownership(number),
             LookAnswer::OtherIncarnation => self.worker_restarted(number),
-            LookAnswer::Unanswered => self.look_missed(number),
+            LookAnswer::Unanswered => self.look_missed(number, sent_at),
             LookAnswer::Seen(observation) => self.on_seen(number, sent_at, &observation),
         }
     }
 
-    fn look_missed(&mut self, number: WorkerNumber) {
+    fn look_missed(&mut self, number: WorkerNumber, sent_at: Duration) {
+        self.note_lost_look();
         let Some(worker) = self.workers.get_mut(&number) else {
             return;
         };
+        if worker.looked_at > sent_at {
+            // A check has shown that only the look was lost.
+            worker.next_look_at = self.now;
+            return;
+        }
         worker.misses += 1;
         let pause = LOOK_AGAIN * 2_u32.pow((worker.misses - 1).min(5));
         worker.next_look_at = self.now + pause.min(MAX_LOOK_PAUSE);
@@ -86,7 +93,7 @@
         self.log(Event::WorkerUnanswered, subject, message);
     }
 
-    fn on_seen(&mut self, number: WorkerNumber, sent_at: Duration, seen: &Observation) {
+    pub(crate) fn on_seen(&mut self, number: WorkerNumber, sent_at: Duration, seen: &Observation) {
         let now = self.now;
         let Some(worker) = self.workers.get_mut(&number) else {
             return;
@@ -97,6 +104,7 @@
         }
         worker.lease.read(seen.clock_ms, now);
         worker.seen_at = now;
+        worker.looked_at = now;
         worker.next_look_at = now;
         if worker.misses > 0 {
             worker.misses = 0;
@@ -172,13 +180,16 @@
 
     /// Compares the runs that should be there with those that are listed.
     fn compare_runs(&mut self, number: WorkerNumber, sent_at: Duration, seen: &Observation) {
+        let now = self.now;
         let Some(worker) = self.workers.get_mut(&number) else {
             return;
         };
         let listed = |id: &RunId| seen.running.iter().any(|row| row.run == *id);
         for (id, run) in &mut worker.runs {
             if matches!(run.state, RunState::Starting(_) | RunState::Unclear) && listed(id) {
-                run.state = RunState::Running(sent_at);
+                // Answers overtake each other: only what is sent from now on
+                // certainly finds the run there.
+                run.state = RunState::Running(now);
             }
         }
         let missing = |(id, run): &(&RunId, &crate::worker::Run)| {
--- a/crates/fleet/src/ownership.rs
+++ b/crates/fleet/src/ownership.rs
@@ -171,6 +171,7 @@
         };
         let stops = worker.runs.values().filter_map(|run| run.stop_at);
         let first_stop = stops.min().unwrap_or(look_at);
-        look_at.min(first_stop)
+        let check_at = self.check_at(worker).unwrap_or(look_at);
+        look_at.min(first_stop).min(check_at)
     }
 }
--- a/crates/fleet/src/worker.rs
+++ b/crates/fleet/src/worker.rs
@@ -31,10 +31,16 @@
     pub(crate) acknowledged: u64,
     /// When the look under way was sent.
     pub(crate) look_sent_at: Option<Duration>,
+    /// When the check under way was sent.
+    pub(crate) check_sent_at: Option<Duration>,
+    /// Time before which no check is sent.
+    pub(crate) next_check_at: Duration,
     /// When the next look is due, if none is under way.
     pub(crate) next_look_at: Duration,
     /// Looks in a row without an answer.
     pub(crate) misses: u32,
+    /// When it last answered a look or a check.
+    pub(crate) looked_at: Duration,
     /// When it last answered an order or a look.
     pub(crate) seen_at: Duration,
     /// Time before which it gets no new run.
@@ -105,8 +111,11 @@
             used: Room::default(),
             acknowledged: 0,
             look_sent_at: None,
+            check_sent_at: None,
+            next_check_at: Duration::ZERO,
             next_look_at: now,
             misses: 0,
+            looked_at: now,
             seen_at: now,
             blocked_until: Duration::ZERO,
             failures: 0,
--- a/crates/fleet/tests/common/mod.rs
+++ b/crates/fleet/tests/common/mod.rs
@@ -110,7 +110,18 @@
 
     /// Answers the look under way at a worker.
     pub fn seen(&mut self, number: u64, running: &[RunId], ended: &[(u64, RunId, RunEnd)]) {
-        let observation = Observation {
+        let answer = self.observed(running, ended);
+        self.step(FleetInput::Looked(number, answer));
+    }
+
+    /// Answers the check under way at a worker.
+    pub fn checked(&mut self, number: u64, running: &[RunId], ended: &[(u64, RunId, RunEnd)]) {
+        let answer = self.observed(running, ended);
+        self.step(FleetInput::Checked(number, answer));
+    }
+
+    fn observed(&self, running: &[RunId], ended: &[(u64, RunId, RunEnd)]) -> LookAnswer {
+        LookAnswer::Seen(Observation {
             clock_ms: u64::try_from(self.now.as_millis()).expect("a small time"),
             born_unix_ms: None,
             running: running.iter().map(|run| row(*run)).collect(),
@@ -122,8 +133,7 @@
                     end: *end,
                 })
                 .collect(),
-        };
-        self.step(FleetInput::Looked(number, LookAnswer::Seen(observation)));
+        })
     }
 
     /// Answers a start with the worker's clock.
@@ -159,6 +169,13 @@
         })
     }
 
+    pub fn checks(&mut self) -> Vec<LookOrder> {
+        self.take(|output| match output {
+            FleetOutput::Check(order) => Some(order.clone()),
+            _ => None,
+        })
+    }
+
     /// Takes the only look given so far.
     pub fn look(&mut self) -> LookOrder {
         let looks = self.looks();
--- a/crates/node/src/fleet_entry/metrics.rs
+++ b/crates/node/src/fleet_entry/metrics.rs
@@ -161,6 +161,7 @@
             FleetInput::StartAnswered(_, _, answer) => ("start", start_answer_name(*answer)),
             FleetInput::StopAnswered(_, _, answer) => ("stop", stop_answer_name(*answer)),
             FleetInput::Looked(_, answer) => ("look", look_answer_name(answer)),
+            FleetInput::Checked(_, answer) => ("check", look_answer_name(answer)),
             FleetInput::BatchEnded(_, taken) => {
                 let outcome = if *taken { "taken" } else { "not_taken" };
                 self.batches.get_or_create(&OutcomeLabel { outcome }).inc();
--- a/crates/node/src/fleet_entry/orders.rs
+++ b/crates/node/src/fleet_entry/orders.rs
@@ -75,6 +75,14 @@
         });
     }
 
+    pub(crate) fn check(&mut self, order: LookOrder) {
+        let calls = self.calls.clone();
+        self.tasks.spawn(async move {
+            let answer = calls.look(&order).await;
+            FleetInput::Checked(order.target.number, answer)
+        });
+    }
+
     /// Sends a batch to the peer at an address.
     pub(crate) fn send_batch(&mut self, to: (String, SocketAddr), batch: PeerBatch) {
         let (host, address) = to;
--- a/crates/node/src/fleet_entry/shell.rs
+++ b/crates/node/src/fleet_entry/shell.rs
@@ -189,6 +189,7 @@
             FleetOutput::Start(order) => self.orders.start(order),
             FleetOutput::Stop(order) => self.orders.stop(order),
             FleetOutput::Look(order) => self.orders.look(order),
+            FleetOutput::Check(order) => self.orders.check(order),
             FleetOutput::SendBatch(host, address, batch) => {
                 self.orders.send_batch((host, address), batch);
             }
