Exchange statuses with neighbours only

Cause: entry hosts sent each other a batch at least every 200 ms, between all pairs: with 35 hosts 170 batches a second out and as many in at each, more than its orders to workers (some 180 a second).

Ruled out: want of room (no waiting tasks in the lines of most late jobs), retries (a few in a thousand jobs).

Each host now chooses three hosts of its own failure domain and four in all of the others, by a hash of both ids, and exchanges statuses with those and with the hosts that chose it. Origins of tasks that run here still get a batch every 200 ms. Neither the messages nor the times change.

--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use hornbeam_core::event::Event;
-use hornbeam_core::ids::{HostId, TaskIndex, WorkerId};
+use hornbeam_core::ids::{FailureDomainId, HostId, TaskIndex, WorkerId};
 use indexmap::IndexMap;
 
 use crate::admission::RecentJobs;
@@ -54,6 +54,10 @@
     /// Tasks of peers that wait for room here, the most urgent first.
     pub(crate) waiting_guests: BTreeSet<(Duration, RunId)>,
     pub(crate) peers: IndexMap<HostId, Peer>,
+    /// Hosts that were present when the neighbours were chosen.
+    pub(crate) present: BTreeSet<(FailureDomainId, HostId)>,
+    /// When the neighbours are next chosen.
+    pub(crate) next_choice_at: Duration,
     /// Whether room has become free or short since peers were told.
     pub(crate) room_changed: bool,
     /// Whether tasks waited when peers were last told.
@@ -95,6 +99,8 @@
             guests: IndexMap::new(),
             waiting_guests: BTreeSet::new(),
             peers: IndexMap::new(),
+            present: BTreeSet::new(),
+            next_choice_at: Duration::ZERO,
             room_changed: false,
             was_waiting: false,
             handed_over: IndexMap::new(),
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -16,6 +16,7 @@
 mod job;
 mod lease;
 mod looks;
+mod neighbours;
 mod options;
 mod ownership;
 mod peer;
--- a/crates/fleet/src/peer.rs
+++ b/crates/fleet/src/peer.rs
@@ -137,6 +137,10 @@
 pub(crate) struct Peer {
     pub(crate) address: SocketAddr,
     pub(crate) failure_domain: FailureDomainId,
+    /// When a control host has last listed it.
+    pub(crate) listed_at: Option<Duration>,
+    /// Whether it gets a batch at least every [`HEARTBEAT`].
+    pub(crate) is_neighbour: bool,
     /// Time of its newest batch, which tells the process that sent it.
     pub(crate) newest: Option<BatchTime>,
     /// Its former processes, the last one first.
@@ -222,6 +226,8 @@
         Self {
             address,
             failure_domain,
+            listed_at: None,
+            is_neighbour: false,
             newest: None,
             former: VecDeque::new(),
             heard_at: None,
@@ -233,7 +239,7 @@
             under_way: None,
             sequence: 0,
             next_batch_at: Duration::ZERO,
-            status_due: true,
+            status_due: false,
             last_status_at: None,
         }
     }
@@ -307,14 +313,24 @@
         self.next_batch_at = now + RESEND_PAUSE;
     }
 
+    /// Whether a heartbeat is due if this peer gets any.
+    pub(crate) fn is_beat_due(&self, now: Duration) -> bool {
+        now >= self.next_batch_at
+    }
+
     /// Gets when the next batch may be due.
     pub(crate) fn wakeup(&self, now: Duration) -> Duration {
+        let next_beat_at = if self.is_neighbour {
+            self.next_batch_at
+        } else {
+            Duration::MAX
+        };
         match &self.under_way {
             Some(under_way) if under_way.is_sending => now + HEARTBEAT,
             Some(_) => self.next_batch_at,
             None if !self.outbox.is_empty() => now,
-            None if self.status_due => self.status_at().min(self.next_batch_at),
-            None => self.next_batch_at,
+            None if self.status_due => self.status_at().min(next_beat_at),
+            None => next_beat_at,
         }
     }
 
@@ -329,6 +345,7 @@
         now: Duration,
         from: &Sender,
         status: &PeerStatus,
+        beats: bool,
     ) -> Option<PeerBatch> {
         if let Some(under_way) = &mut self.under_way {
             if under_way.is_sending || now < self.next_batch_at {
@@ -340,7 +357,7 @@
             under_way.batch.echo = self.newest;
             return Some(under_way.batch.clone());
         }
-        let is_beat = now >= self.next_batch_at;
+        let is_beat = beats && self.is_beat_due(now);
         let has_status = is_beat || (self.status_due && now >= self.status_at());
         if self.outbox.is_empty() && !has_status {
             return None;
--- a/crates/fleet/src/peering.rs
+++ b/crates/fleet/src/peering.rs
@@ -1,7 +1,10 @@
 //! The other entry hosts: batches, statuses, silence.
 
+use std::net::SocketAddr;
+use std::time::Duration;
+
 use hornbeam_core::event::Event;
-use hornbeam_core::ids::HostId;
+use hornbeam_core::ids::{FailureDomainId, HostId};
 
 use crate::fleet::Fleet;
 use crate::io::{FleetOutput, PeerAddress, Subject};
@@ -10,25 +13,36 @@
 
 impl Fleet {
     pub(crate) fn on_peers(&mut self, addresses: Vec<PeerAddress>) {
+        let now = self.now;
         for address in addresses {
             if address.host_id == self.options.host_id {
                 continue;
             }
-            let peer = self
-                .peers
-                .entry(address.host_id)
-                .or_insert_with(|| Peer::new(address.address, address.failure_domain));
+            let peer = self.known_peer(address.host_id, address.address, address.failure_domain);
             peer.address = address.address;
+            peer.listed_at = Some(now);
         }
     }
 
+    /// Gets what is known of a host; one that is new may become a neighbour at
+    /// once.
+    fn known_peer(
+        &mut self,
+        host: HostId,
+        address: SocketAddr,
+        failure_domain: FailureDomainId,
+    ) -> &mut Peer {
+        let next_choice_at = &mut self.next_choice_at;
+        self.peers.entry(host).or_insert_with(|| {
+            *next_choice_at = Duration::ZERO;
+            Peer::new(address, failure_domain)
+        })
+    }
+
     pub(crate) fn on_batch(&mut self, batch: PeerBatch) {
         let now = self.now;
         let host = batch.from.clone();
-        let peer = self
-            .peers
-            .entry(host.clone())
-            .or_insert_with(|| Peer::new(batch.address, batch.failure_domain.clone()));
+        let peer = self.known_peer(host.clone(), batch.address, batch.failure_domain);
         match peer.note_time(batch.time) {
             SendingProcess::Present => {}
             SendingProcess::Restarted => {
@@ -69,7 +83,7 @@
                 if end == crate::io::RunEnd::Done
                     && let Some(job) = self.jobs.get(&run.job)
                 {
-                    let took = std::time::Duration::from_millis(took_ms);
+                    let took = Duration::from_millis(took_ms);
                     self.estimates.learn(&job.queue, job.declared, took);
                 }
                 self.task_ended(run, end, None);
@@ -125,6 +139,7 @@
     /// runs tasks of this one, which are over.
     pub(crate) fn watch_peers(&mut self) {
         self.end_orphaned_guests();
+        self.choose_neighbours();
         let now = self.now;
         let hosts: Vec<HostId> = self.peers.keys().cloned().collect();
         for host in hosts {
@@ -140,7 +155,11 @@
             if peer.heard_at.is_some() && !peer.lost && peer.is_silent(now) {
                 peer.lost = true;
                 peer.clear();
+                let is_missed = peer.is_neighbour;
                 let runs = self.runs_at(&host);
+                if runs.is_empty() && !is_missed {
+                    continue;
+                }
                 self.log(
                     Event::PeerLost,
                     Subject::Peer(host.clone()),
@@ -181,11 +200,15 @@
         let now = self.now;
         let sender = self.sender.clone();
         let mut batches = Vec::new();
+        let guests = &self.guests;
         for (host, peer) in &mut self.peers {
-            if begins_to_wait || (room_changed && peer.status.waiting > 0) {
+            // Hosts whose tasks run here must not give them up.
+            let is_origin = || guests.values().any(|guest| guest.origin == *host);
+            let beats = peer.is_neighbour || (peer.is_beat_due(now) && is_origin());
+            if beats && begins_to_wait || (room_changed && peer.status.waiting > 0) {
                 peer.want_status();
             }
-            if let Some(batch) = peer.next_batch(now, &sender, &status) {
+            if let Some(batch) = peer.next_batch(now, &sender, &status, beats) {
                 batches.push(FleetOutput::SendBatch(host.clone(), peer.address, batch));
             }
         }
--- a/crates/fleet/tests/common/mod.rs
+++ b/crates/fleet/tests/common/mod.rs
@@ -9,10 +9,10 @@
 
 use hornbeam_core::event::Event;
 use hornbeam_fleet::{
-    BatchTime, CallId, EndRow, Fleet, FleetInput, FleetOptions, FleetOutput, JobOutcome, Limits,
-    LookAnswer, LookOrder, Observation, PeerBatch, PeerMessage, Queue, QueueTable, Room, RunEnd,
-    RunId, RunningRow, ServiceTerms, StartAnswer, StartOrder, StopOrder, Subject, Submission,
-    WorkerReport,
+    BatchTime, CallId, ChunkTask, EndRow, Fleet, FleetInput, FleetOptions, FleetOutput, JobOutcome,
+    Limits, LookAnswer, LookOrder, Observation, PeerBatch, PeerMessage, PeerStatus, Queue,
+    QueueTable, Room, RunEnd, RunId, RunningRow, ServiceTerms, StartAnswer, StartOrder, StopOrder,
+    Subject, Submission, TaskChunk, WorkerReport,
 };
 use indexmap::IndexMap;
 
@@ -41,7 +41,17 @@
 impl Bench {
     /// Creates a fleet with a configuration, at the address `10.1.0.HOST`.
     pub fn new(host: u8) -> Self {
-        let options = options(host);
+        Self::with(options(host))
+    }
+
+    /// Creates a fleet with a configuration in a failure domain.
+    pub fn in_domain(host: u8, failure_domain: &str) -> Self {
+        let mut options = options(host);
+        options.failure_domain = failure_domain.into();
+        Self::with(options)
+    }
+
+    fn with(options: FleetOptions) -> Self {
         let mut bench = Self {
             fleet: Fleet::new(options),
             now: Duration::from_secs(1),
@@ -300,3 +310,35 @@
 pub fn run(job: u64, task: u32, attempt: u32) -> RunId {
     RunId { job, task, attempt }
 }
+
+/// Builds a chunk of a job for a peer to run.
+pub fn chunk(job: u64, tasks: u32) -> PeerMessage {
+    let task = |task| ChunkTask { task, attempt: 1 };
+    PeerMessage::Run(TaskChunk {
+        job,
+        service: SERVICE.into(),
+        spec: "work".into(),
+        need: Room {
+            cpu_milli: 8000,
+            memory_mb: 64,
+            accelerators: 0,
+        },
+        expected_ms: 200,
+        lead_ms: 0,
+        start_within_ms: 150,
+        tasks: (0..tasks).map(task).collect(),
+    })
+}
+
+/// Tells the fleet that the peer has just taken its batch.
+pub fn confirm(bench: &mut Bench, host: u8) {
+    bench.step(FleetInput::BatchEnded(format!("entry-{host}"), true));
+}
+
+/// Builds the status of a host whose tasks wait.
+pub fn waiting_status() -> PeerMessage {
+    PeerMessage::Status(PeerStatus {
+        waiting: 1,
+        ..PeerStatus::default()
+    })
+}
--- a/crates/fleet/tests/events.rs
+++ b/crates/fleet/tests/events.rs
@@ -6,13 +6,10 @@
 use std::collections::BTreeSet;
 use std::path::Path;
 
-use common::{Bench, SERVICE, report, run};
+use common::{Bench, chunk, confirm, report, run};
 use googletest::prelude::*;
 use hornbeam_core::event::Event;
-use hornbeam_fleet::{
-    ChunkTask, FleetInput, LookAnswer, PeerMessage, Room, RunEnd, StartAnswer, StartRefusal,
-    Subject, TaskChunk,
-};
+use hornbeam_fleet::{FleetInput, LookAnswer, RunEnd, StartAnswer, StartRefusal, Subject};
 
 type Logged = Vec<(Event, Subject)>;
 
@@ -107,26 +104,10 @@
     bench.receive(2, 1, vec![]);
     bench.pass(1300);
     bench.receive(2, 2, vec![]);
-    bench.step(FleetInput::BatchEnded("entry-2".into(), true));
-    bench.step(FleetInput::BatchEnded("entry-2".into(), true));
-    let chunk = TaskChunk {
-        job: 9,
-        service: SERVICE.into(),
-        spec: "work".into(),
-        need: Room {
-            cpu_milli: 8000,
-            memory_mb: 64,
-            accelerators: 0,
-        },
-        expected_ms: 200,
-        lead_ms: 0,
-        start_within_ms: 150,
-        tasks: vec![ChunkTask {
-            task: 0,
-            attempt: 1,
-        }],
-    };
-    bench.receive(2, 3, vec![PeerMessage::Run(chunk)]);
+    // The batch that was sent before the silence, and one after it.
+    confirm(&mut bench, 2);
+    confirm(&mut bench, 2);
+    bench.receive(2, 3, vec![chunk(9, 1)]);
     let mut anew = bench.batch(2, 1, vec![]);
     anew.time.incarnation += 1;
     bench.step(FleetInput::Batch(anew));
--- a/crates/fleet/tests/peers.rs
+++ b/crates/fleet/tests/peers.rs
@@ -4,11 +4,10 @@
 
 use std::time::Duration;
 
-use common::{Bench, SERVICE, run};
+use common::{Bench, SERVICE, chunk, confirm, run};
 use googletest::prelude::*;
 use hornbeam_fleet::{
-    ChunkTask, FleetInput, PeerBatch, PeerMessage, PeerStatus, Room, RoomOfService, RunEnd, RunId,
-    TaskChunk,
+    FleetInput, PeerBatch, PeerMessage, PeerStatus, Room, RoomOfService, RunEnd, RunId,
 };
 
 fn status(free: &[u32], waiting: u32) -> PeerMessage {
@@ -30,29 +29,6 @@
     })
 }
 
-fn chunk(job: u64, tasks: u32) -> PeerMessage {
-    let task = |task| ChunkTask { task, attempt: 1 };
-    PeerMessage::Run(TaskChunk {
-        job,
-        service: SERVICE.into(),
-        spec: "work".into(),
-        need: Room {
-            cpu_milli: 8000,
-            memory_mb: 64,
-            accelerators: 0,
-        },
-        expected_ms: 200,
-        lead_ms: 0,
-        start_within_ms: 150,
-        tasks: (0..tasks).map(task).collect(),
-    })
-}
-
-/// Tells the fleet that the peer has just taken its batch.
-fn confirm(bench: &mut Bench, host: u8) {
-    bench.step(FleetInput::BatchEnded(format!("entry-{host}"), true));
-}
-
 fn messages(batches: Vec<PeerBatch>) -> Vec<PeerMessage> {
     batches
         .into_iter()
