Log why a job is refused on arrival

The line of a job that was refused on arrival did not have the inputs of the decision. It now names the predicted wait, the tasks ahead and the room.

--- a/crates/fleet/src/admission.rs
+++ b/crates/fleet/src/admission.rs
@@ -71,7 +71,7 @@
             return self.put(FleetOutput::Answer(former, JobOutcome::TimedOut));
         }
         if let Some(refusal) = self.refusal() {
-            return self.refuse(call, submission.job, refusal);
+            return self.refuse(call, submission.job, refusal, "the host takes no job now");
         }
         let queues = self.queues.clone();
         let queue = queues.as_ref().and_then(|queues| {
@@ -79,7 +79,8 @@
             queues.queues.iter().find(named)
         });
         let Some(queue) = queue else {
-            return self.refuse(call, submission.job, NotRun::UnknownQueue);
+            let reason = format!("there is no queue {}", submission.queue);
+            return self.refuse(call, submission.job, NotRun::UnknownQueue, &reason);
         };
         let recent = self.recent.get(submission.job, self.now);
         if let Some(end) = recent
@@ -99,11 +100,13 @@
             return self.put(FleetOutput::Answer(call, JobOutcome::Failed));
         }
         let job = self.new_job(call, &submission, queue, recent);
-        if !job.may_have_started() && self.comes_too_late(&job) {
+        if !job.may_have_started()
+            && let Some(reason) = self.comes_too_late(&job)
+        {
             let refusal = NotRun::Overloaded {
                 retry_after_ms: RETRY_AFTER_MS,
             };
-            return self.refuse(call, submission.job, refusal);
+            return self.refuse(call, submission.job, refusal, &reason);
         }
         self.add_job(submission.job, job);
     }
@@ -118,8 +121,8 @@
         }
     }
 
-    fn refuse(&mut self, call: CallId, job: JobKey, refusal: NotRun) {
-        let message = format!("job {job:016x} refused, nothing ran: {refusal:?}");
+    fn refuse(&mut self, call: CallId, job: JobKey, refusal: NotRun, reason: &str) {
+        let message = format!("job {job:016x} refused, nothing ran: {refusal:?}, {reason}");
         self.log(Event::FleetJobRefused, Subject::Job(job), message);
         self.put(FleetOutput::Answer(call, JobOutcome::NotRun(refusal)));
     }
--- a/crates/fleet/src/waits.rs
+++ b/crates/fleet/src/waits.rs
@@ -31,13 +31,11 @@
 }
 
 impl Fleet {
-    /// Whether a job would start its last task too late for its objective. The
-    /// reckoning takes all hosts as one queue, because waiting tasks are spread
-    /// over them, and the workers that take tasks as alike.
-    pub(crate) fn comes_too_late(&self, job: &Job) -> bool {
-        let Some(mean) = self.run_times.mean else {
-            return false;
-        };
+    /// Gets why a job would start its last task too late for its objective, if
+    /// it would. The reckoning takes all hosts as one queue, because waiting
+    /// tasks are spread over them, and the workers that take tasks as alike.
+    pub(crate) fn comes_too_late(&self, job: &Job) -> Option<String> {
+        let mean = self.run_times.mean?;
         let lively = || self.peers.values().filter(|peer| peer.is_lively(self.now));
         let waiting: u32 = lively().map(|peer| peer.status.waiting).sum();
         let waiting = waiting + self.waiting_tasks();
@@ -53,11 +51,19 @@
         let peers_workers: u32 = lively().map(|peer| peer.status.serving).sum();
         let own_slots = f64::from(self.own_slots(job));
         if waiting == 0 || to_wait == 0 || own_slots == 0.0 {
-            return false;
+            return None;
         }
         let slots = own_slots * f64::from(own_workers + peers_workers) / f64::from(own_workers);
         let wait = mean.mul_f64(f64::from(to_wait) / slots);
-        self.now + wait > job.start_by
+        let patience = job.start_by.saturating_sub(self.now);
+        (wait > patience).then(|| {
+            format!(
+                "its last task would wait {} ms for room and may wait {} ms; {ahead} tasks ahead, {tasks} of its own, room for {served_at_once} now and {slots:.0} in all, {} ms a run",
+                wait.as_millis(),
+                patience.as_millis(),
+                mean.as_millis()
+            )
+        })
     }
 
     /// Counts the tasks of a job that the own workers hold when they are empty.
