--- a/crates/control/tests/common/cluster.rs
+++ b/crates/control/tests/common/cluster.rs
@@ -7,6 +7,7 @@
     DiskLog, Message, PersistRequest, ProposalEnd, Replica, ReplicaInput, ReplicaOptions,
     ReplicaOutput,
 };
+use hornbeam_core::event::Event;
 use hornbeam_core::ids::ReplicaId;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -58,6 +59,8 @@
     /// Answers that the clients have not taken, with the answering host.
     pub answers: Vec<(ReplicaId, Answer)>,
     pub elections: u64,
+    /// Log events of all replicas.
+    pub events: Vec<Event>,
     snapshot_entries: u64,
     queue: BTreeMap<(Duration, u64), Happening>,
     sequence: u64,
@@ -74,6 +77,7 @@
             cuts: BTreeSet::new(),
             answers: Vec::new(),
             elections: 0,
+            events: Vec::new(),
             snapshot_entries,
             queue: BTreeMap::new(),
             sequence: 0,
@@ -220,7 +224,8 @@
             ReplicaOutput::ReadEnded(read, confirmed) => {
                 self.answers.push((id, Answer::Read(read, confirmed)));
             }
-            ReplicaOutput::Applied | ReplicaOutput::Log(..) => {}
+            ReplicaOutput::Log(event, _) => self.events.push(event),
+            ReplicaOutput::Applied => {}
         }
     }
 
--- a/crates/control/tests/repair.rs
+++ b/crates/control/tests/repair.rs
@@ -2,7 +2,10 @@
 //! published documents.
 
 mod common;
+#[path = "../../core/tests/common/event_names.rs"]
+mod event_names;
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use common::cluster::{Answer, Cluster};
@@ -212,3 +215,28 @@
     assert_eq!(&*state.published().text, "twenty");
     assert_eq!(state.audit().len(), 2);
 }
+
+/// Guards against an event that no played situation emits, so that nobody knows
+/// whether its line is still written.
+#[test]
+fn every_event_is_emitted() {
+    let mut cluster = group(1, 7);
+    run(&mut cluster, Duration::from_secs(1));
+    for version in 1..=2 * SNAPSHOT_ENTRIES {
+        try_publish(&mut cluster, version, "next");
+    }
+    // A leader that was frozen learns of its successor, and then loses its disk.
+    let former = cluster.leader().expect("a leader");
+    let host = cluster.hosts.get_mut(&former).expect("it is there");
+    host.frozen_until = cluster.now + CATCH_UP;
+    run(&mut cluster, 2 * CATCH_UP);
+    wipe(&mut cluster, host_of(former), 30);
+    run(&mut cluster, CATCH_UP);
+    let emitted: BTreeSet<String> = cluster
+        .events
+        .iter()
+        .map(|event| event.name().to_owned())
+        .collect();
+    let named = event_names::in_sources(env!("CARGO_MANIFEST_DIR"));
+    assert_eq!(emitted, named);
+}
