--- a/crates/node/tests/harness/mod.rs
+++ b/crates/node/tests/harness/mod.rs
@@ -3,6 +3,7 @@
 // Justification: each test binary uses a part of this module.
 #![allow(dead_code)]
 
+use std::io::Write;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
 use std::sync::atomic::{AtomicU8, Ordering};
 use std::time::Duration;
@@ -137,6 +138,20 @@
         self.folders[at] = folder;
     }
 
+    /// Stops a control host, leaves an incomplete record at the end of its log,
+    /// and starts it again.
+    pub async fn tear_log(&mut self, at: usize) {
+        let (id, _) = self.control_addresses[at];
+        self.controls.remove(at).stop().await;
+        let path = self.folders[at].path().join("log");
+        let log = std::fs::OpenOptions::new().append(true).open(path);
+        let mut log = log.expect("the log");
+        log.write_all(&[1; 7]).expect("a written log");
+        let options = control_options(id, &self.control_addresses, &self.folders[at]);
+        let control = ControlHost::start(options).await.expect("a control host");
+        self.controls.insert(at, control);
+    }
+
     /// Gets the status of a control host.
     pub async fn control_status(&self, at: usize) -> ControlStatus {
         let address = self.controls[at].http_address();
