--- a/crates/fleet/tests/checks.rs
+++ b/crates/fleet/tests/checks.rs
@@ -4,15 +4,7 @@
 
 use common::Bench;
 use googletest::prelude::*;
-use hornbeam_fleet::{FleetInput, LookAnswer, RunEnd, StartOrder};
-
-/// Starts a job of one task of 200 ms on one worker.
-fn running(bench: &mut Bench, job: u64) -> StartOrder {
-    bench.submit(job, 1);
-    let order = bench.starts().remove(0);
-    bench.accept(&order);
-    order
-}
+use hornbeam_fleet::{FleetInput, LookAnswer, RunEnd};
 
 /// Lets a look of a worker without runs get lost, and answers the next one.
 fn lose_a_look(bench: &mut Bench, number: u64) {
@@ -30,7 +22,7 @@
     let mut bench = Bench::new(1);
     let worker = bench.own("w1");
     lose_a_look(&mut bench, worker);
-    let order = running(&mut bench, 1);
+    let order = bench.started(1);
     bench.pass(200);
     expect_that!(bench.checks(), is_empty());
     bench.pass(50);
@@ -48,7 +40,7 @@
     let mut bench = Bench::new(1);
     let worker = bench.own("w1");
     lose_a_look(&mut bench, worker);
-    let order = running(&mut bench, 1);
+    let order = bench.started(1);
     bench.pass(250);
     bench.checked(worker, &[order.run], &[]);
     bench.step(FleetInput::Looked(worker, LookAnswer::Unanswered));
@@ -62,7 +54,7 @@
 fn nothing_is_checked_while_looks_are_answered() {
     let mut bench = Bench::new(1);
     bench.own("w1");
-    running(&mut bench, 1);
+    bench.started(1);
     bench.pass(600);
     expect_that!(bench.checks(), is_empty());
 }
@@ -73,7 +65,7 @@
     let mut bench = Bench::new(1);
     let worker = bench.own("w1");
     lose_a_look(&mut bench, worker);
-    let order = running(&mut bench, 1);
+    let order = bench.started(1);
     let mut checks = 0;
     for _ in 0..400 {
         bench.pass(1);
@@ -93,7 +85,7 @@
     let mut bench = Bench::new(1);
     let worker = bench.own("w1");
     lose_a_look(&mut bench, worker);
-    let first = running(&mut bench, 1);
+    let first = bench.started(1);
     bench.pass(250);
     expect_that!(bench.checks().len(), eq(1));
     bench.submit(2, 1);
--- a/crates/fleet/tests/common/mod.rs
+++ b/crates/fleet/tests/common/mod.rs
@@ -107,6 +107,14 @@
         self.last_call
     }
 
+    /// Submits a job of one task of 200 ms, whose start is accepted.
+    pub fn started(&mut self, job: u64) -> StartOrder {
+        self.submit(job, 1);
+        let order = self.starts().remove(0);
+        self.accept(&order);
+        order
+    }
+
     /// Reports a worker and answers the look of its take-over.
     pub fn own(&mut self, name: &str) -> u64 {
         self.looks();
--- a/crates/fleet/tests/events.rs
+++ b/crates/fleet/tests/events.rs
@@ -30,9 +30,7 @@
 fn log_of_jobs() -> Logged {
     let mut bench = Bench::new(1);
     let number = bench.own("w1");
-    bench.submit(1, 1);
-    let order = bench.starts().remove(0);
-    bench.accept(&order);
+    let order = bench.started(1);
     bench.seen(number, &[], &[(1, order.run, RunEnd::Done)]);
     bench.submit_to("nowhere", 2, 1);
     let call = bench.submit(3, 1);
@@ -69,9 +67,7 @@
 fn log_of_workers() -> Logged {
     let mut bench = Bench::new(1);
     bench.own("w1");
-    bench.submit(1, 1);
-    let order = bench.starts().remove(0);
-    bench.accept(&order);
+    let order = bench.started(1);
     bench.skip(1500);
     bench.starts();
     for name in ["w2", "w3", "w4"] {
--- a/crates/fleet/tests/jobs.rs
+++ b/crates/fleet/tests/jobs.rs
@@ -78,9 +78,7 @@
 fn completed_job_that_is_sent_again_gets_its_answer_again() {
     let mut bench = Bench::new(1);
     let worker = bench.own("w1");
-    bench.submit(1, 1);
-    let order = bench.starts().remove(0);
-    bench.accept(&order);
+    let order = bench.started(1);
     bench.seen(worker, &[], &[(1, order.run, RunEnd::Done)]);
     bench.answers();
     bench.pass(3000);
@@ -176,9 +174,7 @@
 fn job_that_would_come_too_late_is_refused_on_arrival() {
     let mut bench = Bench::new(1);
     let worker = bench.own("w1");
-    bench.submit(1, 1);
-    let order = bench.starts().remove(0);
-    bench.accept(&order);
+    let order = bench.started(1);
     bench.pass(200);
     bench.seen(worker, &[], &[(1, order.run, RunEnd::Done)]);
     bench.answers();
@@ -234,9 +230,7 @@
     for name in ["w1", "w2", "w3", "w4"] {
         bench.own(name);
     }
-    bench.submit(1, 1);
-    let order = bench.starts().remove(0);
-    bench.accept(&order);
+    let order = bench.started(1);
     bench.pass(200);
     bench.seen(order.target.number, &[], &[(1, order.run, RunEnd::Done)]);
     bench.answers();
--- a/crates/fleet/tests/ownership.rs
+++ b/crates/fleet/tests/ownership.rs
@@ -121,9 +121,7 @@
 fn pause_longer_than_the_lease_ends_the_runs_first() {
     let mut bench = Bench::new(1);
     let worker = bench.own("w1");
-    bench.submit(1, 1);
-    let first = bench.starts().remove(0);
-    bench.accept(&first);
+    let first = bench.started(1);
     bench.skip(1500);
     let second = bench.starts().remove(0);
     expect_that!(second.run, eq(run(1, 0, 2)));
@@ -139,9 +137,7 @@
     let mut bench = Bench::new(1);
     bench.own("w1");
     bench.own("w2");
-    bench.submit(1, 1);
-    let order = bench.starts().remove(0);
-    bench.accept(&order);
+    let order = bench.started(1);
     bench.step(FleetInput::Looked(
         order.target.number,
         LookAnswer::Unanswered,
@@ -157,9 +153,7 @@
 fn unanswered_looks_do_not_extend_the_lease() {
     let mut bench = Bench::new(1);
     bench.own("w1");
-    bench.submit(1, 1);
-    let order = bench.starts().remove(0);
-    bench.accept(&order);
+    let order = bench.started(1);
     let silent = order.target.number;
     bench.step(FleetInput::Looked(silent, LookAnswer::Unanswered));
     let silent_since = bench.now;
@@ -183,9 +177,7 @@
     let mut bench = Bench::new(1);
     bench.own("w1");
     bench.own("w2");
-    bench.submit(1, 1);
-    let first = bench.starts().remove(0);
-    bench.accept(&first);
+    let first = bench.started(1);
     let mut anew = report(&first.target.worker_id, 1);
     anew.born_unix_ms += 1000;
     bench.step(FleetInput::Reported(5, anew));
@@ -258,9 +250,7 @@
 fn vanished_run_is_repeated() {
     let mut bench = Bench::new(1);
     let worker = bench.own("w1");
-    bench.submit(1, 1);
-    let first = bench.starts().remove(0);
-    bench.accept(&first);
+    let first = bench.started(1);
     bench.pass(1);
     bench.seen(worker, &[first.run], &[]);
     bench.pass(1);
@@ -287,9 +277,7 @@
 fn drain_hands_over_idle_workers() {
     let mut bench = Bench::new(1);
     let worker = bench.own("w1");
-    bench.submit(1, 1);
-    let order = bench.starts().remove(0);
-    bench.accept(&order);
+    let order = bench.started(1);
     bench.receive(2, 1, Vec::new());
     bench.batches();
     bench.step(FleetInput::BatchEnded("entry-2".into(), true));
--- a/crates/fleet/tests/stragglers.rs
+++ b/crates/fleet/tests/stragglers.rs
@@ -22,9 +22,7 @@
     let mut bench = Bench::new(1);
     bench.own("w1");
     bench.own("w2");
-    bench.submit(1, 1);
-    let order = bench.starts().remove(0);
-    bench.accept(&order);
+    let order = bench.started(1);
     bench.pass(450);
     seen(&mut bench, order.target.number, order.run, 0);
     let stops = bench.stops();
@@ -42,9 +40,7 @@
     let mut bench = Bench::new(1);
     bench.own("w1");
     bench.own("w2");
-    bench.submit(1, 1);
-    let order = bench.starts().remove(0);
-    bench.accept(&order);
+    let order = bench.started(1);
     bench.pass(450);
     seen(&mut bench, order.target.number, order.run, 70);
     expect_that!(bench.stops(), is_empty());
@@ -55,9 +51,7 @@
 fn run_without_other_room_stays() {
     let mut bench = Bench::new(1);
     let worker = bench.own("w1");
-    bench.submit(1, 1);
-    let order = bench.starts().remove(0);
-    bench.accept(&order);
+    let order = bench.started(1);
     bench.pass(450);
     seen(&mut bench, worker, order.run, 10);
     expect_that!(bench.stops(), is_empty());
@@ -70,9 +64,7 @@
 fn look_returns_when_a_run_is_overdue() {
     let mut bench = Bench::new(1);
     let worker = bench.own("w1");
-    bench.submit(1, 1);
-    let order = bench.starts().remove(0);
-    bench.accept(&order);
+    let order = bench.started(1);
     bench.pass(300);
     bench.looks();
     seen(&mut bench, worker, order.run, 60);
@@ -86,9 +78,7 @@
     let mut bench = Bench::new(1);
     bench.own("w1");
     bench.own("w2");
-    bench.submit(1, 1);
-    let order = bench.starts().remove(0);
-    bench.accept(&order);
+    let order = bench.started(1);
     bench.pass(350);
     seen(&mut bench, order.target.number, order.run, 34);
     bench.pass(150);
