--- a/crates/fleet/tests/events.rs
+++ b/crates/fleet/tests/events.rs
@@ -67,7 +67,7 @@
 fn log_of_workers() -> Logged {
     let mut bench = Bench::new(1);
     bench.own("w1");
-    let order = bench.started(1);
+    bench.started(1);
     bench.skip(1500);
     bench.starts();
     for name in ["w2", "w3", "w4"] {
--- a/crates/fleet/tests/ownership.rs
+++ b/crates/fleet/tests/ownership.rs
@@ -121,7 +121,7 @@
 fn pause_longer_than_the_lease_ends_the_runs_first() {
     let mut bench = Bench::new(1);
     let worker = bench.own("w1");
-    let first = bench.started(1);
+    bench.started(1);
     bench.skip(1500);
     let second = bench.starts().remove(0);
     expect_that!(second.run, eq(run(1, 0, 2)));
