--- a/crates/fleet/tests/events.rs
+++ b/crates/fleet/tests/events.rs
@@ -2,9 +2,10 @@
 //! subject.
 
 mod common;
+#[path = "../../core/tests/common/event_names.rs"]
+mod event_names;
 
 use std::collections::BTreeSet;
-use std::path::Path;
 
 use common::{Bench, chunk, confirm, report, run};
 use googletest::prelude::*;
@@ -29,9 +30,7 @@
 fn log_of_jobs() -> Logged {
     let mut bench = Bench::new(1);
     let number = bench.own("w1");
-    bench.submit(1, 1);
-    let order = bench.starts().remove(0);
-    bench.accept(&order);
+    let order = bench.started(1);
     bench.seen(number, &[], &[(1, order.run, RunEnd::Done)]);
     bench.submit_to("nowhere", 2, 1);
     let call = bench.submit(3, 1);
@@ -68,9 +67,7 @@
 fn log_of_workers() -> Logged {
     let mut bench = Bench::new(1);
     bench.own("w1");
-    bench.submit(1, 1);
-    let order = bench.starts().remove(0);
-    bench.accept(&order);
+    bench.started(1);
     bench.skip(1500);
     bench.starts();
     for name in ["w2", "w3", "w4"] {
@@ -157,27 +154,6 @@
     }
 }
 
-/// Gets the names of the events in the sources of this crate.
-fn events_in_sources() -> BTreeSet<String> {
-    let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("src");
-    let files = std::fs::read_dir(folder).expect("the sources");
-    let texts = files.map(|file| {
-        let path = file.expect("a file").path();
-        std::fs::read_to_string(path).expect("a source")
-    });
-    let name = |rest: &str| {
-        rest.chars()
-            .take_while(char::is_ascii_alphanumeric)
-            .collect()
-    };
-    texts
-        .flat_map(|text| {
-            let names = text.split("Event::").skip(1).map(name);
-            names.collect::<Vec<String>>()
-        })
-        .collect()
-}
-
 /// Guards against an event that no played situation emits, so that nobody knows
 /// whether its line is still written.
 #[gtest]
@@ -193,5 +169,6 @@
         .flatten()
         .map(|(event, _)| event.name().to_owned())
         .collect();
-    expect_that!(emitted, eq(&events_in_sources()));
+    let named = event_names::in_sources(env!("CARGO_MANIFEST_DIR"));
+    expect_that!(emitted, eq(&named));
 }
