--- a/crates/node/tests/metrics.rs
+++ b/crates/node/tests/metrics.rs
@@ -2,11 +2,11 @@
 
 mod harness;
 
-use hornbeam_node::Host;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
 use harness::{PATIENCE, System, job};
+use hornbeam_node::Host;
 
 /// Gets the names and types in the table under a heading of the page.
 fn documented(heading: &str) -> BTreeSet<(String, String)> {
--- a/crates/node/tests/system.rs
+++ b/crates/node/tests/system.rs
@@ -2,7 +2,6 @@
 
 mod harness;
 
-use hornbeam_node::Host;
 use std::time::{Duration, Instant};
 
 use googletest::prelude::*;
@@ -11,6 +10,7 @@
 use hornbeam_core::api::caller::{Outcome, Reason, SubmitAnswer, SubmitRequest};
 use hornbeam_core::api::operator::{ChangeOutcome, MembersOutcome, MembersRequest};
 use hornbeam_http::{ClientOptions, HttpClient, Reply};
+use hornbeam_node::Host;
 
 /// Checks that an answer is complete and that its results are in order.
 fn expect_whole(reply: &Reply<SubmitAnswer>, request_id: &str, tasks: usize) {
