Download documents in parts and send membership as changes

Cause, twice: Discovery awaited the download of a whole document within 1 s while registrations stood still, so hosts with a slow link were dropped from the member lists and downloaded for ever; and each registration, at each of six control hosts every 400 ms, was answered with the list of all entry hosts. Change: a task of its own downloads documents as differences in parts and continues at another source after a failure; a registration is answered with the changes since the version that the host has; a host registers at its home control host every 400 ms and at the others every 900 ms; the registry removes expired hosts and owners every 100 ms in place of searching at each report, and an entry host that did not answer a relayed report comes last until it registers again. Older builds are asked with the older requests.

--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -27,6 +27,7 @@
 use hornbeam_core::event::Event;
 use hornbeam_core::ids::{HostId, ReplicaId};
 use hornbeam_core::log_event;
+use hornbeam_document::HistoryOptions;
 use hornbeam_http::{HttpServer, HttpServerOptions};
 use hornbeam_timer::TimerService;
 use hornbeam_transport::{LinkOptions, ServerOptions};
@@ -45,9 +46,14 @@
 use self::replicas::ReplicaTable;
 use self::routes::Routes;
 use crate::config_watch::ConfigWatch;
+use crate::documents::SharedDocuments;
 use crate::host::{Host, RunningHost};
 use crate::lifecycle::Lifecycle;
 
+/// Maximum number of open links. Each entry host and each control host keeps
+/// one, and a site may have 2,400 hosts.
+const MAX_LINK_CONNECTIONS: usize = 3_000;
+
 /// `ControlOptions` are the settings of a control host.
 #[derive(Clone, Debug, PartialEq)]
 pub struct ControlOptions {
@@ -141,6 +147,7 @@
             disk_bytes,
             waiters: Waiters::default(),
             document: context.document.clone(),
+            documents: context.documents.clone(),
             repair: options.fleet.as_ref().map(|fleet| fleet.repair),
         };
         tasks.spawn_blocking(move || disk::run(disk, &disk_requests, &events));
@@ -157,6 +164,7 @@
         let link_service = context.link_service(replica_id, leader, link_address.port());
         let options = ServerOptions {
             credential: options.link_credential,
+            max_connections: MAX_LINK_CONNECTIONS,
             ..ServerOptions::default()
         };
         let running = RunningHost::start(
@@ -239,6 +247,7 @@
     lifecycle: Arc<Lifecycle>,
     config: ConfigWatch,
     document: watch::Sender<PublishedDocument>,
+    documents: SharedDocuments,
     registry: Arc<EntryRegistry>,
     replicas: Arc<ReplicaTable>,
 }
@@ -254,6 +263,7 @@
             lifecycle: Arc::new(Lifecycle::new()?),
             config: ConfigWatch::new(),
             document: watch::Sender::new(PublishedDocument::default()),
+            documents: SharedDocuments::new(HistoryOptions::default()),
             registry: Arc::new(EntryRegistry::new(link_options.clone())),
             replicas: Arc::new(ReplicaTable::new(
                 link_options,
@@ -293,6 +303,7 @@
             timer: self.timer.clone(),
             lifecycle: Arc::clone(&self.lifecycle),
             document: self.document.clone(),
+            documents: self.documents.clone(),
             registry: Arc::clone(&self.registry),
             link_port,
         }
--- a/crates/node/src/control/event_loop.rs
+++ b/crates/node/src/control/event_loop.rs
@@ -12,6 +12,7 @@
 use hornbeam_core::event::Event;
 use hornbeam_core::ids::{ConfigVersion, HostId, ReplicaId};
 use hornbeam_core::{Error, log_event};
+use hornbeam_document::Document;
 use hornbeam_timer::TimerService;
 use tokio::sync::{mpsc, oneshot, watch};
 
@@ -19,6 +20,7 @@
 use super::input::ControlInput;
 use super::outboxes::Outboxes;
 use crate::config_watch::ConfigWatch;
+use crate::documents::SharedDocuments;
 use crate::lifecycle::{FailOnDrop, Lifecycle, LifecycleEvent};
 
 /// Interval of checks whether the group needs a change of members.
@@ -49,6 +51,8 @@
     pub(crate) waiters: Waiters,
     /// The document in force at this host.
     pub(crate) document: watch::Sender<PublishedDocument>,
+    /// Documents to send to other hosts.
+    pub(crate) documents: SharedDocuments,
     /// Options of the automatic repair of the group's membership, if enabled.
     pub(crate) repair: Option<RepairOptions>,
 }
@@ -252,6 +256,10 @@
             self.config.publish(version, configuration);
         }
         let published = state.published_document();
+        if published.version > self.document.borrow().version {
+            let document = Document::new(published.version, published.text.clone());
+            self.documents.add(document);
+        }
         self.document.send_if_modified(|current| {
             let is_newer = published.version > current.version;
             if is_newer {
--- a/crates/node/src/control/fleet/routes.rs
+++ b/crates/node/src/control/fleet/routes.rs
@@ -158,17 +158,20 @@
     /// Relays a report to an entry host, which owns the worker from then on.
     async fn relay(&self, report: WorkerReport) -> Response {
         let now = self.timer.now();
-        let candidates = self.registry.candidates(&report, now);
-        let asked = candidates.len().min(MAX_RELAYS);
-        for candidate in candidates.into_iter().take(MAX_RELAYS) {
+        let candidates = self.registry.candidates(&report, MAX_RELAYS, now);
+        let asked = candidates.len();
+        for candidate in candidates {
             let request = Request::Announce(Box::new(report.clone()));
-            let answer = candidate.link.call(&request, RELAY_TIMEOUT).await;
-            if let Ok(RequestAnswer::Announced(ReportAnswer::Taken)) = answer {
-                let worker_id = &report.worker_id;
-                self.registry
-                    .record_owner(worker_id, &candidate.host_id, now);
-                let next = report_answer(Some(candidate.report_address));
-                return reply::json(OK, &next);
+            match candidate.link.call(&request, RELAY_TIMEOUT).await {
+                Ok(RequestAnswer::Announced(ReportAnswer::Taken)) => {
+                    let worker_id = &report.worker_id;
+                    self.registry
+                        .record_owner(worker_id, &candidate.host_id, now);
+                    let next = report_answer(Some(candidate.report_address));
+                    return reply::json(OK, &next);
+                }
+                Ok(_) => {}
+                Err(_) => self.registry.record_unanswered(&candidate.host_id),
             }
         }
         log_event!(
--- a/crates/node/src/control/links.rs
+++ b/crates/node/src/control/links.rs
@@ -1,5 +1,6 @@
 //! Requests from other processes of the system to a control host.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -15,8 +16,9 @@
 use super::leader::LeaderClient;
 use super::replicas;
 use crate::config_watch::{self, ConfigWatch};
+use crate::documents::SharedDocuments;
 use crate::lifecycle::{Lifecycle, LifecycleState};
-use crate::wire::{Membership, Request, RequestAnswer};
+use crate::wire::{Membership, MembershipUpdate, Request, RequestAnswer};
 
 /// `ControlLinkService` answers the requests that arrive on links.
 #[derive(Debug)]
@@ -33,6 +35,8 @@
     pub(crate) lifecycle: Arc<Lifecycle>,
     /// The document in force at this host.
     pub(crate) document: watch::Sender<PublishedDocument>,
+    /// Documents to send to other hosts.
+    pub(crate) documents: SharedDocuments,
     /// Registered entry hosts.
     pub(crate) registry: Arc<EntryRegistry>,
     /// Port for links, the same on all control hosts.
@@ -73,6 +77,16 @@
                 self.registry.register(registration, self.timer.now());
                 Ok(RequestAnswer::Registered(self.membership().await?))
             }
+            Request::RegisterSince(registration, known) => {
+                let now = self.timer.now();
+                self.registry.register(registration, now);
+                let update = self.registry.changes_since(known, now);
+                Ok(RequestAnswer::RegisteredSince(MembershipUpdate {
+                    control_hosts: self.control_hosts().await?,
+                    document_version: self.document.borrow().version,
+                    ..update
+                }))
+            }
             Request::Voters => {
                 let status = self.leader.event_loop.ask(ControlInput::Status).await?;
                 Ok(RequestAnswer::Voters(status.voters))
@@ -82,6 +96,9 @@
                 let newer = (document.version > have_version).then(|| document.clone());
                 Ok(RequestAnswer::Document(newer))
             }
+            Request::DocumentPart(request) => {
+                Ok(RequestAnswer::DocumentPart(self.documents.part(&request)?))
+            }
             Request::Read => Ok(RequestAnswer::ReadAt(self.leader.read_index_local().await)),
             request => self.propose(request).await,
         }
@@ -90,17 +107,22 @@
 
 impl ControlLinkService {
     async fn membership(&self) -> Result<Membership> {
-        let status = self.leader.event_loop.ask(ControlInput::Status).await?;
-        let learners = status.learners.iter().map(|learner| learner.replica_id);
-        let ids = status.voters.iter().copied().chain(learners);
-        let addresses = ids.filter_map(|id| replicas::address_of(id, self.link_port));
         Ok(Membership {
             entry_hosts: self.registry.entry_hosts(self.timer.now()),
-            control_hosts: addresses.collect(),
+            control_hosts: self.control_hosts().await?,
             document_version: self.document.borrow().version,
         })
     }
 
+    /// Gets the link addresses of the control hosts.
+    async fn control_hosts(&self) -> Result<Vec<SocketAddr>> {
+        let status = self.leader.event_loop.ask(ControlInput::Status).await?;
+        let learners = status.learners.iter().map(|learner| learner.replica_id);
+        let ids = status.voters.iter().copied().chain(learners);
+        let addresses = ids.filter_map(|id| replicas::address_of(id, self.link_port));
+        Ok(addresses.collect())
+    }
+
     async fn propose(&self, request: Request) -> Result<RequestAnswer> {
         if self.lifecycle.state() != LifecycleState::Ready {
             return Err(Error::refused("this control host is leaving"));
--- a/crates/node/src/fleet_entry.rs
+++ b/crates/node/src/fleet_entry.rs
@@ -3,10 +3,12 @@
 
 mod caller;
 mod discovery;
+mod document_download;
 mod event_loop;
 mod input;
 mod links;
 mod log_rate_limit;
+mod member_lists;
 mod metrics;
 mod outbound_requests;
 mod reports;
@@ -16,6 +18,7 @@
 
 use eyre::{Result, WrapErr};
 use hornbeam_core::ids::{FailureDomainId, HostId};
+use hornbeam_document::HistoryOptions;
 use hornbeam_fleet::{Fleet, FleetOptions, PeerInfo};
 use hornbeam_http::{HttpServer, HttpServerOptions};
 use hornbeam_platform::WorkerClient;
@@ -27,15 +30,24 @@
 
 use self::caller::CallerRoutes;
 use self::discovery::Discovery;
+use self::document_download::DocumentDownload;
 use self::event_loop::{FleetEntryState, FleetLoop};
 use self::input::FleetLoopHandle;
 use self::links::FleetLinkService;
 use self::metrics::FleetMetrics;
 use self::outbound_requests::OutboundRequests;
 use self::reports::ReportRoutes;
+use crate::documents::SharedDocuments;
 use crate::host::{Host, RunningHost};
 use crate::lifecycle::Lifecycle;
 
+/// Bound on the documents that are kept for peers: the one in force, and its
+/// predecessor as a base.
+const DOCUMENTS_FOR_PEERS: HistoryOptions = HistoryOptions {
+    max_documents: 2,
+    max_bytes: 1 << 20,
+};
+
 /// `FleetEntryOptions` are the settings of a fleet entry host.
 #[derive(Clone, Debug, PartialEq)]
 pub struct FleetEntryOptions {
@@ -104,6 +116,17 @@
             log_rate_limit: Default::default(),
         };
         tasks.spawn(fleet_loop.run(inputs));
+        let documents = SharedDocuments::new(DOCUMENTS_FOR_PEERS);
+        let document_sources = watch::Sender::default();
+        let download = DocumentDownload {
+            host_id,
+            sources: document_sources.subscribe(),
+            event_loop: event_loop.clone(),
+            documents: documents.clone(),
+            timer: timer.clone(),
+            lifecycle: Arc::clone(&lifecycle),
+        };
+        tasks.spawn(download.run());
         let discovery = Discovery {
             host: own_peer_info(&options.fleet),
             report_address: options.report_listen,
@@ -111,6 +134,7 @@
             link_options: LinkOptions::default(),
             event_loop: event_loop.clone(),
             state: state.clone(),
+            document_sources,
             timer: timer.clone(),
             lifecycle: Arc::clone(&lifecycle),
         };
@@ -118,6 +142,7 @@
         let links = FleetLinkService {
             event_loop: event_loop.clone(),
             state,
+            documents,
         };
         let link_options = ServerOptions::default();
         let running = RunningHost::start(lifecycle, servers, tasks, listener, links, link_options);
--- a/crates/node/src/fleet_entry/discovery.rs
+++ b/crates/node/src/fleet_entry/discovery.rs
@@ -1,44 +1,55 @@
-//! Registration at the control hosts, discovery of peers, and download of newer
+//! Registration at the control hosts, and discovery of peers and of newer
 //! documents.
 
 use std::collections::HashMap;
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use hornbeam_core::event::Event;
-use hornbeam_core::log_event;
+use hornbeam_core::ids::ConfigVersion;
+use hornbeam_core::{Error, log_event};
 use hornbeam_fleet::{FleetInput, PeerInfo};
-use hornbeam_platform::read_document;
 use hornbeam_timer::TimerService;
 use hornbeam_transport::{Link, LinkOptions};
 use tokio::sync::watch;
 use tokio::task::JoinSet;
 
+use super::document_download::DocumentSource;
 use super::event_loop::FleetEntryState;
 use super::input::{FleetLoopHandle, FleetLoopInput};
+use super::member_lists::MemberLists;
 use crate::lifecycle::{Lifecycle, LifecycleState};
 use crate::wire::{EntryRegistration, Request, RequestAnswer};
 
-/// Interval of registrations at each control host. Their answers announce newer
-/// documents, which must be in force within 2 s.
-const REGISTRATION_INTERVAL: Duration = Duration::from_millis(400);
+/// Interval of registrations at the home control host. Their answers announce
+/// newer documents, which must be in force within 2 s.
+const HOME_INTERVAL: Duration = Duration::from_millis(400);
+
+/// Interval of registrations at the other control hosts, which need them to
+/// relay reports of workers.
+const REGISTRATION_INTERVAL: Duration = Duration::from_millis(900);
 
 /// Interval of registrations before the first document.
-const STARTUP_REGISTRATION_INTERVAL: Duration = Duration::from_millis(80);
+const STARTUP_INTERVAL: Duration = Duration::from_millis(80);
+
+/// Shortest wait between two checks for due registrations. It bounds their cost
+/// while a call is in flight beyond its interval.
+const MIN_WAIT: Duration = Duration::from_millis(40);
 
 /// Timeout of a registration.
 const REGISTRATION_TIMEOUT: Duration = Duration::from_millis(700);
 
-/// Timeout of the download of a document.
-const DOCUMENT_TIMEOUT: Duration = Duration::from_millis(1000);
+/// Interval at which the scheduler is told of the hosts that are present.
+const PRESENCE_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Time without an answer after which a control host that is not a seed is
 /// removed.
 const CONTROL_HOST_TTL: Duration = Duration::from_secs(10);
 
-/// `Discovery` registers one entry host and keeps its peers and its document up
-/// to date.
+/// `Discovery` registers one entry host, and keeps its peers and the sources of
+/// newer documents up to date.
 #[derive(Debug)]
 pub(crate) struct Discovery {
     /// Id, address and failure domain of this host.
@@ -53,6 +64,8 @@
     pub(crate) event_loop: FleetLoopHandle,
     /// State shared by the event loop.
     pub(crate) state: watch::Sender<FleetEntryState>,
+    /// Hosts that have documents.
+    pub(crate) document_sources: watch::Sender<Vec<DocumentSource>>,
     /// Clock and timers.
     pub(crate) timer: TimerService,
     /// The life cycle of the process, which ends the task.
@@ -64,8 +77,22 @@
 struct ControlHostState {
     link: Link,
     last_answer_at: Duration,
+    next_call_at: Duration,
     is_reachable: bool,
     is_call_in_flight: bool,
+    /// Whether it is of a build that does not know
+    /// [`Request::RegisterSince`].
+    sends_whole_lists: bool,
+    document_version: ConfigVersion,
+}
+
+/// `Registrations` is the state of all registrations of this host.
+#[derive(Debug, Default)]
+struct Registrations {
+    control_hosts: HashMap<SocketAddr, ControlHostState>,
+    member_lists: MemberLists,
+    next_presence_at: Duration,
+    calls: JoinSet<RegistrationResult>,
 }
 
 /// `RegistrationResult` is the result of a registration at one control host.
@@ -81,31 +108,23 @@
     }
 
     async fn run_registrations(&self) {
-        let mut control_hosts = HashMap::new();
-        let mut calls: JoinSet<RegistrationResult> = JoinSet::new();
+        let mut registrations = Registrations::default();
         let mut next_at = self.timer.now();
+        let mut state = self.state.subscribe();
         loop {
             tokio::select! {
                 () = self.timer.sleep_until(next_at) => {
-                    self.register(&mut control_hosts, &mut calls);
-                    next_at = self.timer.now() + self.registration_interval();
+                    self.register(&mut registrations);
+                    next_at = self.next_call_at(&registrations);
                 }
-                Some(ended) = calls.join_next() => {
+                Some(ended) = registrations.calls.join_next() => {
                     // Calls neither panic nor are aborted while this task runs.
                     let Ok((address, answer)) = ended else { continue };
-                    self.on_answer(&mut control_hosts, address, answer).await;
+                    self.on_answer(&mut registrations, address, answer);
                 }
+                Ok(()) = state.changed() => {}
             }
-        }
-    }
-
-    /// Gets the time until the next registration. A host without a document
-    /// cannot serve callers, so it registers more often.
-    fn registration_interval(&self) -> Duration {
-        if self.version() == 0 {
-            STARTUP_REGISTRATION_INTERVAL
-        } else {
-            REGISTRATION_INTERVAL
+            self.publish_document_sources(&registrations);
         }
     }
 
@@ -119,17 +138,18 @@
             .or_insert_with(|| ControlHostState {
                 link: Link::new(address, self.link_options.clone()),
                 last_answer_at: self.timer.now(),
+                next_call_at: Duration::ZERO,
                 is_reachable: false,
                 is_call_in_flight: false,
+                sends_whole_lists: false,
+                document_version: 0,
             });
     }
 
-    fn register(
-        &self,
-        control_hosts: &mut HashMap<SocketAddr, ControlHostState>,
-        calls: &mut JoinSet<RegistrationResult>,
-    ) {
+    /// Sends all registrations that are due.
+    fn register(&self, registrations: &mut Registrations) {
         let now = self.timer.now();
+        let control_hosts = &mut registrations.control_hosts;
         let seeds = self.seeds.borrow().clone();
         for seed in &seeds {
             self.add_control_host(control_hosts, *seed);
@@ -138,106 +158,152 @@
             seeds.contains(at) || now <= host.last_answer_at + CONTROL_HOST_TTL
         };
         control_hosts.retain(|at, host| is_kept(at, host));
-        let request = Request::Register(EntryRegistration {
+        registrations.member_lists.expire(now);
+        let registration = EntryRegistration {
             host: self.host.clone(),
             report_address: self.report_address,
             owned: self.state.borrow().owned_workers,
             draining: self.lifecycle.state() != LifecycleState::Ready,
-        });
-        for (address, host) in control_hosts
-            .iter_mut()
-            .filter(|(_, host)| !host.is_call_in_flight)
-        {
+        };
+        let home = self.home(control_hosts);
+        let is_starting = self.version() == 0;
+        for (address, host) in control_hosts {
+            if host.is_call_in_flight || now < host.next_call_at {
+                continue;
+            }
             host.is_call_in_flight = true;
-            let (address, link, request) = (*address, host.link.clone(), request.clone());
-            calls.spawn(async move { (address, link.call(&request, REGISTRATION_TIMEOUT).await) });
+            host.next_call_at = now
+                + match home {
+                    // Without a document this host cannot serve callers.
+                    _ if is_starting => STARTUP_INTERVAL,
+                    Some(home) if home != *address => REGISTRATION_INTERVAL,
+                    _ => HOME_INTERVAL,
+                };
+            let request = if host.sends_whole_lists {
+                Request::Register(registration.clone())
+            } else {
+                let known = registrations.member_lists.version(*address);
+                Request::RegisterSince(registration.clone(), known)
+            };
+            let (address, link) = (*address, host.link.clone());
+            registrations
+                .calls
+                .spawn(async move { (address, link.call(&request, REGISTRATION_TIMEOUT).await) });
         }
     }
 
-    async fn on_answer(
+    /// Gets the time at which the next registration may be due.
+    fn next_call_at(&self, registrations: &Registrations) -> Duration {
+        let earliest = self.timer.now() + MIN_WAIT;
+        let control_hosts = registrations.control_hosts.values();
+        let next_at = control_hosts.map(|host| host.next_call_at).min();
+        next_at.map_or(earliest, |at| at.max(earliest))
+    }
+
+    /// Gets the control host at which this host registers most often. Hosts
+    /// choose different ones.
+    fn home(&self, control_hosts: &HashMap<SocketAddr, ControlHostState>) -> Option<SocketAddr> {
+        let rank = |address: &SocketAddr| {
+            let mut hasher = DefaultHasher::new();
+            (&self.host.host_id, address).hash(&mut hasher);
+            hasher.finish()
+        };
+        let reachable = control_hosts.iter().filter(|(_, host)| host.is_reachable);
+        reachable.map(|(address, _)| *address).min_by_key(rank)
+    }
+
+    fn on_answer(
         &self,
-        control_hosts: &mut HashMap<SocketAddr, ControlHostState>,
+        registrations: &mut Registrations,
         address: SocketAddr,
         answer: hornbeam_core::Result<RequestAnswer>,
     ) {
-        let Some(host) = control_hosts.get_mut(&address) else {
+        let now = self.timer.now();
+        let Some(host) = registrations.control_hosts.get_mut(&address) else {
             return;
         };
         host.is_call_in_flight = false;
-        let is_reachable = matches!(answer, Ok(RequestAnswer::Registered(_)));
-        if is_reachable != host.is_reachable {
-            host.is_reachable = is_reachable;
-            let word = if is_reachable {
-                "answers"
-            } else {
-                "does not answer"
-            };
-            log_event!(
-                Event::HostReachability, host = self.host.host_id;
-                "control host {address} {word}"
-            );
-        }
-        let Ok(RequestAnswer::Registered(membership)) = answer else {
+        if !host.sends_whole_lists && matches!(answer, Err(Error::Refused(_))) {
+            host.sends_whole_lists = true;
+            host.next_call_at = now;
             return;
+        }
+        let lists = &mut registrations.member_lists;
+        let (has_changed, control_hosts, document_version) = match answer {
+            Ok(RequestAnswer::RegisteredSince(update)) => {
+                let has_changed = lists.update(address, &update, now);
+                (has_changed, update.control_hosts, update.document_version)
+            }
+            Ok(RequestAnswer::Registered(membership)) => {
+                lists.replace(address, &membership, now);
+                (false, membership.control_hosts, membership.document_version)
+            }
+            _ => {
+                // The process at this address may be replaced by a newer build.
+                host.sends_whole_lists = false;
+                return self.set_reachable(host, address, false);
+            }
         };
-        host.last_answer_at = self.timer.now();
-        let link = host.link.clone();
-        for control_host in membership.control_hosts {
-            self.add_control_host(control_hosts, control_host);
+        self.set_reachable(host, address, true);
+        host.last_answer_at = now;
+        host.document_version = document_version;
+        for control_host in control_hosts {
+            self.add_control_host(&mut registrations.control_hosts, control_host);
         }
-        let peers = FleetInput::Peers(membership.entry_hosts);
-        // Fails only if the event loop has ended; this task then ends as well.
-        let _ = self.event_loop.send(FleetLoopInput::Fleet(peers));
-        if membership.document_version > self.version() {
-            self.fetch(&link).await;
-        } else {
-            self.fetch_from_peer().await;
+        if has_changed || now >= registrations.next_presence_at {
+            registrations.next_presence_at = now + PRESENCE_INTERVAL;
+            let peers = FleetInput::Peers(registrations.member_lists.hosts());
+            // Fails only if the event loop has ended; this task then ends as well.
+            let _ = self.event_loop.send(FleetLoopInput::Fleet(peers));
         }
     }
 
-    /// Fetches a newer document from the peer that reported it, for the case
-    /// that no control host that has it can be reached.
-    async fn fetch_from_peer(&self) {
-        let newest = self.state.borrow().newest_peer_config;
-        if let Some((version, address)) = newest
-            && version > self.version()
-        {
-            let link = Link::new(address, self.link_options.clone());
-            self.fetch(&link).await;
+    fn set_reachable(&self, host: &mut ControlHostState, address: SocketAddr, is_reachable: bool) {
+        if is_reachable == host.is_reachable {
+            return;
         }
+        host.is_reachable = is_reachable;
+        let word = if is_reachable {
+            "answers"
+        } else {
+            "does not answer"
+        };
+        log_event!(
+            Event::HostReachability, host = self.host.host_id;
+            "control host {address} {word}"
+        );
     }
 
-    async fn fetch(&self, link: &Link) {
-        let have_version = self.version();
-        let answer = link
-            .call(&Request::Document(have_version), DOCUMENT_TIMEOUT)
-            .await;
-        let document = match answer {
-            Ok(RequestAnswer::Document(Some(document))) => document,
-            Ok(_) => return,
-            Err(cause) => {
-                log_event!(
-                    Event::HostReachability, host = self.host.host_id;
-                    "no document above version {have_version} could be fetched from {}: {cause}",
-                    link.address()
-                );
-                return;
-            }
-        };
-        match read_document(&document.text) {
-            Ok(queues) => {
-                let input = FleetLoopInput::Document(document.text, Arc::new(queues));
-                // Fails only if the event loop has ended.
-                let _ = self.event_loop.send(input);
-            }
-            Err(findings) => log_event!(
-                Event::PublishRejected, host = self.host.host_id;
-                "the document of version {} cannot be read: {findings:?}", document.version
-            ),
+    /// Updates the hosts from which documents are downloaded: the control hosts
+    /// that answer, and the peer with the newest document, for the case that no
+    /// control host that has it can be reached.
+    fn publish_document_sources(&self, registrations: &Registrations) {
+        let control_hosts = registrations.control_hosts.values();
+        let reachable = control_hosts.filter(|host| host.is_reachable);
+        let mut sources: Vec<DocumentSource> = reachable
+            .map(|host| DocumentSource {
+                version: host.document_version,
+                link: host.link.clone(),
+            })
+            .collect();
+        if let Some((version, address)) = self.state.borrow().newest_peer_config {
+            sources.push(DocumentSource {
+                version,
+                link: Link::new(address, self.link_options.clone()),
+            });
         }
+        let has_newer = sources.iter().any(|source| source.version > self.version());
+        let sources = if has_newer { sources } else { Vec::new() };
+        self.document_sources.send_if_modified(|current| {
+            let is_changed = *current != sources;
+            if is_changed {
+                *current = sources;
+            }
+            is_changed
+        });
     }
 
-    fn version(&self) -> u64 {
+    fn version(&self) -> ConfigVersion {
         let state = self.state.borrow();
         state.queues.as_ref().map_or(0, |queues| queues.version)
     }
--- a/crates/node/src/fleet_entry/links.rs
+++ b/crates/node/src/fleet_entry/links.rs
@@ -8,6 +8,7 @@
 
 use super::event_loop::FleetEntryState;
 use super::input::{FleetLoopHandle, FleetLoopInput};
+use crate::documents::SharedDocuments;
 use crate::wire::{Request, RequestAnswer};
 
 /// `FleetLinkService` answers the requests that arrive on links.
@@ -17,6 +18,8 @@
     pub(crate) event_loop: FleetLoopHandle,
     /// State shared by the event loop.
     pub(crate) state: watch::Sender<FleetEntryState>,
+    /// Documents to send to peers.
+    pub(crate) documents: SharedDocuments,
 }
 
 impl Service for FleetLinkService {
@@ -46,6 +49,9 @@
                 let document = self.newer_document(have_version);
                 Ok(RequestAnswer::Document(document))
             }
+            Request::DocumentPart(request) => {
+                Ok(RequestAnswer::DocumentPart(self.documents.part(&request)?))
+            }
             _ => Err(Error::refused("an entry host does not answer this request")),
         }
     }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -9,6 +9,7 @@
 mod config_watch;
 pub mod control;
 mod credential;
+mod documents;
 pub mod entry;
 pub mod fleet_entry;
 mod host;
@@ -24,6 +25,6 @@
 pub use host::Host;
 pub use lifecycle::Lifecycle;
 pub use wire::{
-    ChangeAnswer, EntryRegistration, MembersAnswer, Membership, PublishAnswer, Request,
-    RequestAnswer,
+    ChangeAnswer, EntryRegistration, MembersAnswer, Membership, MembershipUpdate,
+    MembershipVersion, PublishAnswer, Request, RequestAnswer,
 };
--- a/crates/node/src/wire.rs
+++ b/crates/node/src/wire.rs
@@ -9,6 +9,7 @@
 use hornbeam_core::config::Configuration;
 use hornbeam_core::ids::{ChunkId, ConfigVersion, HostId, ReplicaId, WorkerId};
 use hornbeam_dispatch::{Chunk, ChunkAnswer, ChunkTaskCancelStatus, ClaimOutcome, PeerStatus};
+use hornbeam_document::{Part, PartRequest};
 use hornbeam_fleet::{PeerBatch, PeerInfo, ReportAnswer, WorkerReport};
 use serde::{Deserialize, Serialize};
 
@@ -76,6 +77,11 @@
     Departed(WorkerId),
     /// Entry host to entry host: messages about tasks and free resources.
     Batch(Box<PeerBatch>),
+    /// Entry host to control host: a registration that is answered with the
+    /// changes of the membership since a version.
+    RegisterSince(EntryRegistration, Option<MembershipVersion>),
+    /// To a control host or an entry host: get a part of a newer document.
+    DocumentPart(PartRequest),
 }
 
 /// `EntryRegistration` is the registration of an entry host at the control hosts.
@@ -104,6 +110,35 @@
     pub document_version: ConfigVersion,
 }
 
+/// `MembershipVersion` identifies a state of the list of entry hosts at one
+/// control host.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields, rename_all = "snake_case")]
+pub struct MembershipVersion {
+    /// Random number of the process of the control host.
+    pub epoch: u64,
+    /// Number of changes since the start of that process.
+    pub changes: u64,
+}
+
+/// `MembershipUpdate` lists what has changed in the membership.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields, rename_all = "snake_case")]
+pub struct MembershipUpdate {
+    /// Version of the list of entry hosts after the update.
+    pub version: MembershipVersion,
+    /// Whether `joined` is the whole list, which replaces the former one.
+    pub is_whole: bool,
+    /// Entry hosts that have joined or moved to another address.
+    pub joined: Vec<PeerInfo>,
+    /// Entry hosts that have left.
+    pub left: Vec<HostId>,
+    /// Link addresses of all control hosts.
+    pub control_hosts: Vec<SocketAddr>,
+    /// Version of the published document.
+    pub document_version: ConfigVersion,
+}
+
 /// `RequestAnswer` answers a [`Request`].
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 #[serde(rename_all = "snake_case")]
@@ -136,6 +171,10 @@
     Document(Option<PublishedDocument>),
     /// Answers [`Request::Announce`].
     Announced(ReportAnswer),
+    /// Answers [`Request::RegisterSince`].
+    RegisteredSince(MembershipUpdate),
+    /// Answers [`Request::DocumentPart`]; `None` if there is nothing newer.
+    DocumentPart(Option<Part>),
 }
 
 /// `PublishAnswer` is the leader's answer to a forwarded document.
