--- a/crates/node/tests/harness/mod.rs
+++ b/crates/node/tests/harness/mod.rs
@@ -8,7 +8,7 @@
 use std::sync::atomic::{AtomicU8, Ordering};
 use std::time::Duration;
 
-use hornbeam_control::ReplicaOptions;
+use hornbeam_control::{RepairOptions, ReplicaOptions};
 use hornbeam_core::api::backend::Announcement;
 use hornbeam_core::api::caller::{SubmitAnswer, SubmitRequest, TaskSpec};
 use hornbeam_core::api::operator::{
@@ -18,7 +18,9 @@
 use hornbeam_core::ids::ReplicaId;
 use hornbeam_dispatch::DispatchOptions;
 use hornbeam_http::{ClientOptions, HttpClient, Reply};
-use hornbeam_node::{ControlHost, ControlOptions, EntryHost, EntryOptions, Host};
+use hornbeam_node::{
+    ControlHost, ControlOptions, EntryHost, EntryOptions, FleetControlOptions, Host,
+};
 use hornbeam_standin::{FaultPlan, StandinOptions, StandinServer};
 use tempfile::TempDir;
 
@@ -297,6 +299,22 @@
     }
 }
 
+/// Gets the options of the only control host of a group that serves guarded
+/// workers.
+pub fn fleet_control_options(folder: &TempDir) -> ControlOptions {
+    let link_listen = free_address();
+    ControlOptions {
+        http_listen: free_address(),
+        link_credential: None,
+        fleet: Some(FleetControlOptions {
+            listen: free_address(),
+            seeds: vec![link_listen],
+            repair: RepairOptions::default(),
+        }),
+        ..control_options(1, &[(1, link_listen)], folder)
+    }
+}
+
 /// Submits a job to an address.
 pub async fn submit_at(
     client: &HttpClient,
@@ -372,7 +390,7 @@
 /// Gets an address that nothing listens on. Its IP address is derived from the
 /// process id, so tests in other processes and outgoing connections, which use
 /// 127.0.0.1, do not take the port before it is bound.
-fn free_address() -> SocketAddr {
+pub fn free_address() -> SocketAddr {
     static NEXT: AtomicU8 = AtomicU8::new(1);
     let [high, low, ..] = (std::process::id() as u16).to_be_bytes();
     let last = NEXT.fetch_add(1, Ordering::Relaxed);
