Bound the cost of a fleet step by the neighbours

Cause: each step went through all hosts that the control hosts list (ids cloned, batches and losses checked, wake-ups compared), computed the whole status although no batch was due, and cloned the address of each worker. Change: hosts that are only listed are kept apart from peers with which batches are exchanged; unacknowledged tasks of peers are found from the tasks; the status is computed only for a batch that is due.

--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -12,6 +12,7 @@
 use crate::fencing::{FencingToken, FencingTokens};
 use crate::io::{FleetInput, FleetOutput, Subject};
 use crate::job::{Job, JobKey, RunId};
+use crate::neighbours::ListedHost;
 use crate::options::FleetOptions;
 use crate::peer::{BatchSender, Peer};
 use crate::peer_tasks::PeerTask;
@@ -56,6 +57,10 @@
     /// Tasks of peers that wait for free resources here, by effective start
     /// time.
     pub(crate) waiting_peer_tasks: BTreeSet<(Duration, RunId)>,
+    /// Hosts that the control hosts list.
+    pub(crate) listed_hosts: IndexMap<HostId, ListedHost>,
+    /// Hosts with which this host exchanges batches, or did so. They are few, so
+    /// the cost of a step does not grow with the number of hosts.
     pub(crate) peers: IndexMap<HostId, Peer>,
     /// Hosts that were present when the neighbours were last selected.
     pub(crate) present_hosts: BTreeSet<(FailureDomainId, HostId)>,
@@ -102,6 +107,7 @@
             last_worker_key: 0,
             peer_tasks: IndexMap::new(),
             waiting_peer_tasks: BTreeSet::new(),
+            listed_hosts: IndexMap::new(),
             peers: IndexMap::new(),
             present_hosts: BTreeSet::new(),
             next_selection_at: Duration::ZERO,
--- a/crates/fleet/src/neighbours.rs
+++ b/crates/fleet/src/neighbours.rs
@@ -8,12 +8,14 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::hash::Hasher;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use hornbeam_core::ids::{FailureDomainId, HostId};
 use siphasher::sip::SipHasher13;
 
 use crate::fleet::Fleet;
+use crate::peer::Peer;
 
 /// Number of hosts that each host selects in its own failure domain.
 const SELECTED_IN_OWN_DOMAIN: usize = 3;
@@ -31,6 +33,15 @@
 /// after the next one.
 const SELECTION_INTERVAL: Duration = Duration::from_millis(200);
 
+/// `ListedHost` is an entry host that a control host listed.
+#[derive(Clone, Debug)]
+pub(crate) struct ListedHost {
+    pub(crate) address: SocketAddr,
+    pub(crate) failure_domain: FailureDomainId,
+    /// Time at which a control host last listed it.
+    pub(crate) listed_at: Duration,
+}
+
 /// Failure domain and id of a host.
 type HostLocation = (FailureDomainId, HostId);
 
@@ -47,19 +58,24 @@
             self.options.failure_domain.clone(),
             self.options.host_id.clone(),
         );
-        let known = self.peers.iter();
-        let known = known.filter(|(_, peer)| {
-            let last_seen_at = peer.listed_at.max(peer.heard_at);
-            last_seen_at.is_some_and(is_present)
-        });
-        let mut present: BTreeSet<HostLocation> = known
-            .map(|(host, peer)| (peer.failure_domain.clone(), host.clone()))
-            .collect();
+        self.listed_hosts
+            .retain(|_, listed| is_present(listed.listed_at));
+        let listed = self.listed_hosts.iter();
+        let listed = listed.map(|(host, listed)| (listed.failure_domain.clone(), host.clone()));
+        let is_heard = |(_, peer): &(&HostId, &Peer)| peer.heard_at.is_some_and(is_present);
+        let heard = self.peers.iter().filter(is_heard);
+        let heard = heard.map(|(host, peer)| (peer.failure_domain.clone(), host.clone()));
+        let mut present: BTreeSet<HostLocation> = listed.chain(heard).collect();
         present.insert(own.clone());
         if present == self.present_hosts {
             return;
         }
         let neighbours = neighbours_of(&own, &present);
+        for host in &neighbours {
+            if let Some(listed) = self.listed_hosts.get(host).cloned() {
+                self.get_or_insert_peer(host.clone(), listed.address, listed.failure_domain);
+            }
+        }
         for (host, peer) in &mut self.peers {
             peer.is_neighbour = neighbours.contains(host);
         }
--- a/crates/fleet/src/peer.rs
+++ b/crates/fleet/src/peer.rs
@@ -140,8 +140,6 @@
 pub(crate) struct Peer {
     pub(crate) address: SocketAddr,
     pub(crate) failure_domain: FailureDomainId,
-    /// Time at which a control host last listed the peer.
-    pub(crate) listed_at: Option<Duration>,
     /// Whether the peer gets a batch at least every [`HEARTBEAT_INTERVAL`].
     pub(crate) is_neighbour: bool,
     /// Time of the newest batch from the peer; it also identifies the process
@@ -232,7 +230,6 @@
         Self {
             address,
             failure_domain,
-            listed_at: None,
             is_neighbour: false,
             newest_batch: None,
             past_incarnations: VecDeque::new(),
@@ -347,6 +344,19 @@
             .map_or(Duration::ZERO, |at| at + MIN_STATUS_INTERVAL)
     }
 
+    /// Whether a batch is to be sent now.
+    pub(crate) fn is_batch_due(&self, now: Duration, sends_heartbeats: bool) -> bool {
+        match &self.in_flight {
+            Some(in_flight) => !in_flight.is_sending && now >= self.next_batch_at,
+            None => !self.outbox.is_empty() || self.is_status_due(now, sends_heartbeats),
+        }
+    }
+
+    fn is_status_due(&self, now: Duration, sends_heartbeats: bool) -> bool {
+        let is_heartbeat = sends_heartbeats && self.is_heartbeat_due(now);
+        is_heartbeat || (self.status_due && now >= self.next_status_at())
+    }
+
     /// Gets the batch to send now, if one is due and none is in flight.
     pub(crate) fn next_batch(
         &mut self,
@@ -365,8 +375,7 @@
             in_flight.batch.echo = self.newest_batch;
             return Some(in_flight.batch.clone());
         }
-        let is_heartbeat = sends_heartbeats && self.is_heartbeat_due(now);
-        let has_status = is_heartbeat || (self.status_due && now >= self.next_status_at());
+        let has_status = self.is_status_due(now, sends_heartbeats);
         if self.outbox.is_empty() && !has_status {
             return None;
         }
--- a/crates/fleet/src/peering.rs
+++ b/crates/fleet/src/peering.rs
@@ -10,6 +10,7 @@
 use crate::fleet::Fleet;
 use crate::io::{FleetOutput, PeerInfo, Subject};
 use crate::job::{RunId, TaskState};
+use crate::neighbours::ListedHost;
 use crate::peer::{Peer, PeerBatch, PeerMessage, PeerStatus, SenderIncarnation};
 
 impl Fleet {
@@ -19,30 +20,41 @@
             if info.host_id == self.options.host_id {
                 continue;
             }
-            let peer = self.get_or_insert_peer(info.host_id, info.address, info.failure_domain);
-            peer.address = info.address;
-            peer.listed_at = Some(now);
+            if let Some(peer) = self.peers.get_mut(&info.host_id) {
+                peer.address = info.address;
+            }
+            let listed = ListedHost {
+                address: info.address,
+                failure_domain: info.failure_domain,
+                listed_at: now,
+            };
+            if self.listed_hosts.insert(info.host_id, listed).is_none() {
+                // A new host may be selected as a neighbour at once.
+                self.next_selection_at = Duration::ZERO;
+            }
         }
     }
 
-    /// Gets the state of a host, creating it if the host is new. A new host may
-    /// be selected as a neighbour at once.
-    fn get_or_insert_peer(
+    /// Gets the state of a host, creating it if no batch was exchanged with it
+    /// so far.
+    pub(crate) fn get_or_insert_peer(
         &mut self,
         host: HostId,
         address: SocketAddr,
         failure_domain: FailureDomainId,
     ) -> &mut Peer {
-        let next_selection_at = &mut self.next_selection_at;
-        self.peers.entry(host).or_insert_with(|| {
-            *next_selection_at = Duration::ZERO;
-            Peer::new(address, failure_domain)
-        })
+        self.peers
+            .entry(host)
+            .or_insert_with(|| Peer::new(address, failure_domain))
     }
 
     pub(crate) fn on_batch(&mut self, batch: PeerBatch) {
         let now = self.now;
         let host = batch.from.clone();
+        if !self.listed_hosts.contains_key(&host) && !self.peers.contains_key(&host) {
+            // A host that no control host lists yet may be selected at once.
+            self.next_selection_at = Duration::ZERO;
+        }
         let peer = self.get_or_insert_peer(host.clone(), batch.address, batch.failure_domain);
         match peer.record_timestamp(batch.time) {
             SenderIncarnation::Current => {}
@@ -142,38 +154,58 @@
     pub(crate) fn check_peers(&mut self) {
         self.end_orphaned_peer_tasks();
         self.select_neighbours();
+        self.stop_unacknowledged_peer_tasks();
         let now = self.now;
-        let hosts: Vec<HostId> = self.peers.keys().cloned().collect();
-        for host in hosts {
-            let Some(peer) = self.peers.get_mut(&host) else {
-                continue;
-            };
-            if !peer.has_recent_ack(now) {
-                self.stop_peer_tasks_of(&host);
-            }
-            let Some(peer) = self.peers.get_mut(&host) else {
-                continue;
-            };
-            if peer.heard_at.is_some() && !peer.is_lost && peer.has_timed_out(now) {
-                peer.is_lost = true;
-                peer.drop_unsent();
-                let was_neighbour = peer.is_neighbour;
-                let runs = self.runs_at(&host);
-                if runs.is_empty() && !was_neighbour {
-                    continue;
-                }
-                self.log(
-                    Event::PeerLost,
-                    Subject::Peer(host.clone()),
-                    format!(
-                        "peer {host} timed out; {} runs sent to it are lost",
-                        runs.len()
-                    ),
-                );
-                for run in runs {
-                    self.task_ended(run, crate::io::RunEnd::Lost, None);
-                }
-            }
+        let is_newly_lost =
+            |peer: &Peer| peer.heard_at.is_some() && !peer.is_lost && peer.has_timed_out(now);
+        let lost: Vec<HostId> = self
+            .peers
+            .iter()
+            .filter(|(_, peer)| is_newly_lost(peer))
+            .map(|(host, _)| host.clone())
+            .collect();
+        for host in lost {
+            self.handle_lost_peer(&host);
+        }
+    }
+
+    /// Stops the runs of origins that have not accepted a batch recently.
+    fn stop_unacknowledged_peer_tasks(&mut self) {
+        let now = self.now;
+        let has_recent_ack = |origin: &HostId| {
+            let peer = self.peers.get(origin);
+            peer.is_some_and(|peer| peer.has_recent_ack(now))
+        };
+        let unacknowledged: Vec<RunId> = self
+            .peer_tasks
+            .iter()
+            .filter(|(_, peer_task)| !has_recent_ack(&peer_task.origin))
+            .map(|(run, _)| *run)
+            .collect();
+        self.on_stop_peer_tasks(&unacknowledged);
+    }
+
+    fn handle_lost_peer(&mut self, host: &HostId) {
+        let Some(peer) = self.peers.get_mut(host) else {
+            return;
+        };
+        peer.is_lost = true;
+        peer.drop_unsent();
+        let was_neighbour = peer.is_neighbour;
+        let runs = self.runs_at(host);
+        if runs.is_empty() && !was_neighbour {
+            return;
+        }
+        self.log(
+            Event::PeerLost,
+            Subject::Peer(host.clone()),
+            format!(
+                "peer {host} timed out; {} runs sent to it are lost",
+                runs.len()
+            ),
+        );
+        for run in runs {
+            self.task_ended(run, crate::io::RunEnd::Lost, None);
         }
     }
 
@@ -195,17 +227,15 @@
 
     /// Sends all batches that are due.
     pub(crate) fn send_batches(&mut self) {
-        let status = self.own_status();
-        let has_waiting_tasks = status.waiting > 0;
+        let now = self.now;
+        let has_waiting_tasks = self.waiting_tasks() > 0;
         // As soon as tasks start to wait here, peers are told, so that they
         // report their free resources.
         let starts_to_wait = has_waiting_tasks && !self.had_waiting_tasks;
         self.had_waiting_tasks = has_waiting_tasks;
         let resources_changed = std::mem::take(&mut self.resources_changed);
-        let now = self.now;
-        let sender = self.sender.clone();
-        let mut batches = Vec::new();
         let peer_tasks = &self.peer_tasks;
+        let mut due: Vec<(HostId, bool)> = Vec::new();
         for (host, peer) in &mut self.peers {
             // Hosts whose tasks run here get heartbeats, so that they do not
             // count the tasks as lost.
@@ -219,11 +249,23 @@
             {
                 peer.schedule_status();
             }
-            if let Some(batch) = peer.next_batch(now, &sender, &status, sends_heartbeats) {
-                batches.push(FleetOutput::SendBatch(host.clone(), peer.address, batch));
+            if peer.is_batch_due(now, sends_heartbeats) {
+                due.push((host.clone(), sends_heartbeats));
+            }
+        }
+        if due.is_empty() {
+            return;
+        }
+        let status = self.own_status();
+        let sender = self.sender.clone();
+        for (host, sends_heartbeats) in due {
+            if let Some(peer) = self.peers.get_mut(&host)
+                && let Some(batch) = peer.next_batch(now, &sender, &status, sends_heartbeats)
+            {
+                let send = FleetOutput::SendBatch(host, peer.address, batch);
+                self.outputs.push(send);
             }
         }
-        self.outputs.extend(batches);
     }
 
     fn own_status(&self) -> PeerStatus {
--- a/crates/fleet/src/starts.rs
+++ b/crates/fleet/src/starts.rs
@@ -175,7 +175,6 @@
         let Some(worker) = self.workers.get_mut(&worker_key) else {
             return;
         };
-        let target = worker.target();
         let mut due = Vec::new();
         for (id, run) in &mut worker.runs {
             if run.stop_at.is_some_and(|at| at <= now) {
@@ -183,6 +182,10 @@
                 due.push(*id);
             }
         }
+        if due.is_empty() {
+            return;
+        }
+        let target = worker.target();
         for run in due {
             let target = target.clone();
             self.emit(FleetOutput::Stop(StopRequest { target, run }));
