Answer heartbeats while a sync is in flight

Cause: a follower answered each append, also an empty heartbeat, only after all its writes were synced. When syncs take longer than the election timeout on a quorum, the leader loses contact with voters that hear it, steps down, and its successors do the same; no read is confirmed meanwhile. Change: while an earlier sync is in flight, an answer without an index goes ahead of the deferred one. It confirms the round and the contact, and claims no entry. The line of a step-down says when each voter last answered and whether a write is in flight.

--- a/crates/control/src/persist.rs
+++ b/crates/control/src/persist.rs
@@ -61,6 +61,11 @@
         self.hard_state.is_some() || self.snapshot.is_some()
     }
 
+    /// Whether a request is in flight.
+    pub(crate) fn is_in_flight(&self) -> bool {
+        !self.outstanding.is_empty()
+    }
+
     /// Adds a hard state to the next request.
     pub(crate) fn put_hard_state(&mut self, hard_state: HardState) {
         self.hard_state = Some(hard_state);
--- a/crates/control/src/replication.rs
+++ b/crates/control/src/replication.rs
@@ -10,11 +10,19 @@
 /// entry alone is larger.
 const MAX_BATCH_BYTES: u64 = 1 << 20;
 
+/// Index in an answer that shows only that the leader was heard. Entries are
+/// numbered from 1.
+const NO_INDEX: u64 = 0;
+
 impl Replica {
     /// Handles a tick as the leader.
     pub(crate) fn tick_leader(&mut self) {
         if !self.has_quorum_contact() {
-            return self.step_down("no quorum of voters answered within the election timeout");
+            let reason = format!(
+                "no quorum of voters answered within the election timeout; {}",
+                self.contact_ages()
+            );
+            return self.step_down(&reason);
         }
         let Role::Leader(leader_state) = &self.role else {
             return;
@@ -37,6 +45,28 @@
         self.log.voters().iter().filter(is_reachable).count() >= self.quorum()
     }
 
+    /// Describes when each other voter last answered, and whether the own disk is
+    /// behind.
+    fn contact_ages(&self) -> String {
+        let Role::Leader(leader_state) = &self.role else {
+            return String::new();
+        };
+        let age = |id: ReplicaId| match leader_state.progress.get(&id) {
+            Some(progress) => {
+                let age = self.now.saturating_sub(progress.last_contact);
+                format!("{id:x} answered {} ms ago", age.as_millis())
+            }
+            None => format!("{id:x} is not tracked"),
+        };
+        let ages: Vec<String> = self.other_voters().into_iter().map(age).collect();
+        let disk = if self.persist.is_in_flight() {
+            "a write is in flight"
+        } else {
+            "no write is in flight"
+        };
+        format!("{}; {disk}", ages.join(", "))
+    }
+
     /// Starts a heartbeat round. A replica that has entries to receive gets them
     /// instead of an empty append.
     pub(crate) fn start_heartbeat_round(&mut self) {
@@ -194,8 +224,21 @@
         }
     }
 
-    /// Answers an append or a snapshot once its content is synced.
+    /// Answers an append or a snapshot once its content is synced. While an
+    /// earlier sync is in flight, an answer without an index goes ahead: it
+    /// proves that this replica hears the leader and knows no newer term, which
+    /// does not depend on the disk. Without it, a leader whose voters have slow
+    /// disks would lose its quorum.
     pub(crate) fn answer_append(&mut self, to: ReplicaId, success: bool, index: u64, round: u64) {
+        if self.persist.is_in_flight() {
+            let contact = Message::AppendAnswer {
+                term: self.hard_state.term,
+                success: true,
+                index: NO_INDEX,
+                round,
+            };
+            self.send(to, contact);
+        }
         let answer = Message::AppendAnswer {
             term: self.hard_state.term,
             success,
@@ -220,7 +263,9 @@
         }
         // An answer with an older term may be the announcement of a learner.
         let is_current = term == self.hard_state.term;
-        self.admit_learner(from, index);
+        if index != NO_INDEX {
+            self.admit_learner(from, index);
+        }
         let now = self.now;
         let Role::Leader(leader_state) = &mut self.role else {
             return;
--- a/crates/control/tests/common/cluster.rs
+++ b/crates/control/tests/common/cluster.rs
@@ -260,7 +260,8 @@
         let is_slow = self.rng.random_bool(self.faults.slow_sync);
         let max_us = if is_slow { 200_000 } else { 6_000 };
         let sync_us = self.rng.random_range(1_000..max_us);
-        let at = self.now + Duration::from_micros(sync_us);
+        let slow_us = self.faults.min_sync_ms * 1_000;
+        let at = self.now + Duration::from_micros(slow_us + sync_us);
         let host = self.hosts.get_mut(&id).expect("a stepping host exists");
         host.pending_persists.push_back(request);
         // Persist requests complete in order.
--- a/crates/control/tests/common/faults.rs
+++ b/crates/control/tests/common/faults.rs
@@ -14,6 +14,7 @@
     delay_ms: 15,
     long_delay: 0.05,
     slow_sync: 0.1,
+    min_sync_ms: 0,
     persist_crash: 0.01,
 };
 
@@ -33,6 +34,8 @@
     pub long_delay: f64,
     /// Probability that a sync takes longer than an election timeout.
     pub slow_sync: f64,
+    /// Time in ms that each sync takes in addition.
+    pub min_sync_ms: u64,
     /// Probability that a host crashes before, during or after a persist request.
     pub persist_crash: f64,
 }
