Send fewer heartbeats to neighbours without exchanged tasks

Cause: each of some 16 neighbours got a batch every 200 ms, with or without tasks, which is most of the work of a host with 5 jobs a second; and a peer that has stopped answering got tasks until it had been silent for 500 ms. Change: neighbours that exchanged no tasks in the last 5 s get a batch every 400 ms; the first batch with tasks is answered by one at once. A peer whose last batch failed gets no tasks until it is heard again, and the silence that is allowed is 2.5 heartbeat intervals. The test of heartbeats to the origin of a task now accepts the batch that goes out as soon as the task arrives; before, it dropped it.

--- a/crates/fleet/src/peer.rs
+++ b/crates/fleet/src/peer.rs
@@ -14,11 +14,18 @@
 use crate::report::WorkerReport;
 use crate::resources::{Resources, ServiceResources};
 
-/// Longest time between two batches to a neighbour.
-pub(crate) const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(200);
+/// Longest time between two batches to a peer with which tasks are exchanged.
+const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(200);
+
+/// Longest time between two batches to a neighbour without exchanged tasks.
+const IDLE_HEARTBEAT_INTERVAL: Duration = Duration::from_millis(400);
+
+/// Time after the last exchange of tasks for which a peer gets heartbeats at the
+/// shorter interval. Few runs take longer.
+const EXCHANGE_RETENTION: Duration = Duration::from_secs(5);
 
 /// Time without a batch accepted by the origin host after which its tasks are
-/// stopped here: three heartbeats.
+/// stopped here: three heartbeats at the shorter interval.
 pub(crate) const STOP_PEER_TASKS_AFTER: Duration = Duration::from_millis(600);
 
 /// Silence after which the tasks sent to a peer count as lost. The peer stops
@@ -26,8 +33,9 @@
 /// in flight.
 pub(crate) const REMOTE_TASKS_LOST_AFTER: Duration = Duration::from_millis(1200);
 
-/// Silence after which a peer gets no new tasks.
-pub(crate) const UNRESPONSIVE_AFTER: Duration = Duration::from_millis(500);
+/// Silence after which a peer gets no new tasks, as a multiple of its heartbeat
+/// interval in percent.
+const UNRESPONSIVE_AFTER_PERCENT: u32 = 250;
 
 /// Largest number of messages in a batch; further ones wait for the next batch.
 const MAX_BATCH_MESSAGES: usize = 256;
@@ -140,7 +148,7 @@
 pub(crate) struct Peer {
     pub(crate) address: SocketAddr,
     pub(crate) failure_domain: FailureDomainId,
-    /// Whether the peer gets a batch at least every [`HEARTBEAT_INTERVAL`].
+    /// Whether the peer gets heartbeats although no tasks are exchanged with it.
     pub(crate) is_neighbour: bool,
     /// Time of the newest batch from the peer; it also identifies the process
     /// that sent it.
@@ -155,6 +163,11 @@
     pub(crate) last_sequence: u64,
     /// Last status from the peer, less the tasks sent there since.
     pub(crate) status: PeerStatus,
+    /// Time until which the peer counts as one with which tasks are exchanged.
+    exchanges_until: Duration,
+    /// Whether the last batch to the peer failed, and nothing has arrived from
+    /// it since.
+    is_unreachable: bool,
     /// Whether the loss of the peer has been handled.
     pub(crate) is_lost: bool,
     outbox: VecDeque<PeerMessage>,
@@ -237,6 +250,8 @@
             acked_at: None,
             last_sequence: 0,
             status: PeerStatus::default(),
+            exchanges_until: Duration::ZERO,
+            is_unreachable: false,
             is_lost: false,
             outbox: VecDeque::new(),
             in_flight: None,
@@ -249,7 +264,30 @@
 
     /// Whether the peer was heard from recently enough to get tasks.
     pub(crate) fn is_responsive(&self, now: Duration) -> bool {
-        is_within(self.heard_at, now, UNRESPONSIVE_AFTER)
+        let limit = self.heartbeat_interval(now) * UNRESPONSIVE_AFTER_PERCENT / 100;
+        !self.is_unreachable && is_within(self.heard_at, now, limit)
+    }
+
+    fn heartbeat_interval(&self, now: Duration) -> Duration {
+        if now < self.exchanges_until {
+            HEARTBEAT_INTERVAL
+        } else {
+            IDLE_HEARTBEAT_INTERVAL
+        }
+    }
+
+    /// Records that a batch arrived.
+    pub(crate) fn record_arrival(&mut self, messages: &[PeerMessage], now: Duration) {
+        self.heard_at = Some(now);
+        self.is_unreachable = false;
+        if has_tasks(messages) {
+            if now >= self.exchanges_until {
+                // The peer counts its tasks as lost unless it is told soon that
+                // this host accepts them.
+                self.next_batch_at = self.next_batch_at.min(now);
+            }
+            self.exchanges_until = now + EXCHANGE_RETENTION;
+        }
     }
 
     /// Whether the peer accepted a batch recently, so that it does not yet count
@@ -309,6 +347,7 @@
         let Some(mut in_flight) = self.in_flight.take() else {
             return;
         };
+        self.is_unreachable = !accepted;
         if accepted {
             self.acked_at = Some(in_flight.sent_at);
             return;
@@ -331,7 +370,7 @@
             Duration::MAX
         };
         match &self.in_flight {
-            Some(in_flight) if in_flight.is_sending => now + HEARTBEAT_INTERVAL,
+            Some(in_flight) if in_flight.is_sending => now + self.heartbeat_interval(now),
             Some(_) => self.next_batch_at,
             None if !self.outbox.is_empty() => now,
             None if self.status_due => self.next_status_at().min(next_heartbeat_at),
@@ -380,11 +419,14 @@
             return None;
         }
         let batch = self.fill_batch(now, from, has_status.then_some(status));
+        if has_tasks(&batch.messages) {
+            self.exchanges_until = now + EXCHANGE_RETENTION;
+        }
         if has_status {
             self.status_due = false;
             self.last_status_at = Some(now);
         }
-        self.next_batch_at = now + HEARTBEAT_INTERVAL;
+        self.next_batch_at = now + self.heartbeat_interval(now);
         self.in_flight = Some(InFlightBatch {
             batch: batch.clone(),
             sent_at: now,
@@ -415,6 +457,12 @@
     }
 }
 
+/// Whether a batch has messages about tasks.
+fn has_tasks(messages: &[PeerMessage]) -> bool {
+    let is_status = |message: &PeerMessage| matches!(message, PeerMessage::Status(_));
+    !messages.iter().all(is_status)
+}
+
 fn is_within(at: Option<Duration>, now: Duration, limit: Duration) -> bool {
     at.is_some_and(|at| now.saturating_sub(at) <= limit)
 }
--- a/crates/fleet/src/peering.rs
+++ b/crates/fleet/src/peering.rs
@@ -68,7 +68,7 @@
             return;
         };
         peer.address = batch.address;
-        peer.heard_at = Some(now);
+        peer.record_arrival(&batch.messages, now);
         let was_lost = std::mem::take(&mut peer.is_lost);
         let is_new = batch.sequence > peer.last_sequence;
         peer.last_sequence = peer.last_sequence.max(batch.sequence);
--- a/crates/fleet/tests/neighbours.rs
+++ b/crates/fleet/tests/neighbours.rs
@@ -111,6 +111,70 @@
     expect_that!(after.intersection(&before).count(), eq(0));
 }
 
+/// Counts the batches to each host within some seconds, each of which is
+/// accepted.
+fn count_batches(harness: &mut Harness, seconds: u64) -> BTreeMap<String, u64> {
+    let mut batches = BTreeMap::new();
+    for _ in 0..seconds * 100 {
+        harness.advance_at_once(10);
+        for output in std::mem::take(&mut harness.outputs) {
+            if let FleetOutput::SendBatch(host, _, _) = output {
+                harness.step(FleetInput::BatchEnded(host.clone(), true));
+                *batches.entry(host).or_default() += 1;
+            }
+        }
+    }
+    batches
+}
+
+/// Guards against heartbeats that take most of the processor time of a host
+/// without work: 16 neighbours at 5 a second did so in the large site.
+#[gtest]
+fn idle_neighbours_get_few_heartbeats() {
+    let site = site(240, 6);
+    let mut harness = host(1, 6, &site);
+    for (neighbour, batches) in count_batches(&mut harness, 2) {
+        expect_that!(batches, le(6), "{neighbour}");
+    }
+}
+
+/// Guards against tasks that are given up at the loss of one batch, because the
+/// peers that exchange tasks are told too seldom that the other one lives.
+#[gtest]
+fn peers_that_exchange_tasks_get_frequent_heartbeats() {
+    let mut harness = host(1, 1, &site(2, 1));
+    harness.add_worker("w1");
+    harness.receive_batch(2, 1, vec![]);
+    count_batches(&mut harness, 1);
+    harness.receive_batch(2, 2, vec![chunk(5, 1)]);
+    let request = harness.starts().remove(0);
+    harness.accept_start(&request);
+    let batches = count_batches(&mut harness, 1);
+    expect_that!(batches.get("entry-2"), some(ge(&5)));
+}
+
+/// Guards against tasks that are sent to a host that has just stopped to answer,
+/// where they are lost.
+#[gtest]
+fn a_peer_that_does_not_accept_batches_gets_no_tasks() {
+    let mut harness = host(1, 1, &site(2, 1));
+    let free = common::free_status();
+    harness.receive_batch(2, 1, vec![free.clone()]);
+    harness.step(FleetInput::BatchEnded("entry-2".into(), false));
+    harness.outputs.clear();
+    harness.submit(1, 1);
+    let has_task = |batch: &hornbeam_fleet::PeerBatch| {
+        let is_task = |message: &_| matches!(message, hornbeam_fleet::PeerMessage::Run(_));
+        batch.messages.iter().any(is_task)
+    };
+    expect_that!(harness.batches().iter().any(has_task), eq(false));
+    harness.advance_at_once(40);
+    harness.receive_batch(2, 2, vec![free]);
+    acknowledge_batch(&mut harness, 2);
+    harness.advance_at_once(5);
+    expect_that!(harness.batches().iter().any(has_task), eq(true));
+}
+
 /// Guards against tasks that their origin gives up while they run, because the
 /// origin is not a neighbour and gets no batches.
 #[gtest]
@@ -131,7 +195,14 @@
     harness.receive_batch(origin, 3, vec![chunk(5, 1)]);
     let request = harness.starts().remove(0);
     harness.accept_start(&request);
+    // A heartbeat goes out as soon as the task arrives.
+    let is_to_origin = |output: &FleetOutput| match output {
+        FleetOutput::SendBatch(host, _, _) => *host == format!("entry-{origin}"),
+        _ => false,
+    };
+    expect_that!(harness.outputs.iter().any(is_to_origin), eq(true));
     harness.outputs.clear();
+    acknowledge_batch(&mut harness, origin);
     let mut last = harness.now;
     for _ in 0..600 {
         harness.advance_at_once(1);
