Survive messages with extreme numbers

Cause: a queue with a negative or huge stretch in a published document made the calculation of an objective panic at the first job, on every entry host, also after a restart; a worker's clock near the largest number and sums of resources and waiting tasks overflowed, which ends a debug build and yields wrong numbers in a release build. Found by looking for the report that one malformed message took a process down. Change: times are multiplied with saturation, and numbers of other processes are added with saturation.

--- a/crates/fleet/src/admission.rs
+++ b/crates/fleet/src/admission.rs
@@ -10,6 +10,7 @@
 use crate::job::{Job, JobKey, JobOutcome, NotRun, RunId, Submission, Task, TaskState};
 use crate::peer::PeerMessage;
 use crate::queues::Queue;
+use crate::run_times::scaled;
 
 /// Time within an objective that requests, answers and polls take.
 const DISPATCH_OVERHEAD: Duration = Duration::from_millis(12);
@@ -145,7 +146,7 @@
         let expected = self
             .estimates
             .expected_run_time(&queue.name, submission.estimate);
-        let objective = expected.mul_f64(queue.stretch) + queue.objective_extra;
+        let objective = scaled(expected, queue.stretch) + queue.objective_extra;
         let timeout = submission.timeout;
         let state = match recent {
             Some(end) if end.runs_end_by > self.now => TaskState::AwaitingExpiry(end.runs_end_by),
--- a/crates/fleet/src/lease.rs
+++ b/crates/fleet/src/lease.rs
@@ -37,7 +37,7 @@
     pub(crate) fn extend(&mut self, now: Duration, length: Duration) -> Option<u64> {
         let reading = self.reading?;
         let since = now.saturating_sub(reading.at);
-        let end = reading.clock_ms + millis(since + length);
+        let end = reading.clock_ms.saturating_add(millis(since + length));
         self.latest_expiry_ms = self.latest_expiry_ms.max(end);
         self.ends_by = self.ends_by.max(self.latest_time_of(reading, end));
         Some(self.latest_expiry_ms)
--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -68,13 +68,15 @@
                 && !peer.status.draining
                 && service_resources(peer, service).is_some()
         };
-        let load = |peer: &Peer| queue_load_percent(peer.status.waiting + 1, peer.status.serving);
+        let load = |peer: &Peer| {
+            queue_load_percent(peer.status.waiting.saturating_add(1), peer.status.serving)
+        };
         let fit = self.peers.iter().filter(|(_, peer)| is_fit(peer));
         let least_loaded = fit.min_by_key(|(_, peer)| load(peer))?;
         let is_lower = load(least_loaded.1) < own && load(least_loaded.1) <= MAX_QUEUE_LOAD_PERCENT;
         let host = is_lower.then(|| least_loaded.0.clone())?;
         let peer = self.peers.get_mut(&host)?;
-        peer.status.waiting += 1;
+        peer.status.waiting = peer.status.waiting.saturating_add(1);
         Some(host)
     }
 
--- a/crates/fleet/src/stragglers.rs
+++ b/crates/fleet/src/stragglers.rs
@@ -7,6 +7,7 @@
 use crate::fleet::Fleet;
 use crate::io::{PollResponse, Subject};
 use crate::job::RunId;
+use crate::run_times::scaled;
 use crate::worker::{Run, RunState, Worker, WorkerKey};
 
 /// Multiple of the expected run time after which a run is overdue.
@@ -135,6 +136,6 @@
     }
     let done_share = f64::from(done_percent.max(1)) / 100.0;
     let projected = elapsed.div_f64(done_share);
-    let is_slow = projected > run.expected.mul_f64(SLOW_FACTOR);
+    let is_slow = projected > scaled(run.expected, SLOW_FACTOR);
     is_slow.then(|| projected.saturating_sub(elapsed))
 }
--- a/crates/fleet/src/wait_estimate.rs
+++ b/crates/fleet/src/wait_estimate.rs
@@ -5,6 +5,7 @@
 use crate::fleet::Fleet;
 use crate::job::Job;
 use crate::resources::Resources;
+use crate::run_times::scaled;
 
 /// Share of the waiting tasks that are ahead of a job of priority 0, in
 /// percent: those of the same priority.
@@ -23,7 +24,7 @@
     /// Records the time that a run took.
     pub(crate) fn record(&mut self, took: Duration) {
         let mean = match self.mean {
-            Some(mean) => mean.mul_f64(1.0 - RUN_WEIGHT) + took.mul_f64(RUN_WEIGHT),
+            Some(mean) => scaled(mean, 1.0 - RUN_WEIGHT) + scaled(took, RUN_WEIGHT),
             None => took,
         };
         self.mean = Some(mean);
@@ -41,24 +42,26 @@
                 .values()
                 .filter(|peer| peer.is_responsive(self.now))
         };
-        let waiting: u32 = responsive().map(|peer| peer.status.waiting).sum();
-        let waiting = waiting + self.waiting_tasks();
+        let waiting = saturating_sum(responsive().map(|peer| peer.status.waiting));
+        let waiting = waiting.saturating_add(self.waiting_tasks());
         let ahead = if job.effective_start_by == job.start_by {
             waiting
         } else {
-            waiting * AHEAD_OF_TOP_PRIORITY_PERCENT / 100
+            waiting / 100 * AHEAD_OF_TOP_PRIORITY_PERCENT
+                + waiting % 100 * AHEAD_OF_TOP_PRIORITY_PERCENT / 100
         };
         let tasks = u32::try_from(job.tasks.len()).unwrap_or(u32::MAX);
         let free_now = self.free_slots(job);
         let to_wait = ahead.saturating_add(tasks).saturating_sub(free_now);
         let own_workers = self.serving_workers();
-        let peer_workers: u32 = responsive().map(|peer| peer.status.serving).sum();
+        let peer_workers = saturating_sum(responsive().map(|peer| peer.status.serving));
         let own_slots = f64::from(self.own_slots(job));
         if waiting == 0 || to_wait == 0 || own_slots == 0.0 {
             return None;
         }
-        let slots = own_slots * f64::from(own_workers + peer_workers) / f64::from(own_workers);
-        let wait = mean.mul_f64(f64::from(to_wait) / slots);
+        let slots =
+            own_slots * (f64::from(own_workers) + f64::from(peer_workers)) / f64::from(own_workers);
+        let wait = scaled(mean, f64::from(to_wait) / slots);
         let time_left = job.start_by.saturating_sub(self.now);
         (wait > time_left).then(|| {
             format!(
@@ -77,9 +80,7 @@
             .workers
             .values()
             .filter(|worker| worker.report.service == job.service && worker.accepts_runs(self.now));
-        serving
-            .map(|worker| slots_in(&worker.report.capacity, &job.need))
-            .sum()
+        saturating_sum(serving.map(|worker| slots_in(&worker.report.capacity, &job.need)))
     }
 
     /// Counts the tasks of a job that fit the free resources here and at peers.
@@ -95,10 +96,15 @@
         let free = resources
             .filter(|resources| resources.service == job.service)
             .flat_map(|resources| &resources.free);
-        free.map(|amount| slots_in(amount, &job.need)).sum()
+        saturating_sum(free.map(|amount| slots_in(amount, &job.need)))
     }
 }
 
+/// Adds numbers of which some come from other processes, and may be of any size.
+fn saturating_sum(numbers: impl Iterator<Item = u32>) -> u32 {
+    numbers.fold(0, u32::saturating_add)
+}
+
 /// Counts the tasks that fit an amount of resources by cores, which run out
 /// first.
 fn slots_in(resources: &Resources, need: &Resources) -> u32 {
