Start waiting jobs with some of their slack left

Urgent jobs were refused on arrival because 30 % of all waiting tasks were taken to be ahead of them. Change: jobs may wait for 60 % of their slack, those of priority 0 for all of it. The tasks ahead of a job are counted by their order, and at peers taken to have the same share; if none wait here, as before.

--- a/crates/fleet/src/admission.rs
+++ b/crates/fleet/src/admission.rs
@@ -15,6 +15,9 @@
 /// Time within an objective that requests, answers and polls take.
 const DISPATCH_OVERHEAD: Duration = Duration::from_millis(12);
 
+/// Share of a job's slack that it may wait for resources, in percent.
+const MAX_WAIT_PERCENT: u32 = 60;
+
 /// Time by which jobs of priority 0 precede others with the same latest start
 /// time. It exceeds the time that other jobs usually have until their latest
 /// start.
@@ -164,10 +167,10 @@
             avoid: None,
             state,
         };
-        let start_by = self.now
-            + objective
-                .saturating_sub(expected)
-                .saturating_sub(DISPATCH_OVERHEAD);
+        let slack = objective
+            .saturating_sub(expected)
+            .saturating_sub(DISPATCH_OVERHEAD);
+        let start_by = self.now + slack * max_wait_percent(queue.priority) / 100;
         Job {
             effective_start_by: start_by.saturating_sub(priority_lead(queue.priority)),
             call,
@@ -332,6 +335,14 @@
     }
 }
 
+/// Gets the share of a job's slack that it may wait for resources, in percent.
+const fn max_wait_percent(priority: u32) -> u32 {
+    match priority {
+        0 => 100,
+        _ => MAX_WAIT_PERCENT,
+    }
+}
+
 const fn priority_lead(priority: u32) -> Duration {
     match priority {
         0 => TOP_PRIORITY_LEAD,
--- a/crates/fleet/src/wait_estimate.rs
+++ b/crates/fleet/src/wait_estimate.rs
@@ -7,9 +7,9 @@
 use crate::resources::Resources;
 use crate::run_times::scaled;
 
-/// Share of the waiting tasks that are ahead of a job of priority 0, in
-/// percent: those of the same priority.
-const AHEAD_OF_TOP_PRIORITY_PERCENT: u32 = 30;
+/// Share of the tasks that wait at peers and are ahead of a job of priority 0,
+/// if none wait here: those of the same priority.
+const SHARE_AHEAD_OF_URGENT: f64 = 0.3;
 
 /// Weight of one run in the moving average of run times.
 const RUN_WEIGHT: f64 = 0.02;
@@ -42,14 +42,19 @@
                 .values()
                 .filter(|peer| peer.is_responsive(self.now))
         };
-        let waiting = saturating_sum(responsive().map(|peer| peer.status.waiting));
-        let waiting = waiting.saturating_add(self.waiting_tasks());
-        let ahead = if job.effective_start_by == job.start_by {
-            waiting
-        } else {
-            waiting / 100 * AHEAD_OF_TOP_PRIORITY_PERCENT
-                + waiting % 100 * AHEAD_OF_TOP_PRIORITY_PERCENT / 100
+        let own_waiting = self.waiting_tasks();
+        let peers_waiting = saturating_sum(responsive().map(|peer| peer.status.waiting));
+        let waiting = peers_waiting.saturating_add(own_waiting);
+        // Peers report how many tasks wait, not which; the share that goes first
+        // is taken to be the same as here.
+        let own_ahead = self.waiting_tasks_before(job.effective_start_by);
+        let is_urgent = job.effective_start_by != job.start_by;
+        let share_ahead = match own_waiting {
+            0 if is_urgent => SHARE_AHEAD_OF_URGENT,
+            0 => 1.0,
+            _ => f64::from(own_ahead) / f64::from(own_waiting),
         };
+        let ahead = own_ahead.saturating_add((f64::from(peers_waiting) * share_ahead) as u32);
         let tasks = u32::try_from(job.tasks.len()).unwrap_or(u32::MAX);
         let free_now = self.free_slots(job);
         let to_wait = ahead.saturating_add(tasks).saturating_sub(free_now);
@@ -73,6 +78,22 @@
         })
     }
 
+    /// Counts the waiting tasks that start before those of a job with this
+    /// effective start time.
+    fn waiting_tasks_before(&self, effective_start_by: Duration) -> u32 {
+        let before = self
+            .queued_jobs
+            .iter()
+            .take_while(|(at, _)| *at <= effective_start_by);
+        let queued = before.filter_map(|(_, key)| self.jobs.get(key));
+        let own: usize = queued.map(|job| job.queued).sum();
+        let peer_tasks = self
+            .waiting_peer_tasks
+            .iter()
+            .take_while(|(at, _)| *at <= effective_start_by);
+        u32::try_from(own + peer_tasks.count()).unwrap_or(u32::MAX)
+    }
+
     /// Counts the tasks of a job that fit the serving workers of this host when
     /// they are idle.
     fn own_slots(&self, job: &Job) -> u32 {
