--- a/crates/document/tests/transfer.rs
+++ b/crates/document/tests/transfer.rs
@@ -19,14 +19,14 @@
     // Spreads the digits, so that names differ as much as random ones.
     let name = number.wrapping_mul(0x9E37_79B9_7F4A_7C15);
     format!(
-        "{{\"name\":\"r-{name:x}\",\"hostname\":\"h{number}.example\",\"pathPrefix\":\"/p{name:x}/\",\"type\":\"unsafe\",\"timeoutMs\":1500,\"targetLatencyMs\":60,\"priority\":1,\"service\":\"subscribe\",\"attempts\":4,\"stretch\":1.6}}"
+        "{{\"queue\":\"r-{name:x}\",\"host\":\"h{number}.example\",\"path\":\"/p{name:x}/\",\"timeout_ms\":1500,\"objective_ms\":60,\"priority\":1,\"service\":\"subscribe\",\"attempts\":4,\"stretch\":1.6,\"kind\":\"not repeatable\"}}"
     )
 }
 
 fn document(version: u64, queues: impl IntoIterator<Item = u64>) -> Document {
     let queues: Vec<String> = queues.into_iter().map(queue_text).collect();
     let text = format!(
-        "{{\"version\":{version},\"routes\":[{}],\"limits\":{{}}}}",
+        "{{\"version\":{version},\"queues\":[{}]}}",
         queues.join(",")
     );
     Document::new(version, text.into())
--- a/crates/node/tests/membership.rs
+++ b/crates/node/tests/membership.rs
@@ -17,6 +17,7 @@
     ControlHost, EntryRegistration, FleetEntryHost, FleetEntryOptions, Host, Membership,
     MembershipUpdate, MembershipVersion, Request, RequestAnswer,
 };
+use hornbeam_platform::standin;
 use hornbeam_transport::{Link, LinkOptions, ServerOptions, Service, serve};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::task::JoinHandle;
@@ -155,17 +156,10 @@
 }
 
 fn document(version: u64, queues: std::ops::Range<u64>) -> Document {
-    let queue = |number: u64| {
-        let name = number.wrapping_mul(0x9E37_79B9_7F4A_7C15);
-        format!(
-            r#"{{"name":"r-{name:x}","hostname":"h{number}.example","pathPrefix":"/p{name:x}/","type":"unsafe","timeoutMs":1500,"targetLatencyMs":60,"priority":1,"service":"subscribe","attempts":4,"stretch":1.6}}"#
-        )
-    };
-    let queues: Vec<String> = queues.map(queue).collect();
-    let text = format!(
-        r#"{{"version":{version},"routes":[{}],"services":[{{"name":"subscribe","healthPath":"/health","maxConns":64,"protocol":"h1","tls":false,"enforcesCapacity":true,"standby":false}}],"limits":{{"maxHeaderBytes":16384,"maxBodyBytes":262144,"headerTimeoutMs":3000,"idleTimeoutMs":15000}}}}"#,
-        queues.join(",")
-    );
+    // Spreads the digits, so that names differ as much as random ones.
+    let name = |number: u64| format!("q{:x}", number.wrapping_mul(0x9E37_79B9_7F4A_7C15));
+    let names: Vec<String> = queues.map(name).collect();
+    let text = standin::document(version, "subscribe", &names);
     Document::new(version, text.into())
 }
 
