--- a/crates/fleet/src/neighbours.rs
+++ b/crates/fleet/src/neighbours.rs
@@ -25,8 +25,7 @@
 const SELECTED_IN_OTHER_DOMAINS: usize = 4;
 
 /// Time for which a host counts as present after a control host listed it or it
-/// was heard from. Control hosts list the hosts that they heard from in the
-/// last 2 s.
+/// was heard from. It outlasts the second between two lists.
 const PRESENCE_TIMEOUT: Duration = Duration::from_secs(3);
 
 /// Time between two selections. A new host exchanges tasks with others only
