Record which runs a worker held when it crashed

Neither logs nor metrics told a crash from a lease that expired because of a cut, and no line named the runs of a crashed worker or the number of workers that a task has lost.

A poll whose connection is refused now has an outcome of its own. Losses of runs are kept by job for a minute with what shows them: silence until the lease expired, refused connections, a later incarnation, or an answer of the same incarnation, which withdraws the loss. WorkerCrashed (727) lists the runs, LeaseEnded too, and RunRetried has the count of the task. No decision changes.

--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -124,6 +124,8 @@
     /// An ejected guarded worker was restored to service, or a silent one answers
     /// again.
     WorkerRestored = 726, Info;
+    /// A guarded worker crashed with runs on it, or turned out not to have crashed.
+    WorkerCrashed = 727, Warn;
     /// A message from a worker, caller or operator could not be decoded.
     MessageRejected = 730, Warn;
     /// A published configuration was accepted.
--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -17,6 +17,7 @@
 use crate::peer::{BatchSender, Peer};
 use crate::peer_tasks::PeerTask;
 use crate::queues::QueueTable;
+use crate::run_losses::LossLog;
 use crate::run_times::RunTimeEstimates;
 use crate::scheduling::OFFLOAD_AFTER;
 use crate::wait_estimate::MeanRunTime;
@@ -47,6 +48,7 @@
     /// Jobs by the time at which their callers stop waiting.
     pub(crate) deadlines: BTreeSet<(Duration, JobKey)>,
     pub(crate) recent_jobs: RecentJobs,
+    pub(crate) losses: LossLog,
     pub(crate) estimates: RunTimeEstimates,
     pub(crate) mean_run_time: MeanRunTime,
     pub(crate) workers: BTreeMap<WorkerKey, Worker>,
@@ -100,6 +102,7 @@
             awaiting_expiry: BTreeSet::new(),
             deadlines: BTreeSet::new(),
             recent_jobs: RecentJobs::default(),
+            losses: LossLog::default(),
             estimates: RunTimeEstimates::default(),
             mean_run_time: MeanRunTime::default(),
             workers: BTreeMap::new(),
--- a/crates/fleet/src/io.rs
+++ b/crates/fleet/src/io.rs
@@ -248,6 +248,8 @@
     OtherIncarnation,
     /// No usable answer arrived.
     Unanswered,
+    /// Nothing listens at the worker's address.
+    ConnectionRefused,
 }
 
 /// `PollResponse` is the answer of a worker to a poll.
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -25,6 +25,7 @@
 mod queues;
 mod report;
 mod resources;
+mod run_losses;
 mod run_times;
 mod runs;
 mod scheduling;
@@ -46,4 +47,5 @@
 pub use queues::{Limits, Queue, QueueTable, ServiceSettings};
 pub use report::WorkerReport;
 pub use resources::{Resources, ServiceResources};
+pub use run_losses::{LossEvidence, RunLoss};
 pub use worker::WorkerKey;
--- a/crates/fleet/src/ownership.rs
+++ b/crates/fleet/src/ownership.rs
@@ -10,6 +10,7 @@
 use crate::io::{FleetOutput, ReportAnswer, ReportId, Subject};
 use crate::job::RunId;
 use crate::report::WorkerReport;
+use crate::run_losses::LossEvidence;
 use crate::worker::{Phase, Worker, WorkerKey};
 
 /// Time without a report or an answer after which a worker is removed.
@@ -91,6 +92,7 @@
 
     /// Handles a restart of a worker: none of its runs is left.
     pub(crate) fn worker_restarted(&mut self, worker_key: WorkerKey) {
+        self.record_losses(worker_key, LossEvidence::Restarted);
         self.remove_worker(worker_key, self.now, "it restarted");
     }
 
--- a/crates/fleet/src/polls.rs
+++ b/crates/fleet/src/polls.rs
@@ -9,6 +9,7 @@
     FleetOutput, PollOutcome, PollRequest, PollResponse, RunEnd, StopRequest, Subject,
 };
 use crate::job::RunId;
+use crate::run_losses::{LossEvidence, list_runs};
 use crate::worker::{Phase, RunState, Worker, WorkerKey};
 
 /// Delay before an unanswered poll is repeated; it doubles up to
@@ -66,14 +67,20 @@
         match outcome {
             PollOutcome::Fenced => self.on_fenced(worker_key),
             PollOutcome::OtherIncarnation => self.worker_restarted(worker_key),
-            PollOutcome::Unanswered => self.on_poll_unanswered(worker_key, sent_at),
+            PollOutcome::Unanswered => {
+                self.on_poll_unanswered(worker_key, sent_at, "did not answer");
+            }
+            PollOutcome::ConnectionRefused => {
+                self.on_poll_unanswered(worker_key, sent_at, "refused the connections of");
+                self.record_refused_poll(worker_key);
+            }
             PollOutcome::Answered(response) => {
                 self.on_poll_response(worker_key, sent_at, &response)
             }
         }
     }
 
-    fn on_poll_unanswered(&mut self, worker_key: WorkerKey, sent_at: Duration) {
+    fn on_poll_unanswered(&mut self, worker_key: WorkerKey, sent_at: Duration, what: &str) {
         self.record_lost_poll();
         let Some(worker) = self.workers.get_mut(&worker_key) else {
             return;
@@ -87,7 +94,7 @@
         let delay = POLL_RETRY_DELAY * 2_u32.pow((worker.unanswered_polls - 1).min(5));
         worker.next_poll_at = self.now + delay.min(MAX_POLL_RETRY_DELAY);
         let message = format!(
-            "worker {} did not answer {} consecutive polls; {} runs on it",
+            "worker {} {what} {} consecutive polls; {} runs on it",
             worker.report.worker_id,
             worker.unanswered_polls,
             worker.runs.len()
@@ -118,6 +125,10 @@
         worker.last_answer_at = now;
         worker.last_poll_answer_at = now;
         worker.next_poll_at = now;
+        self.withdraw_losses(worker_key);
+        let Some(worker) = self.workers.get_mut(&worker_key) else {
+            return;
+        };
         if worker.unanswered_polls > 0 {
             worker.unanswered_polls = 0;
             self.resources_changed = true;
@@ -257,17 +268,23 @@
             .map(|worker| worker.worker_key)
             .collect();
         for worker_key in expired {
-            let Some(worker) = self.workers.get_mut(&worker_key) else {
+            let Some(worker) = self.workers.get(&worker_key) else {
                 continue;
             };
             let worker_id = worker.report.worker_id.clone();
             let runs: Vec<RunId> = worker.runs.keys().copied().collect();
+            let unanswered_polls = worker.unanswered_polls;
+            // Otherwise this process was paused, and the worker is not at fault.
+            if unanswered_polls > 0 {
+                self.record_losses(worker_key, LossEvidence::Silent);
+            }
             self.log(
                 Event::LeaseEnded,
                 Subject::Worker(worker_id.clone()),
                 format!(
-                    "lease of worker {worker_id} expired with {} runs on it",
-                    runs.len()
+                    "lease of worker {worker_id} expired after {unanswered_polls} unanswered polls with {} runs on it: {}",
+                    runs.len(),
+                    list_runs(runs.iter().copied())
                 ),
             );
             for id in runs {
--- a/crates/fleet/src/probes.rs
+++ b/crates/fleet/src/probes.rs
@@ -83,7 +83,7 @@
             PollOutcome::Fenced => self.on_fenced(worker_key),
             PollOutcome::OtherIncarnation => self.worker_restarted(worker_key),
             // The poll in flight, not the probe, counts towards `unanswered_polls`.
-            PollOutcome::Unanswered => self.record_lost_poll(),
+            PollOutcome::Unanswered | PollOutcome::ConnectionRefused => self.record_lost_poll(),
             PollOutcome::Answered(response) => {
                 self.on_poll_response(worker_key, sent_at, &response)
             }
--- a/crates/fleet/src/runs.rs
+++ b/crates/fleet/src/runs.rs
@@ -85,10 +85,11 @@
             }
             RunEnd::Lost => {
                 task.avoid = worker_key;
+                let losses = self.describe_losses(id);
                 self.log(
                     Event::RunRetried,
                     Subject::Run(id),
-                    format!("run {id} was lost; its task is queued again"),
+                    format!("run {id} was lost; its task is queued again; {losses}"),
                 );
                 self.requeue(id);
             }
--- a/crates/fleet/src/worker.rs
+++ b/crates/fleet/src/worker.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 
 use crate::fencing::FencingToken;
 use crate::io::WorkerTarget;
@@ -50,6 +50,10 @@
     /// Number of times the fencing token was raised during take-over because
     /// the worker had seen a higher one.
     pub(crate) token_raises: u32,
+    /// Number of consecutive refused connections.
+    pub(crate) refused_polls: u32,
+    /// Runs that were on the worker when it became silent, until it answers.
+    pub(crate) lost_runs: IndexSet<RunId>,
 }
 
 /// `Phase` is the progress of taking ownership of a worker.
@@ -124,6 +128,8 @@
             blocked_until: Duration::ZERO,
             failures: 0,
             token_raises: 0,
+            refused_polls: 0,
+            lost_runs: IndexSet::new(),
         }
     }
 
--- a/crates/fleet/tests/events.rs
+++ b/crates/fleet/tests/events.rs
@@ -86,6 +86,7 @@
         harness.polls();
     }
     harness.answer_poll(silent, &[], &[]);
+    crash_workers(&mut harness);
     for job in 2..=8 {
         harness.submit(job, 1);
         for request in harness.starts() {
@@ -96,6 +97,19 @@
     harness.logged_events()
 }
 
+/// Starts a job and refuses the connections to its worker.
+fn crash_workers(harness: &mut Harness) {
+    let worker_key = harness.start_job(9).target.worker_key;
+    for _ in 0..3 {
+        harness.step(FleetInput::PollEnded(
+            worker_key,
+            PollOutcome::ConnectionRefused,
+        ));
+        harness.advance(100);
+        harness.polls();
+    }
+}
+
 /// Gets the events of a peer that times out, becomes reachable again and
 /// restarts.
 fn peer_events() -> Logged {
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -1,7 +1,9 @@
 //! The HTTP client.
 
+use std::error::Error as _;
 use std::fmt;
 use std::future::Future;
+use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -66,6 +68,35 @@
     pub body: A,
 }
 
+/// `CallError` is the failure of a request, with what it shows about the
+/// receiver.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct CallError {
+    /// The failure.
+    pub error: Error,
+    /// Whether the receiver refused the connection: its host is reachable, and
+    /// nothing listens at the address.
+    pub is_connection_refused: bool,
+}
+
+impl From<Error> for CallError {
+    fn from(error: Error) -> Self {
+        Self {
+            error,
+            is_connection_refused: false,
+        }
+    }
+}
+
+impl From<CallError> for Error {
+    fn from(failure: CallError) -> Self {
+        failure.error
+    }
+}
+
+/// `CallResult` is the result of a request.
+pub type CallResult<T> = std::result::Result<T, CallError>;
+
 /// `HttpClient` sends JSON requests. Clones share the connection pools.
 #[derive(Clone)]
 pub struct HttpClient {
@@ -144,7 +175,8 @@
     /// the undecoded response body, for callers that decode it by status.
     ///
     /// # Errors
-    /// As [`HttpClient::post`].
+    /// As [`HttpClient::post`], with the information whether the connection was
+    /// refused.
     pub async fn post_for_bytes<Q: Serialize + Sync>(
         &self,
         address: SocketAddr,
@@ -152,7 +184,7 @@
         header: (&'static str, &str),
         body: &Q,
         timeout: Duration,
-    ) -> Result<Reply<Bytes>> {
+    ) -> CallResult<Reply<Bytes>> {
         let mut outgoing = OutgoingRequest::post(address, path, body, timeout)?;
         let value = HeaderValue::from_str(header.1).map_err(Error::not_sent)?;
         outgoing.header = Some((HeaderName::from_static(header.0), value));
@@ -198,7 +230,7 @@
     }
 
     /// Sends one request and reads the complete response.
-    async fn exchange(&self, outgoing: OutgoingRequest<'_>) -> Result<Reply<Bytes>> {
+    async fn exchange(&self, outgoing: OutgoingRequest<'_>) -> CallResult<Reply<Bytes>> {
         let deadline = Instant::now() + outgoing.timeout;
         let handle = self.shared.pools.pool_handle(outgoing.address)?;
         let permit = timeout_at(deadline, handle.permits.acquire())
@@ -209,7 +241,7 @@
         let reply = self.read_response(response, deadline).await;
         self.wait_for_pool_return(&handle).await;
         drop(permit);
-        reply
+        Ok(reply?)
     }
 
     /// Delays the release of a permit if most are in use, so that the next
@@ -227,7 +259,7 @@
         pool: &Pool,
         outgoing: OutgoingRequest<'_>,
         deadline: Instant,
-    ) -> Result<Response> {
+    ) -> CallResult<Response> {
         let tracker = SendTracker::default();
         let connect_deadline = Instant::now() + self.shared.options.connect_timeout;
         let sending = self.send_future(pool, outgoing, tracker.clone());
@@ -237,7 +269,7 @@
         let result = match first_result {
             Ok(result) => result,
             Err(_) if tracker.try_cancel() => {
-                return Err(Error::not_sent("no connection within the time limit"));
+                return Err(Error::not_sent("no connection within the time limit").into());
             }
             Err(_) => timeout_at(deadline, &mut sending)
                 .await
@@ -334,12 +366,28 @@
 
 /// Converts an error of `volo-http` to one that tells whether transmission of
 /// the request had begun.
-fn classify_error(cause: ClientError, tracker: &SendTracker) -> Error {
+fn classify_error(cause: ClientError, tracker: &SendTracker) -> CallError {
     if tracker.try_cancel() {
-        Error::not_sent(cause)
+        CallError {
+            is_connection_refused: is_connection_refused(&cause),
+            error: Error::not_sent(cause),
+        }
     } else {
-        Error::outcome_unknown(cause)
+        Error::outcome_unknown(cause).into()
+    }
+}
+
+/// Whether an error was caused by a receiver that refused the connection.
+fn is_connection_refused(error: &ClientError) -> bool {
+    let mut source = error.source();
+    while let Some(cause) = source {
+        let io_error = cause.downcast_ref::<io::Error>();
+        if io_error.is_some_and(|error| error.kind() == io::ErrorKind::ConnectionRefused) {
+            return true;
+        }
+        source = cause.source();
     }
+    false
 }
 
 async fn collect_body(body: Limited<Body>) -> Result<Bytes> {
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -16,6 +16,6 @@
 
 pub use body::{BodyLimits, BodyRejection, json_response, parse_json, read_json, text_response};
 pub use bytes::Bytes;
-pub use client::{ClientOptions, HttpClient, Reply};
+pub use client::{CallError, CallResult, ClientOptions, HttpClient, Reply};
 pub use credential::is_authorized;
 pub use server::{HttpServer, HttpServerOptions, close_without_response};
--- a/crates/http/tests/client.rs
+++ b/crates/http/tests/client.rs
@@ -191,6 +191,24 @@
     }
 }
 
+/// Guards against a refused connection that looks like one that could not be
+/// established in time, and the other way round.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_refused_connection_is_told_from_a_silent_one() {
+    let call = async |address| {
+        let header = ("x-test", "1");
+        let client = client(4);
+        let call = client.post_for_bytes(address, "/", header, &true, TIMEOUT);
+        call.await.map_err(|failure| failure.is_connection_refused)
+    };
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    expect_that!(call(address).await.is_err_and(|refused| !refused), eq(true));
+    drop(listener);
+    expect_that!(call(address).await.is_err_and(|refused| refused), eq(true));
+}
+
 /// Guards against an unknown outcome for requests that were certainly not sent,
 /// which would fail jobs needlessly.
 #[gtest]
--- a/crates/node/src/fleet_entry/metrics.rs
+++ b/crates/node/src/fleet_entry/metrics.rs
@@ -301,6 +301,7 @@
         PollOutcome::Fenced => "generation",
         PollOutcome::OtherIncarnation => "other_incarnation",
         PollOutcome::Unanswered => "unanswered",
+        PollOutcome::ConnectionRefused => "connection_refused",
     }
 }
 
