Give up tasks after two of their workers crashed

Cause: the end of a run that is lost with its worker counts for nothing, only failed ends do. The class of fault is a retry without a budget: evidence that an attempt does harm is not kept with what is retried.

Change: the losses of a task are counted from the records of runs lost with their workers, which outlive the job. A task under which two workers crashed, or four crashed or became silent, is given up, and its job ends as failed at once; so does the same job when it is submitted again. A suspect task prefers a worker without other runs, and no run joins it there, so that the second crash has one candidate and takes no other run with it. The times of retries are unchanged: a refused connection is no proof that the runs on a worker have ended, since cuts of the network can refuse connections too.

Tried and dropped: a limit of three for a task that shared all its workers.

Most crashing tasks run at peers, whose hosts count alone; that is the next fault.

--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -126,6 +126,8 @@
     WorkerRestored = 726, Info;
     /// A guarded worker crashed with runs on it, or turned out not to have crashed.
     WorkerCrashed = 727, Warn;
+    /// A task was given up because the workers that started it crashed.
+    TaskGivenUp = 728, Warn;
     /// A message from a worker, caller or operator could not be decoded.
     MessageRejected = 730, Warn;
     /// A published configuration was accepted.
--- a/crates/fleet/src/admission.rs
+++ b/crates/fleet/src/admission.rs
@@ -100,6 +100,14 @@
         {
             return self.emit(FleetOutput::Answer(call, end.outcome));
         }
+        if let Some(reason) = self.give_up_over_limit(submission.job) {
+            self.log(
+                Event::FleetJobFailed,
+                Subject::Job(submission.job),
+                format!("job {:016x} failed: {reason}", submission.job),
+            );
+            return self.emit(FleetOutput::Answer(call, JobOutcome::Failed));
+        }
         if self.fits_nowhere(&queue.service, &submission.need) {
             self.log(
                 Event::FleetJobFailed,
--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -14,12 +14,14 @@
 
 impl Fleet {
     /// Chooses the worker of this host with the tightest fit, which leaves room
-    /// for large tasks. The worker `avoid` comes last.
+    /// for large tasks. The worker `avoid` comes last. A suspect task prefers a
+    /// worker without other runs.
     pub(crate) fn choose_worker(
         &self,
         service: &ServiceId,
         need: &Resources,
         avoid: Option<WorkerKey>,
+        is_suspect: bool,
     ) -> Option<WorkerKey> {
         let fits = |worker: &&Worker| {
             worker.report.service == *service
@@ -28,7 +30,9 @@
         };
         let rank = |worker: &&Worker| {
             let left = worker.free().cpu_milli - need.cpu_milli;
-            (avoid == Some(worker.worker_key), worker.failures, left)
+            let joins_others = is_suspect && !worker.runs.is_empty();
+            let is_avoided = avoid == Some(worker.worker_key);
+            (is_avoided, joins_others, worker.failures, left)
         };
         let fitting = self.workers.values().filter(fits);
         fitting.min_by_key(rank).map(|worker| worker.worker_key)
@@ -88,7 +92,7 @@
         need: &Resources,
         except: WorkerKey,
     ) -> bool {
-        let own = self.choose_worker(service, need, Some(except));
+        let own = self.choose_worker(service, need, Some(except), false);
         let has_peer = self.peers.values().any(|peer| {
             peer.is_responsive(self.now)
                 && !peer.status.draining
--- a/crates/fleet/src/run_losses.rs
+++ b/crates/fleet/src/run_losses.rs
@@ -13,9 +13,19 @@
 
 use crate::fleet::Fleet;
 use crate::io::Subject;
-use crate::job::{JobKey, RunId};
+use crate::job::{JobKey, JobOutcome, RunId, TaskState};
 use crate::worker::{Worker, WorkerKey};
 
+/// Number of workers that may crash under a task before it is given up. After
+/// the first one no other task joins it, so the second is hardly ever crashed by
+/// another task.
+const MAX_CRASHES: usize = 2;
+
+/// Number of workers that may crash or become silent under a task. A silent
+/// worker may also be cut off, but a task that loses so many is not safe to
+/// start again.
+const MAX_LOSSES: usize = 4;
+
 /// Number of consecutive refused connections after which a worker counts as
 /// crashed. A single one may be a worker whose queue of new connections is full.
 const REFUSALS_OF_CRASHED_WORKER: u32 = 2;
@@ -66,6 +76,18 @@
     pub(crate) silent: usize,
 }
 
+impl LossCount {
+    /// Whether any worker was lost.
+    fn is_suspect(self) -> bool {
+        self.crashed + self.silent > 0
+    }
+
+    /// Whether the task must not start again.
+    fn is_over_limit(self) -> bool {
+        self.crashed >= MAX_CRASHES || self.crashed + self.silent >= MAX_LOSSES
+    }
+}
+
 /// `LossLog` holds the losses of recent jobs. Records can arrive in any order
 /// and repeatedly.
 #[derive(Debug, Default)]
@@ -112,7 +134,9 @@
         for loss in self.of_job(job).iter().filter(|loss| loss.run.task == task) {
             match loss.evidence {
                 LossEvidence::Silent => count.silent += 1,
-                LossEvidence::ConnectionRefused | LossEvidence::Restarted => count.crashed += 1,
+                LossEvidence::ConnectionRefused | LossEvidence::Restarted => {
+                    count.crashed += 1;
+                }
                 LossEvidence::Answered => {}
             }
         }
@@ -172,6 +196,42 @@
         if !news.is_empty() {
             self.log_losses(&worker_id, evidence, &news);
         }
+        for loss in news {
+            self.give_up_if_over_limit(loss.run.job, loss.run.task);
+        }
+    }
+
+    /// Fails the job of a task that has lost too many workers.
+    fn give_up_if_over_limit(&mut self, key: JobKey, index: TaskIndex) {
+        let task = self
+            .jobs
+            .get(&key)
+            .and_then(|job| job.tasks.get(index as usize));
+        let is_open = task.is_some_and(|task| task.state != TaskState::Done);
+        if is_open && let Some(reason) = self.give_up_over_limit(key) {
+            self.end_job(key, JobOutcome::Failed, &reason);
+        }
+    }
+
+    /// Gives up the task of a job that has lost too many workers, if there is
+    /// one, and gets the reason.
+    pub(crate) fn give_up_over_limit(&mut self, key: JobKey) -> Option<String> {
+        let mut losses = self.losses.of_job(key).iter().rev();
+        let over_limit = |loss: &&RunLoss| self.losses.count(key, loss.run.task).is_over_limit();
+        let run = losses.find(over_limit)?.run;
+        let losses = self.losses.of_job(key).iter();
+        let workers = losses.filter(|loss| loss.run.task == run.task && loss.counts());
+        let workers: Vec<&str> = workers.map(|loss| loss.worker_id.as_str()).collect();
+        let reason = format!("{}: {}", self.describe_losses(run), workers.join(", "));
+        let message = format!("task {} of job {key:016x} is given up: {reason}", run.task);
+        self.log(Event::TaskGivenUp, Subject::Run(run), message);
+        Some(reason)
+    }
+
+    /// Whether workers were lost under a task, so that it is kept apart from
+    /// others.
+    pub(crate) fn is_suspect(&self, key: JobKey, index: TaskIndex) -> bool {
+        self.losses.count(key, index).is_suspect()
     }
 
     fn log_losses(&mut self, worker_id: &WorkerId, evidence: LossEvidence, losses: &[RunLoss]) {
@@ -219,6 +279,13 @@
     }
 }
 
+impl RunLoss {
+    /// Whether the loss still holds.
+    fn counts(&self) -> bool {
+        self.evidence != LossEvidence::Answered
+    }
+}
+
 impl Worker {
     fn incarnation(&self) -> (WorkerId, u64) {
         (self.report.worker_id.clone(), self.report.born_unix_ms)
--- a/crates/fleet/src/runs.rs
+++ b/crates/fleet/src/runs.rs
@@ -85,6 +85,9 @@
             }
             RunEnd::Lost => {
                 task.avoid = worker_key;
+                if let Some(reason) = self.give_up_over_limit(id.job) {
+                    return self.end_job(id.job, JobOutcome::Failed, &reason);
+                }
                 let losses = self.describe_losses(id);
                 self.log(
                     Event::RunRetried,
--- a/crates/fleet/src/scheduling.rs
+++ b/crates/fleet/src/scheduling.rs
@@ -156,7 +156,8 @@
         let (service, need, expected) = (job.service.clone(), job.need, job.expected);
         let spec = job.spec.clone();
         let avoid = job.tasks[index as usize].avoid;
-        let own = self.choose_worker(&service, &need, avoid);
+        let is_suspect = self.is_suspect(key, index);
+        let own = self.choose_worker(&service, &need, avoid, is_suspect);
         let own = own.filter(|worker_key| avoid != Some(*worker_key));
         if let Some(worker_key) = own {
             let run = self.begin_attempt(key, index, TaskState::Local(worker_key));
@@ -172,7 +173,7 @@
             return true;
         }
         // The worker of the last unsuccessful run is better than none.
-        let Some(worker_key) = self.choose_worker(&service, &need, None) else {
+        let Some(worker_key) = self.choose_worker(&service, &need, None, is_suspect) else {
             return false;
         };
         let run = self.begin_attempt(key, index, TaskState::Local(worker_key));
@@ -238,12 +239,14 @@
         need: Resources,
         expected: Duration,
     ) {
+        let is_exclusive = self.is_suspect(run.job, run.task);
         let Some(worker) = self.workers.get_mut(&worker_key) else {
             return;
         };
         worker.add(
             run,
             Run {
+                is_exclusive,
                 need,
                 expected,
                 spec,
--- a/crates/fleet/src/worker.rs
+++ b/crates/fleet/src/worker.rs
@@ -69,6 +69,9 @@
 /// `Run` is a run on a worker.
 #[derive(Clone, Debug)]
 pub(crate) struct Run {
+    /// Whether no further run may join it on the worker, because its task may
+    /// crash the worker.
+    pub(crate) is_exclusive: bool,
     /// Resources that the run occupies.
     pub(crate) need: Resources,
     /// Expected run time.
@@ -148,6 +151,7 @@
         self.phase == Phase::Ready
             && !self.report.draining
             && self.unanswered_polls == 0
+            && !self.runs.values().any(|run| run.is_exclusive)
             && now >= self.blocked_until
     }
 
--- a/crates/fleet/tests/events.rs
+++ b/crates/fleet/tests/events.rs
@@ -86,7 +86,6 @@
         harness.polls();
     }
     harness.answer_poll(silent, &[], &[]);
-    crash_workers(&mut harness);
     for job in 2..=8 {
         harness.submit(job, 1);
         for request in harness.starts() {
@@ -97,17 +96,27 @@
     harness.logged_events()
 }
 
-/// Starts a job and refuses the connections to its worker.
-fn crash_workers(harness: &mut Harness) {
-    let worker_key = harness.start_job(9).target.worker_key;
-    for _ in 0..3 {
-        harness.step(FleetInput::PollEnded(
-            worker_key,
-            PollOutcome::ConnectionRefused,
-        ));
-        harness.advance(100);
-        harness.polls();
+/// Gets the events of a task whose workers refuse connections one after the
+/// other.
+fn crash_events() -> Logged {
+    let mut harness = Harness::new(1);
+    harness.add_worker("w1");
+    harness.add_worker("w2");
+    let mut request = harness.start_job(9);
+    for _ in 0..2 {
+        for _ in 0..10 {
+            let worker_key = request.target.worker_key;
+            let refused = PollOutcome::ConnectionRefused;
+            harness.step(FleetInput::PollEnded(worker_key, refused));
+            harness.advance(150);
+            harness.polls();
+        }
+        if let Some(next) = harness.starts().pop() {
+            harness.accept_start(&next);
+            request = next;
+        }
     }
+    harness.logged_events()
 }
 
 /// Gets the events of a peer that times out, becomes reachable again and
@@ -165,6 +174,10 @@
         ejected.collect::<Vec<_>>(),
         contains(eq(&Event::WorkerEjected))
     );
+    let crashes = crash_events();
+    let second = Subject::Run(run(9, 0, 2));
+    expect_that!(crashes, contains(eq(&(Event::WorkerCrashed, worker("w1")))));
+    expect_that!(crashes, contains(eq(&(Event::TaskGivenUp, second))));
     let peers = peer_events();
     for expected in [Event::PeerLost, Event::PeerFound, Event::RunLost] {
         expect_that!(peers, contains(eq(&(expected, peer(2)))));
@@ -175,7 +188,13 @@
 /// whether its line is still written.
 #[gtest]
 fn every_event_is_emitted() {
-    let logs = [job_events(), run_events(), worker_events(), peer_events()];
+    let logs = [
+        job_events(),
+        run_events(),
+        worker_events(),
+        crash_events(),
+        peer_events(),
+    ];
     let emitted: BTreeSet<String> = logs
         .into_iter()
         .flatten()
