Count the crashes of a task across hosts

Cause: each host counted the losses on its own workers for its own jobs. A peer reported a run as lost without the reason, and nothing of a job was known where it was submitted next, or when the host that had counted was gone.

Change: the host of a lost worker reports the losses to the host of the job and to two collectors, which follow from the job's id by rendezvous hashing of the present hosts. A collector tells the host of the job what it knows from elsewhere, and tells all hosts of a job with a task that must not start. Records can arrive in any order and repeatedly; an answer of the same incarnation withdraws them on the same way. A report is a request of its own and not part of a batch: hosts of the former version refuse it, and the exchange of batches goes on.

Considered: telling all hosts of each loss (147 messages a crash on the large site, and one for each of 184 silent workers when a failure domain is cut off); asking a collector before each start (one message a job).

--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -128,6 +128,8 @@
     WorkerCrashed = 727, Warn;
     /// A task was given up because the workers that started it crashed.
     TaskGivenUp = 728, Warn;
+    /// Another entry host did not accept a report of runs lost with their workers.
+    LossesNotReported = 729, Warn;
     /// A message from a worker, caller or operator could not be decoded.
     MessageRejected = 730, Warn;
     /// A published configuration was accepted.
--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -165,6 +165,10 @@
                     peer.batch_ended(accepted, self.now);
                 }
             }
+            FleetInput::LossesReported(report) => self.on_losses_reported(report),
+            FleetInput::LossReportEnded(host, job, accepted) => {
+                self.on_loss_report_ended(host, job, accepted);
+            }
             FleetInput::Peers(peers) => self.on_peers(peers),
             FleetInput::Drain => self.start_drain(),
         }
--- a/crates/fleet/src/io.rs
+++ b/crates/fleet/src/io.rs
@@ -13,6 +13,7 @@
 use crate::peer::PeerBatch;
 use crate::queues::QueueTable;
 use crate::report::WorkerReport;
+use crate::run_losses::LossReport;
 use crate::worker::WorkerKey;
 
 /// `CallId` identifies a call of a caller that waits for an answer.
@@ -49,6 +50,11 @@
     Batch(PeerBatch),
     /// The batch in flight to a peer ended; true if the peer accepted it.
     BatchEnded(HostId, bool),
+    /// Another host reported runs that were lost with their workers.
+    LossesReported(LossReport),
+    /// A report of losses of a job to another host ended; true if that host
+    /// accepted it.
+    LossReportEnded(HostId, JobKey, bool),
     /// The other entry hosts that are currently known.
     Peers(Vec<PeerInfo>),
     /// The process was asked to shut down.
@@ -76,6 +82,9 @@
     /// Send a batch to a peer at an address; its end comes back as
     /// [`FleetInput::BatchEnded`].
     SendBatch(HostId, SocketAddr, PeerBatch),
+    /// Report losses to another host at an address; the end comes back as
+    /// [`FleetInput::LossReportEnded`].
+    ReportLosses(HostId, SocketAddr, LossReport),
     /// Close the idle connections to a worker that is no longer owned.
     DropConnections(SocketAddr),
     /// Record the times of an ended job in the metrics.
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -13,6 +13,7 @@
 mod io;
 mod job;
 mod lease;
+mod loss_reports;
 mod neighbours;
 mod options;
 mod ownership;
@@ -47,5 +48,5 @@
 pub use queues::{Limits, Queue, QueueTable, ServiceSettings};
 pub use report::WorkerReport;
 pub use resources::{Resources, ServiceResources};
-pub use run_losses::{LossEvidence, RunLoss};
+pub use run_losses::{LossEvidence, LossReport, RunLoss};
 pub use worker::WorkerKey;
--- a/crates/fleet/src/run_losses.rs
+++ b/crates/fleet/src/run_losses.rs
@@ -7,12 +7,12 @@
 use std::time::Duration;
 
 use hornbeam_core::event::Event;
-use hornbeam_core::ids::{TaskIndex, WorkerId};
+use hornbeam_core::ids::{HostId, TaskIndex, WorkerId};
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
 
 use crate::fleet::Fleet;
-use crate::io::Subject;
+use crate::io::{PeerInfo, Subject};
 use crate::job::{JobKey, JobOutcome, RunId, TaskState};
 use crate::worker::{Worker, WorkerKey};
 
@@ -34,6 +34,9 @@
 /// submitted again some seconds after its caller got no answer.
 const RETENTION: Duration = Duration::from_secs(60);
 
+/// Largest number of losses that are kept of a job.
+pub(crate) const MAX_LOSSES_PER_JOB: usize = 64;
+
 /// Largest number of jobs whose losses are kept.
 const MAX_JOBS: usize = 4096;
 
@@ -67,6 +70,17 @@
     pub evidence: LossEvidence,
 }
 
+/// `LossReport` tells another host about losses of one job.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields, rename_all = "snake_case")]
+pub struct LossReport {
+    /// The losses.
+    pub losses: Vec<RunLoss>,
+    /// Host of the job, to which the receiver reports what else it knows; `None`
+    /// if no further report is needed.
+    pub origin: Option<PeerInfo>,
+}
+
 /// `LossCount` counts the workers that were lost under a task.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub(crate) struct LossCount {
@@ -98,6 +112,7 @@
 #[derive(Debug, Default)]
 struct JobLosses {
     recorded_at: Duration,
+    /// The losses, the latest last.
     losses: Vec<RunLoss>,
 }
 
@@ -118,6 +133,8 @@
                 is_news
             }
             None => {
+                let surplus = (losses.losses.len() + 1).saturating_sub(MAX_LOSSES_PER_JOB);
+                losses.losses.drain(..surplus);
                 losses.losses.push(loss);
                 true
             }
@@ -128,6 +145,12 @@
         is_news
     }
 
+    /// Whether a task of a job must not start again.
+    pub(crate) fn is_over_limit(&self, job: JobKey) -> bool {
+        let mut losses = self.of_job(job).iter();
+        losses.any(|loss| self.count(job, loss.run.task).is_over_limit())
+    }
+
     /// Counts the workers that were lost under a task.
     pub(crate) fn count(&self, job: JobKey, task: TaskIndex) -> LossCount {
         let mut count = LossCount::default();
@@ -178,11 +201,16 @@
         let Some(worker) = self.workers.get_mut(&worker_key) else {
             return;
         };
-        worker.lost_runs.extend(worker.runs.keys());
+        let peer_tasks = &self.peer_tasks;
+        for run in worker.runs.keys() {
+            let lost_run = worker.lost_runs.entry(*run);
+            lost_run.or_insert_with(|| peer_tasks.get(run).map(|task| task.origin.clone()));
+        }
         let lost_runs = worker.lost_runs.clone();
         let (worker_id, born_unix_ms) = worker.incarnation();
         let mut news = Vec::new();
-        for run in lost_runs {
+        let mut news_by_job: IndexMap<(JobKey, Option<HostId>), Vec<RunLoss>> = IndexMap::new();
+        for (run, origin) in lost_runs {
             let loss = RunLoss {
                 run,
                 worker_id: worker_id.clone(),
@@ -190,6 +218,8 @@
                 evidence,
             };
             if self.losses.record(loss.clone(), now) {
+                let job = news_by_job.entry((run.job, origin)).or_default();
+                job.push(loss.clone());
                 news.push(loss);
             }
         }
@@ -199,10 +229,13 @@
         for loss in news {
             self.give_up_if_over_limit(loss.run.job, loss.run.task);
         }
+        for ((_, origin), losses) in news_by_job {
+            self.share_losses(origin, losses);
+        }
     }
 
     /// Fails the job of a task that has lost too many workers.
-    fn give_up_if_over_limit(&mut self, key: JobKey, index: TaskIndex) {
+    pub(crate) fn give_up_if_over_limit(&mut self, key: JobKey, index: TaskIndex) {
         let task = self
             .jobs
             .get(&key)
--- a/crates/fleet/src/worker.rs
+++ b/crates/fleet/src/worker.rs
@@ -3,7 +3,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use indexmap::{IndexMap, IndexSet};
+use hornbeam_core::ids::HostId;
+use indexmap::IndexMap;
 
 use crate::fencing::FencingToken;
 use crate::io::WorkerTarget;
@@ -53,7 +54,8 @@
     /// Number of consecutive refused connections.
     pub(crate) refused_polls: u32,
     /// Runs that were on the worker when it became silent, until it answers.
-    pub(crate) lost_runs: IndexSet<RunId>,
+    /// With the host of the job, if that is a peer.
+    pub(crate) lost_runs: IndexMap<RunId, Option<HostId>>,
 }
 
 /// `Phase` is the progress of taking ownership of a worker.
@@ -132,7 +134,7 @@
             failures: 0,
             token_raises: 0,
             refused_polls: 0,
-            lost_runs: IndexSet::new(),
+            lost_runs: IndexMap::new(),
         }
     }
 
--- a/crates/fleet/tests/common/mod.rs
+++ b/crates/fleet/tests/common/mod.rs
@@ -9,11 +9,13 @@
 use std::time::Duration;
 
 use hornbeam_core::event::Event;
+use hornbeam_core::ids::HostId;
 use hornbeam_fleet::{
     BatchTime, CallId, ChunkTask, EndedRun, Fleet, FleetInput, FleetOptions, FleetOutput,
-    JobOutcome, Limits, PeerBatch, PeerMessage, PeerStatus, PollOutcome, PollRequest, PollResponse,
-    Queue, QueueTable, Resources, RunEnd, RunId, RunProgress, ServiceResources, ServiceSettings,
-    StartOutcome, StartRequest, StopRequest, Subject, Submission, TaskChunk, WorkerReport,
+    JobOutcome, Limits, LossReport, PeerBatch, PeerInfo, PeerMessage, PeerStatus, PollOutcome,
+    PollRequest, PollResponse, Queue, QueueTable, Resources, RunEnd, RunId, RunProgress,
+    ServiceResources, ServiceSettings, StartOutcome, StartRequest, StopRequest, Subject,
+    Submission, TaskChunk, WorkerReport,
 };
 use indexmap::IndexMap;
 
@@ -230,6 +232,24 @@
         })
     }
 
+    /// Takes the reports of losses sent so far, with their receivers.
+    pub fn loss_reports(&mut self) -> Vec<(HostId, LossReport)> {
+        self.take(|output| match output {
+            FleetOutput::ReportLosses(host, _, report) => Some((host.clone(), report.clone())),
+            _ => None,
+        })
+    }
+
+    /// Lists other entry hosts, as the control hosts do.
+    pub fn list_hosts(&mut self, hosts: impl Iterator<Item = u8>) {
+        let info = |host| PeerInfo {
+            host_id: format!("entry-{host}"),
+            address: address(host),
+            failure_domain: "a".into(),
+        };
+        self.step(FleetInput::Peers(hosts.map(info).collect()));
+    }
+
     /// Takes the log events so far, with their subjects.
     pub fn logged_events(&mut self) -> Vec<(Event, Subject)> {
         self.take(|output| match output {
--- a/crates/fleet/tests/events.rs
+++ b/crates/fleet/tests/events.rs
@@ -116,6 +116,7 @@
             request = next;
         }
     }
+    harness.step(FleetInput::LossReportEnded("entry-2".into(), 9, false));
     harness.logged_events()
 }
 
--- a/crates/node/src/fleet_entry/event_loop.rs
+++ b/crates/node/src/fleet_entry/event_loop.rs
@@ -196,6 +196,9 @@
             FleetOutput::SendBatch(host, address, batch) => {
                 self.requests.send_batch((host, address), batch);
             }
+            FleetOutput::ReportLosses(host, address, report) => {
+                self.requests.report_losses((host, address), report);
+            }
             FleetOutput::DropConnections(worker) => self.requests.drop_connections(worker),
             FleetOutput::RecordTimes(times) => self.metrics.job_ended(times),
             FleetOutput::Log(event, subject, message) => self.log(event, &subject, &message),
--- a/crates/node/src/fleet_entry/links.rs
+++ b/crates/node/src/fleet_entry/links.rs
@@ -34,6 +34,11 @@
                     .send(FleetLoopInput::Fleet(FleetInput::Batch(*batch)))?;
                 Ok(RequestAnswer::Done)
             }
+            Request::Losses(report) => {
+                let reported = FleetInput::LossesReported(*report);
+                self.event_loop.send(FleetLoopInput::Fleet(reported))?;
+                Ok(RequestAnswer::Done)
+            }
             Request::Announce(report) => {
                 let answer = self
                     .event_loop
--- a/crates/node/src/fleet_entry/outbound_requests.rs
+++ b/crates/node/src/fleet_entry/outbound_requests.rs
@@ -4,7 +4,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use hornbeam_fleet::{FleetInput, PeerBatch, PollRequest, StartRequest, StopRequest};
+use hornbeam_core::Error;
+use hornbeam_fleet::{FleetInput, LossReport, PeerBatch, PollRequest, StartRequest, StopRequest};
 use hornbeam_platform::WorkerClient;
 use hornbeam_transport::Link;
 use tokio::task::JoinSet;
@@ -16,6 +17,9 @@
 /// not acknowledged is retransmitted.
 const BATCH_TIMEOUT: Duration = Duration::from_millis(250);
 
+/// Number of times that a report of losses is sent if it gets no answer.
+const LOSS_REPORT_TRIES: u32 = 3;
+
 /// Maximum number of cached links to peers; more than there are entry hosts.
 const MAX_LINKS: usize = 256;
 
@@ -84,12 +88,7 @@
     /// Sends a batch to the peer at an address.
     pub(crate) fn send_batch(&mut self, to: (String, SocketAddr), batch: PeerBatch) {
         let (host, address) = to;
-        if self.links.len() >= MAX_LINKS && !self.links.contains_key(&address) {
-            self.links.clear();
-        }
-        let link = self.links.entry(address);
-        let link = link.or_insert_with(|| Link::new(address, link_options()));
-        let link = link.clone();
+        let link = self.link(address);
         self.tasks.spawn(async move {
             let request = Request::Batch(Box::new(batch));
             let answer = link.call(&request, BATCH_TIMEOUT).await;
@@ -98,6 +97,35 @@
         });
     }
 
+    /// Reports losses to the host at an address. Reports can be repeated without
+    /// harm, so one without an answer is sent again.
+    pub(crate) fn report_losses(&mut self, to: (String, SocketAddr), report: LossReport) {
+        let (host, address) = to;
+        let link = self.link(address);
+        let job = report.losses.first().map_or(0, |loss| loss.run.job);
+        self.tasks.spawn(async move {
+            let request = Request::Losses(Box::new(report));
+            let mut accepted = false;
+            for _ in 0..LOSS_REPORT_TRIES {
+                let answer = link.call(&request, BATCH_TIMEOUT).await;
+                accepted = matches!(answer, Ok(RequestAnswer::Done));
+                if accepted || matches!(answer, Err(Error::Refused(_))) {
+                    break;
+                }
+            }
+            FleetInput::LossReportEnded(host, job, accepted)
+        });
+    }
+
+    fn link(&mut self, address: SocketAddr) -> Link {
+        if self.links.len() >= MAX_LINKS && !self.links.contains_key(&address) {
+            self.links.clear();
+        }
+        let link = self.links.entry(address);
+        let link = link.or_insert_with(|| Link::new(address, link_options()));
+        link.clone()
+    }
+
     /// Closes the idle connections to a worker.
     pub(crate) fn drop_connections(&self, worker: SocketAddr) {
         self.worker_client.drop_connections(worker);
--- a/crates/node/src/wire.rs
+++ b/crates/node/src/wire.rs
@@ -10,7 +10,7 @@
 use hornbeam_core::ids::{ChunkId, ConfigVersion, HostId, ReplicaId, WorkerId};
 use hornbeam_dispatch::{Chunk, ChunkAnswer, ChunkTaskCancelStatus, ClaimOutcome, PeerStatus};
 use hornbeam_document::{Part, PartRequest};
-use hornbeam_fleet::{PeerBatch, PeerInfo, ReportAnswer, WorkerReport};
+use hornbeam_fleet::{LossReport, PeerBatch, PeerInfo, ReportAnswer, WorkerReport};
 use serde::{Deserialize, Serialize};
 
 /// `Request` is a request from one process to another.
@@ -82,6 +82,9 @@
     RegisterSince(EntryRegistration, Option<MembershipVersion>),
     /// To a control host or an entry host: get a part of a newer document.
     DocumentPart(PartRequest),
+    /// Entry host to entry host: runs of a job that were lost with their
+    /// workers.
+    Losses(Box<LossReport>),
 }
 
 /// `EntryRegistration` is the registration of an entry host at the control hosts.
