Start nothing on a worker that runs something unknown

A worker that does not guard its capacity was brought over it by the next start.

Change: a worker that lists unknown runs gets no new runs until a poll lists none; such polls wait no longer than a stop takes.

Measured: fleet::capacity unknown_run_on_a_worker_prevents_starts failed before (a start beside the unknown run) and passes. The other tests of that file passed before too: starts follow a capacity that shrinks and grows, a late report does not restore a former one, runs being stopped count, and tasks of peers keep within it.

--- a/crates/fleet/src/polls.rs
+++ b/crates/fleet/src/polls.rs
@@ -34,6 +34,7 @@
         let now = self.now;
         let max_lease = self.options.max_lease;
         let poll_wait = self.options.poll_wait;
+        let max_stop_time = self.options.max_stop_time;
         let Some(worker) = self.workers.get_mut(&worker_key) else {
             return;
         };
@@ -46,7 +47,12 @@
         let extends = worker.phase == Phase::Ready && worker.unanswered_polls == 0;
         let (lease_end_ms, wait) = if extends {
             let lease_end_ms = worker.lease.extend(now, max_lease);
-            (lease_end_ms, worker.poll_wait(now, poll_wait))
+            let longest = if worker.has_unknown_runs {
+                max_stop_time
+            } else {
+                poll_wait
+            };
+            (lease_end_ms, worker.poll_wait(now, longest))
         } else {
             (None, Duration::ZERO)
         };
@@ -236,6 +242,10 @@
             .map(|progress| progress.run)
             .filter(|id| !worker.runs.contains_key(id))
             .collect();
+        if worker.has_unknown_runs == foreign.is_empty() {
+            worker.has_unknown_runs = !foreign.is_empty();
+            self.resources_changed = true;
+        }
         let target = worker.target();
         for id in lost {
             if let Some(worker) = self.workers.get_mut(&worker_key) {
--- a/crates/fleet/src/worker.rs
+++ b/crates/fleet/src/worker.rs
@@ -51,6 +51,9 @@
     /// Number of times the fencing token was raised during take-over because
     /// the worker had seen a higher one.
     pub(crate) token_raises: u32,
+    /// Whether the last poll listed runs that this host does not know, which
+    /// occupy an unknown amount of resources.
+    pub(crate) has_unknown_runs: bool,
     /// Number of consecutive refused connections.
     pub(crate) refused_polls: u32,
     /// Runs that were on the worker when it became silent, until it answers.
@@ -133,6 +136,7 @@
             blocked_until: Duration::ZERO,
             failures: 0,
             token_raises: 0,
+            has_unknown_runs: false,
             refused_polls: 0,
             lost_runs: IndexMap::new(),
         }
@@ -153,6 +157,7 @@
         self.phase == Phase::Ready
             && !self.report.draining
             && self.unanswered_polls == 0
+            && !self.has_unknown_runs
             && !self.runs.values().any(|run| run.is_exclusive)
             && now >= self.blocked_until
     }
