Tell waiting peers at once when a worker's capacity changes

Measured: fleet::capacity waiting_peers_are_told_of_a_grown_capacity_at_once failed before and passes.

--- a/crates/fleet/src/ownership.rs
+++ b/crates/fleet/src/ownership.rs
@@ -53,6 +53,7 @@
             return ReportAnswer::Taken;
         }
         let starts_to_drain = report.draining && !worker.report.draining;
+        self.resources_changed |= report.capacity != worker.report.capacity;
         worker.reported_at = now;
         worker.report = report;
         let worker_id = worker.report.worker_id.clone();
--- a/crates/fleet/tests/capacity.rs
+++ b/crates/fleet/tests/capacity.rs
@@ -2,9 +2,9 @@
 
 mod common;
 
-use common::{Harness, acknowledge_batch, chunk, report, run};
+use common::{Harness, acknowledge_batch, chunk, report, run, waiting_status};
 use googletest::prelude::*;
-use hornbeam_fleet::{FleetInput, JobOutcome, RunEnd, StopOutcome};
+use hornbeam_fleet::{FleetInput, JobOutcome, PeerMessage, RunEnd, StopOutcome};
 
 /// Tasks of the tests need half of it.
 const FULL_CPU_MILLI: u32 = 16_000;
@@ -99,6 +99,29 @@
     expect_that!(harness.answers(), elements_are![(anything(), failed)]);
 }
 
+/// Guards against peers with waiting tasks that learn of a grown capacity only
+/// with the next heartbeat.
+#[gtest]
+fn waiting_peers_are_told_of_a_grown_capacity_at_once() {
+    let mut harness = Harness::new(1);
+    harness.add_worker("w1");
+    report_capacity(&mut harness, 2, 4000);
+    harness.receive_batch(2, 1, vec![waiting_status()]);
+    harness.advance(20);
+    acknowledge_batch(&mut harness, 2);
+    harness.advance(20);
+    acknowledge_batch(&mut harness, 2);
+    harness.batches();
+    report_capacity(&mut harness, 3, FULL_CPU_MILLI);
+    harness.advance(11);
+    let batches = harness.batches();
+    let told = batches.iter().flat_map(|batch| &batch.messages).any(|message| {
+        matches!(message, PeerMessage::Status(status)
+            if status.resources.iter().any(|resources| resources.largest.cpu_milli == FULL_CPU_MILLI))
+    });
+    expect_true!(told);
+}
+
 /// Guards against tasks of a peer that start beyond a capacity that shrank after
 /// the peer was told of it.
 #[gtest]
