Refuse jobs that fit no worker while capacities are reduced

Change: the largest capacities that workers of a service have reported are remembered. A job that fits one of them but no worker at present is refused at once, with the time to come back; nothing of it has run. A job that never fitted fails at once as before. A change of capacity has an event of its own.

Measured: fleet::capacity job_too_large_for_a_reduced_capacity_is_refused_and_runs_later failed before (answer Failed) and passes.

--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -132,6 +132,8 @@
     LossesNotReported = 729, Warn;
     /// A message from a worker, caller or operator could not be decoded.
     MessageRejected = 730, Warn;
+    /// A guarded worker reported another capacity.
+    WorkerResized = 731, Info;
     /// A published configuration was accepted.
     PublishAccepted = 740, Info;
     /// A published configuration was rejected as invalid.
--- a/crates/fleet/src/admission.rs
+++ b/crates/fleet/src/admission.rs
@@ -108,12 +108,13 @@
             );
             return self.emit(FleetOutput::Answer(call, JobOutcome::Failed));
         }
-        if self.fits_nowhere(&queue.service, &submission.need) {
+        let need = &submission.need;
+        if !self.known_capacities.can_fit(&queue.service, need) {
             self.log(
                 Event::FleetJobFailed,
                 Subject::Job(submission.job),
                 format!(
-                    "job {:016x} failed: each task needs {} millicores and {} MB, more than any worker has",
+                    "job {:016x} failed: each task needs {} millicores and {} MB, more than any worker ever had",
                     submission.job, submission.need.cpu_milli, submission.need.memory_mb
                 ),
             );
@@ -121,7 +122,7 @@
         }
         let job = self.new_job(call, &submission, queue, recent);
         if !job.may_have_started()
-            && let Some(reason) = self.late_start_reason(&job)
+            && let Some(reason) = self.unservable_reason(&job)
         {
             let refusal = NotRun::Overloaded {
                 retry_after_ms: RETRY_AFTER_MS,
@@ -131,6 +132,14 @@
         self.add_job(submission.job, job);
     }
 
+    /// Gets the reason if the job could not be served at present.
+    fn unservable_reason(&self, job: &Job) -> Option<String> {
+        if self.fits_nowhere(&job.service, &job.need) {
+            return Some("each task needs more than any worker has at present".into());
+        }
+        self.late_start_reason(job)
+    }
+
     fn refusal(&self) -> Option<NotRun> {
         match self.drain_started {
             Some(started) if self.now >= started + self.options.drain_accept_for => {
--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -17,6 +17,7 @@
 use crate::peer::{BatchSender, Peer};
 use crate::peer_tasks::PeerTask;
 use crate::queues::QueueTable;
+use crate::resources::KnownCapacities;
 use crate::run_losses::LossLog;
 use crate::run_times::RunTimeEstimates;
 use crate::scheduling::OFFLOAD_AFTER;
@@ -49,6 +50,7 @@
     pub(crate) deadlines: BTreeSet<(Duration, JobKey)>,
     pub(crate) recent_jobs: RecentJobs,
     pub(crate) losses: LossLog,
+    pub(crate) known_capacities: KnownCapacities,
     pub(crate) estimates: RunTimeEstimates,
     pub(crate) mean_run_time: MeanRunTime,
     pub(crate) workers: BTreeMap<WorkerKey, Worker>,
@@ -103,6 +105,7 @@
             deadlines: BTreeSet::new(),
             recent_jobs: RecentJobs::default(),
             losses: LossLog::default(),
+            known_capacities: KnownCapacities::default(),
             estimates: RunTimeEstimates::default(),
             mean_run_time: MeanRunTime::default(),
             workers: BTreeMap::new(),
--- a/crates/fleet/src/ownership.rs
+++ b/crates/fleet/src/ownership.rs
@@ -10,6 +10,7 @@
 use crate::io::{FleetOutput, ReportAnswer, ReportId, Subject};
 use crate::job::RunId;
 use crate::report::WorkerReport;
+use crate::resources::Resources;
 use crate::run_losses::LossEvidence;
 use crate::worker::{Phase, Worker, WorkerKey};
 
@@ -53,7 +54,7 @@
             return ReportAnswer::Taken;
         }
         let starts_to_drain = report.draining && !worker.report.draining;
-        self.resources_changed |= report.capacity != worker.report.capacity;
+        let former_capacity = worker.report.capacity;
         worker.reported_at = now;
         worker.report = report;
         let worker_id = worker.report.worker_id.clone();
@@ -66,15 +67,41 @@
             self.resources_changed = true;
             self.log(Event::WorkerDraining, Subject::Worker(worker_id), message);
         }
+        self.check_capacity(worker_key, former_capacity);
         ReportAnswer::Taken
     }
 
+    /// Handles a change of a worker's capacity.
+    fn check_capacity(&mut self, worker_key: WorkerKey, former: Resources) {
+        let Some(worker) = self.workers.get(&worker_key) else {
+            return;
+        };
+        let capacity = worker.report.capacity;
+        if capacity == former {
+            return;
+        }
+        let worker_id = worker.report.worker_id.clone();
+        let message = format!(
+            "worker {worker_id} has {} millicores and {} MB, formerly {} and {}; its runs occupy {} and {}",
+            capacity.cpu_milli,
+            capacity.memory_mb,
+            former.cpu_milli,
+            former.memory_mb,
+            worker.used.cpu_milli,
+            worker.used.memory_mb
+        );
+        self.known_capacities.add(&worker.report.service, capacity);
+        self.resources_changed = true;
+        self.log(Event::WorkerResized, Subject::Worker(worker_id), message);
+    }
+
     fn add_worker(&mut self, report: WorkerReport, above: Option<FencingToken>) -> ReportAnswer {
         if self.drain_started.is_some() {
             return self
                 .forward_report(&report)
                 .unwrap_or(ReportAnswer::Declined);
         }
+        self.known_capacities.add(&report.service, report.capacity);
         self.last_worker_key += 1;
         let worker_key = self.last_worker_key;
         let fencing_token = self.fencing_tokens.next(self.unix_ms, above);
--- a/crates/fleet/src/peering.rs
+++ b/crates/fleet/src/peering.rs
@@ -113,6 +113,10 @@
             return;
         };
         let has_waiting_tasks = status.waiting > 0;
+        for resources in &status.resources {
+            self.known_capacities
+                .add(&resources.service, resources.largest);
+        }
         peer.status = status;
         if has_waiting_tasks {
             peer.schedule_status();
--- a/crates/fleet/src/resources.rs
+++ b/crates/fleet/src/resources.rs
@@ -1,6 +1,7 @@
 //! Resources that tasks need and workers have: cores, memory and accelerators.
 
 use hornbeam_core::ids::ServiceId;
+use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
 
 /// `Resources` is an amount of cores, memory and accelerators.
@@ -38,6 +39,42 @@
     }
 }
 
+/// Largest number of capacities that are remembered of a service.
+const MAX_KNOWN_CAPACITIES: usize = 16;
+
+/// `KnownCapacities` remembers the largest capacities that workers of each
+/// service have reported. A reduced capacity may be restored, so that a task that
+/// fits no worker now can fit one later.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct KnownCapacities {
+    services: IndexMap<ServiceId, Vec<Resources>>,
+}
+
+impl KnownCapacities {
+    /// Adds a reported capacity.
+    pub(crate) fn add(&mut self, service: &ServiceId, capacity: Resources) {
+        if !self.services.contains_key(service) {
+            self.services.insert(service.clone(), Vec::new());
+        }
+        let Some(known) = self.services.get_mut(service) else {
+            return;
+        };
+        if known.iter().any(|known| known.can_fit(&capacity)) {
+            return;
+        }
+        known.retain(|known| !capacity.can_fit(known));
+        if known.len() < MAX_KNOWN_CAPACITIES {
+            known.push(capacity);
+        }
+    }
+
+    /// Whether a task has ever fitted a worker; true if none is known.
+    pub(crate) fn can_fit(&self, service: &ServiceId, need: &Resources) -> bool {
+        let known = self.services.get(service);
+        known.is_none_or(|known| known.iter().any(|known| known.can_fit(need)))
+    }
+}
+
 /// `ServiceResources` lists the free resources of a host's workers of one
 /// service, with one entry for each worker that has some.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
--- a/crates/fleet/tests/capacity.rs
+++ b/crates/fleet/tests/capacity.rs
@@ -4,7 +4,7 @@
 
 use common::{Harness, acknowledge_batch, chunk, report, run, waiting_status};
 use googletest::prelude::*;
-use hornbeam_fleet::{FleetInput, JobOutcome, PeerMessage, RunEnd, StopOutcome};
+use hornbeam_fleet::{FleetInput, JobOutcome, NotRun, PeerMessage, RunEnd, StopOutcome};
 
 /// Tasks of the tests need half of it.
 const FULL_CPU_MILLI: u32 = 16_000;
@@ -88,6 +88,22 @@
     expect_that!(harness.starts().len(), eq(1));
 }
 
+/// Guards against a job that is shown as failed because it fits no worker while
+/// capacities are reduced. It has not run and can be submitted again.
+#[gtest]
+fn job_too_large_for_a_reduced_capacity_is_refused_and_runs_later() {
+    let mut harness = Harness::new(1);
+    harness.add_worker("w1");
+    report_capacity(&mut harness, 2, 4000);
+    harness.submit(1, 1);
+    let answers = harness.answers();
+    let refused = pat!(JobOutcome::NotRun(pat!(NotRun::Overloaded { .. })));
+    expect_that!(answers, elements_are![(anything(), refused)]);
+    report_capacity(&mut harness, 3, FULL_CPU_MILLI);
+    harness.submit(1, 1);
+    expect_that!(harness.starts().len(), eq(1));
+}
+
 /// Guards against a job that no worker ever had the capacity for and that is
 /// refused as if it could run later.
 #[gtest]
--- a/crates/fleet/tests/events.rs
+++ b/crates/fleet/tests/events.rs
@@ -75,6 +75,9 @@
     for name in ["w2", "w3", "w4"] {
         harness.add_worker(name);
     }
+    let mut resized = report("w4", 2);
+    resized.capacity.cpu_milli *= 2;
+    harness.step(FleetInput::Reported(8, resized));
     let mut leaving = report("w2", 2);
     leaving.draining = true;
     harness.step(FleetInput::Reported(9, leaving));
