Never say that nothing has run of a job that may have run

Cause: a job that was submitted again to a host that drains, or has no configuration yet, got the refusal 'not run' before the host looked at what it remembered of the job. A job that had completed got it too, instead of its answer.

Change: the remembered outcome comes first. A refusal of a job that an earlier call may have run, here or by the losses that other hosts reported, is answered as one without a result. An unknown queue is still answered as such, since that says nothing about the job.

--- a/crates/fleet/src/admission.rs
+++ b/crates/fleet/src/admission.rs
@@ -77,6 +77,9 @@
             let previous_call = std::mem::replace(&mut job.call, call);
             return self.emit(FleetOutput::Answer(previous_call, JobOutcome::TimedOut));
         }
+        if let Some(outcome) = self.final_outcome(submission.job) {
+            return self.emit(FleetOutput::Answer(call, outcome));
+        }
         if let Some(refusal) = self.refusal() {
             return self.refuse(
                 call,
@@ -94,20 +97,6 @@
             let reason = format!("queue {} is not configured", submission.queue);
             return self.refuse(call, submission.job, NotRun::UnknownQueue, &reason);
         };
-        let recent = self.recent_jobs.get(submission.job, self.now);
-        if let Some(end) = recent
-            && matches!(end.outcome, JobOutcome::Completed | JobOutcome::Failed)
-        {
-            return self.emit(FleetOutput::Answer(call, end.outcome));
-        }
-        if let Some(reason) = self.give_up_over_limit(submission.job) {
-            self.log(
-                Event::FleetJobFailed,
-                Subject::Job(submission.job),
-                format!("job {:016x} failed: {reason}", submission.job),
-            );
-            return self.emit(FleetOutput::Answer(call, JobOutcome::Failed));
-        }
         let need = &submission.need;
         if !self.known_capacities.can_fit(&queue.service, need) {
             self.log(
@@ -120,7 +109,7 @@
             );
             return self.emit(FleetOutput::Answer(call, JobOutcome::Failed));
         }
-        let job = self.new_job(call, &submission, queue, recent);
+        let job = self.new_job(call, &submission, queue);
         if !job.may_have_started()
             && let Some(reason) = self.unservable_reason(&job)
         {
@@ -150,19 +139,44 @@
         }
     }
 
+    /// Gets the outcome of a job that has ended for good: a former call got it,
+    /// or one of its tasks must not start again.
+    fn final_outcome(&mut self, job: JobKey) -> Option<JobOutcome> {
+        let is_final =
+            |outcome: &JobOutcome| matches!(outcome, JobOutcome::Completed | JobOutcome::Failed);
+        let recent = self.recent_jobs.get(job, self.now);
+        if let Some(outcome) = recent.map(|end| end.outcome).filter(is_final) {
+            return Some(outcome);
+        }
+        let reason = self.give_up_over_limit(job)?;
+        let message = format!("job {job:016x} failed: {reason}");
+        self.log(Event::FleetJobFailed, Subject::Job(job), message);
+        Some(JobOutcome::Failed)
+    }
+
+    /// Whether an earlier call for a job may have run some of it, here or at
+    /// another host.
+    fn may_have_run(&self, job: JobKey) -> bool {
+        let recent = self.recent_jobs.get(job, self.now);
+        recent.is_some_and(|end| end.attempt > 0) || !self.losses.of_job(job).is_empty()
+    }
+
+    /// Refuses a job. If an earlier call may have run some of it, the answer does
+    /// not say that nothing has run.
     fn refuse(&mut self, call: CallId, job: JobKey, refusal: NotRun, reason: &str) {
+        if refusal != NotRun::UnknownQueue && self.may_have_run(job) {
+            let message =
+                format!("job {job:016x} is not accepted, and may have run before: {reason}");
+            self.log(Event::FleetJobFailed, Subject::Job(job), message);
+            return self.emit(FleetOutput::Answer(call, JobOutcome::TimedOut));
+        }
         let message = format!("job {job:016x} refused, nothing ran: {refusal:?}, {reason}");
         self.log(Event::FleetJobRefused, Subject::Job(job), message);
         self.emit(FleetOutput::Answer(call, JobOutcome::NotRun(refusal)));
     }
 
-    fn new_job(
-        &self,
-        call: CallId,
-        submission: &Submission,
-        queue: &Queue,
-        recent: Option<RecentJob>,
-    ) -> Job {
+    fn new_job(&self, call: CallId, submission: &Submission, queue: &Queue) -> Job {
+        let recent = self.recent_jobs.get(submission.job, self.now);
         let expected = self
             .estimates
             .expected_run_time(&queue.name, submission.estimate);
@@ -208,7 +222,7 @@
             possibly_started: 0,
             // An earlier call for the job may have run some of it, so the
             // answer to this one must not be that nothing ran.
-            may_have_run_before: recent.is_some_and(|end| end.attempt > 0),
+            may_have_run_before: self.may_have_run(submission.job),
             first_start_at: None,
         }
     }
--- a/crates/fleet/tests/jobs.rs
+++ b/crates/fleet/tests/jobs.rs
@@ -4,7 +4,7 @@
 
 use common::{Harness, run};
 use googletest::prelude::*;
-use hornbeam_fleet::{FleetInput, JobOutcome, NotRun, RunEnd};
+use hornbeam_fleet::{FleetInput, JobOutcome, LossEvidence, LossReport, NotRun, RunEnd, RunLoss};
 
 /// Guards against a refusal after a task may have started.
 #[gtest]
@@ -285,3 +285,70 @@
         );
     }
 }
+
+/// Guards against a caller that got no answer and is told, when it submits the
+/// job again to a host that drains, that nothing has run.
+#[gtest]
+fn job_that_may_have_run_is_not_refused_as_not_run() {
+    let mut harness = Harness::new(1);
+    harness.add_worker("w1");
+    let call = harness.submit(1, 1);
+    let start = harness.starts().remove(0);
+    harness.accept_start(&start);
+    harness.step(FleetInput::CallerDisconnected(call, 1));
+    harness.answers();
+    harness.step(FleetInput::Drain);
+    harness.advance_at_once(4500);
+    harness.submit(1, 1);
+    let answers = harness.answers();
+    expect_that!(
+        answers,
+        elements_are![(anything(), eq(&JobOutcome::TimedOut))]
+    );
+}
+
+/// Guards against a completed job whose answer was lost and that is refused when
+/// it is submitted again to a host that drains.
+#[gtest]
+fn completed_job_gets_its_answer_again_during_a_drain() {
+    let mut harness = Harness::new(1);
+    let worker_key = harness.add_worker("w1");
+    let start = harness.start_job(1);
+    harness.answer_poll(worker_key, &[], &[(1, start.run, RunEnd::Done)]);
+    harness.answers();
+    harness.step(FleetInput::Drain);
+    harness.advance_at_once(4500);
+    harness.submit(1, 1);
+    let answers = harness.answers();
+    expect_that!(
+        answers,
+        elements_are![(anything(), eq(&JobOutcome::Completed))]
+    );
+}
+
+/// Guards against a refusal that says that nothing has run although another host
+/// has reported that a run of the job was lost with its worker.
+#[gtest]
+fn job_that_has_run_at_another_host_is_not_refused_as_not_run() {
+    let mut harness = Harness::new(1);
+    harness.add_worker("w1");
+    let loss = RunLoss {
+        run: run(1, 0, 1),
+        worker_id: "w9".into(),
+        born_unix_ms: 5,
+        evidence: LossEvidence::Silent,
+    };
+    let report = LossReport {
+        losses: vec![loss],
+        origin: None,
+    };
+    harness.step(FleetInput::LossesReported(report));
+    harness.step(FleetInput::Drain);
+    harness.advance_at_once(4500);
+    harness.submit(1, 1);
+    let answers = harness.answers();
+    expect_that!(
+        answers,
+        elements_are![(anything(), eq(&JobOutcome::TimedOut))]
+    );
+}
