Start suspect tasks last and alone

Cause: a task that lost its worker was started again before all tasks that could still meet their objective, since its latest start had passed, and mostly beside other tasks, since under load no worker is idle. Its second crash took a further worker and two or three runs that then were suspects too.

Change: a task that may have crashed a worker starts after all others, only on a worker of the host of its job that runs nothing else, and does not count as waiting for resources. It goes to a peer only from a host whose workers can't hold it. One silent worker makes no suspect, since it is more likely cut off.

--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -280,13 +280,11 @@
     }
 
     /// Gets the number of tasks that wait for free resources here, including
-    /// tasks of peers.
+    /// tasks of peers, without those that wait for a worker of their own.
     pub fn waiting_tasks(&self) -> u32 {
-        let queued = self
-            .queued_jobs
-            .iter()
-            .filter_map(|(_, key)| self.jobs.get(key));
-        let waiting: usize = queued.map(|job| job.queued).sum();
+        let queued = self.queued_jobs.iter();
+        let queued = queued.filter_map(|(_, key)| Some((key, self.jobs.get(key)?)));
+        let waiting: usize = queued.map(|(key, job)| self.queued_tasks(*key, job)).sum();
         u32::try_from(waiting + self.waiting_peer_tasks.len()).unwrap_or(u32::MAX)
     }
 
--- a/crates/fleet/src/peer_tasks.rs
+++ b/crates/fleet/src/peer_tasks.rs
@@ -81,8 +81,7 @@
             return true;
         };
         let chunk = Arc::clone(&peer_task.chunk);
-        let is_suspect = self.is_suspect(run.job, run.task);
-        let Some(worker) = self.choose_worker(&chunk.service, &chunk.need, None, is_suspect) else {
+        let Some(worker) = self.choose_worker(&chunk.service, &chunk.need, None) else {
             return false;
         };
         self.waiting_peer_tasks
--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -14,14 +14,12 @@
 
 impl Fleet {
     /// Chooses the worker of this host with the tightest fit, which leaves room
-    /// for large tasks. The worker `avoid` comes last. A suspect task prefers a
-    /// worker without other runs.
+    /// for large tasks. The worker `avoid` comes last.
     pub(crate) fn choose_worker(
         &self,
         service: &ServiceId,
         need: &Resources,
         avoid: Option<WorkerKey>,
-        is_suspect: bool,
     ) -> Option<WorkerKey> {
         let fits = |worker: &&Worker| {
             worker.report.service == *service
@@ -30,14 +28,36 @@
         };
         let rank = |worker: &&Worker| {
             let left = worker.free().cpu_milli - need.cpu_milli;
-            let joins_others = is_suspect && !worker.runs.is_empty();
-            let is_avoided = avoid == Some(worker.worker_key);
-            (is_avoided, joins_others, worker.failures, left)
+            (avoid == Some(worker.worker_key), worker.failures, left)
         };
         let fitting = self.workers.values().filter(fits);
         fitting.min_by_key(rank).map(|worker| worker.worker_key)
     }
 
+    /// Whether a task fits a worker of this host when that runs nothing else.
+    pub(crate) fn fits_own_worker(&self, service: &ServiceId, need: &Resources) -> bool {
+        self.workers
+            .values()
+            .any(|worker| worker.report.service == *service && worker.report.capacity.can_fit(need))
+    }
+
+    /// Chooses the smallest worker of this host that fits a task and runs nothing.
+    pub(crate) fn choose_idle_worker(
+        &self,
+        service: &ServiceId,
+        need: &Resources,
+    ) -> Option<WorkerKey> {
+        let fits = |worker: &&Worker| {
+            worker.report.service == *service
+                && worker.accepts_runs(self.now)
+                && worker.runs.is_empty()
+                && worker.free().can_fit(need)
+        };
+        let rank = |worker: &&Worker| (worker.failures, worker.report.capacity.cpu_milli);
+        let fitting = self.workers.values().filter(fits);
+        fitting.min_by_key(rank).map(|worker| worker.worker_key)
+    }
+
     /// Chooses a peer with free resources for a task and deducts them from its
     /// known status. Peers in the failure domain of this host come first, then
     /// those with the most free cores.
@@ -92,7 +112,7 @@
         need: &Resources,
         except: WorkerKey,
     ) -> bool {
-        let own = self.choose_worker(service, need, Some(except), false);
+        let own = self.choose_worker(service, need, Some(except));
         let has_peer = self.peers.values().any(|peer| {
             peer.is_responsive(self.now)
                 && !peer.status.draining
--- a/crates/fleet/src/run_losses.rs
+++ b/crates/fleet/src/run_losses.rs
@@ -4,6 +4,7 @@
 //! shared a worker with it by a single loss. The records outlive the job, since
 //! its caller may submit it again; see docs/platform.md.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use hornbeam_core::event::Event;
@@ -91,9 +92,10 @@
 }
 
 impl LossCount {
-    /// Whether any worker was lost.
+    /// Whether the task may crash the next worker too. A single silent worker is
+    /// more likely one that was cut off.
     fn is_suspect(self) -> bool {
-        self.crashed + self.silent > 0
+        self.crashed > 0 || self.silent > 1
     }
 
     /// Whether the task must not start again.
@@ -166,6 +168,23 @@
         count
     }
 
+    /// Gets the tasks that may have crashed a worker, the earliest loss first.
+    pub(crate) fn suspect_tasks(&self) -> Vec<(JobKey, TaskIndex)> {
+        let jobs = self.jobs.keys();
+        let tasks = jobs.flat_map(|job| {
+            let tasks = self.suspect_tasks_of(*job);
+            tasks.into_iter().map(|task| (*job, task))
+        });
+        tasks.collect()
+    }
+
+    /// Gets the tasks of a job that may have crashed a worker.
+    pub(crate) fn suspect_tasks_of(&self, job: JobKey) -> BTreeSet<TaskIndex> {
+        let losses = self.of_job(job).iter().map(|loss| loss.run.task);
+        let is_suspect = |task: &TaskIndex| self.count(job, *task).is_suspect();
+        losses.filter(is_suspect).collect()
+    }
+
     /// Gets the losses of a job.
     pub(crate) fn of_job(&self, job: JobKey) -> &[RunLoss] {
         let losses = self.jobs.get(&job);
--- a/crates/fleet/src/scheduling.rs
+++ b/crates/fleet/src/scheduling.rs
@@ -7,7 +7,7 @@
 
 use crate::fleet::Fleet;
 use crate::io::FleetOutput;
-use crate::job::{JobKey, RunId, TaskState};
+use crate::job::{Job, JobKey, RunId, Task, TaskState};
 use crate::peer::{ChunkTask, PeerMessage, TaskChunk};
 use crate::resources::Resources;
 use crate::worker::{Run, RunState, WorkerKey};
@@ -72,6 +72,55 @@
             }
         }
         self.offload_waiting_tasks();
+        self.start_suspect_tasks();
+    }
+
+    /// Starts suspect tasks on workers without other runs. They come last, so that
+    /// a worker that may crash is one that no other task needs.
+    fn start_suspect_tasks(&mut self) {
+        for (key, index) in self.losses.suspect_tasks() {
+            if self.is_queued(key, index) {
+                self.start_suspect_task(key, index);
+            }
+        }
+    }
+
+    fn start_suspect_task(&mut self, key: JobKey, index: TaskIndex) {
+        let Some(job) = self.jobs.get(&key) else {
+            return;
+        };
+        let (service, need, expected) = (job.service.clone(), job.need, job.expected);
+        let spec = job.spec.clone();
+        if let Some(worker_key) = self.choose_idle_worker(&service, &need) {
+            let run = self.begin_attempt(key, index, TaskState::Local(worker_key));
+            return self.start_run(worker_key, run, spec, need, expected);
+        }
+        // Only a host without workers leaves a suspect task to a peer, which may
+        // not know that it is one.
+        if !self.fits_own_worker(&service, &need)
+            && let Some(host) = self.choose_peer(&service, &need)
+        {
+            let run = self.begin_attempt(key, index, TaskState::Remote(host.clone()));
+            let task = ChunkTask {
+                task: run.task,
+                attempt: run.attempt,
+            };
+            self.send_chunk(key, &host, vec![task], FREE_RESOURCES_WAIT);
+        }
+    }
+
+    fn is_queued(&self, key: JobKey, index: TaskIndex) -> bool {
+        let job = self.jobs.get(&key);
+        let task = job.and_then(|job| job.tasks.get(index as usize));
+        task.is_some_and(|task| task.state == TaskState::Queued)
+    }
+
+    /// Counts the tasks of a job that wait for resources like any other, without
+    /// suspect ones.
+    pub(crate) fn queued_tasks(&self, key: JobKey, job: &Job) -> usize {
+        let suspects = self.losses.suspect_tasks_of(key);
+        let queued = suspects.iter().filter(|index| self.is_queued(key, **index));
+        job.queued - queued.count()
     }
 
     /// Gets the service and the resources that waiting tasks need.
@@ -137,11 +186,11 @@
 
     fn next_queued(&self, key: JobKey) -> Option<TaskIndex> {
         let job = self.jobs.get(&key).filter(|job| job.queued > 0)?;
-        let position = job
-            .tasks
-            .iter()
-            .position(|task| task.state == TaskState::Queued)?;
-        TaskIndex::try_from(position).ok()
+        let is_ready = |(index, task): &(TaskIndex, &Task)| {
+            task.state == TaskState::Queued && !self.is_suspect(key, *index)
+        };
+        let (index, _) = (0..).zip(&job.tasks).find(is_ready)?;
+        Some(index)
     }
 
     fn start_task(
@@ -156,8 +205,7 @@
         let (service, need, expected) = (job.service.clone(), job.need, job.expected);
         let spec = job.spec.clone();
         let avoid = job.tasks[index as usize].avoid;
-        let is_suspect = self.is_suspect(key, index);
-        let own = self.choose_worker(&service, &need, avoid, is_suspect);
+        let own = self.choose_worker(&service, &need, avoid);
         let own = own.filter(|worker_key| avoid != Some(*worker_key));
         if let Some(worker_key) = own {
             let run = self.begin_attempt(key, index, TaskState::Local(worker_key));
@@ -173,7 +221,7 @@
             return true;
         }
         // The worker of the last unsuccessful run is better than none.
-        let Some(worker_key) = self.choose_worker(&service, &need, None, is_suspect) else {
+        let Some(worker_key) = self.choose_worker(&service, &need, None) else {
             return false;
         };
         let run = self.begin_attempt(key, index, TaskState::Local(worker_key));
--- a/crates/fleet/src/wait_estimate.rs
+++ b/crates/fleet/src/wait_estimate.rs
@@ -85,8 +85,8 @@
             .queued_jobs
             .iter()
             .take_while(|(at, _)| *at <= effective_start_by);
-        let queued = before.filter_map(|(_, key)| self.jobs.get(key));
-        let own: usize = queued.map(|job| job.queued).sum();
+        let queued = before.filter_map(|(_, key)| Some((key, self.jobs.get(key)?)));
+        let own: usize = queued.map(|(key, job)| self.queued_tasks(*key, job)).sum();
         let peer_tasks = self
             .waiting_peer_tasks
             .iter()
--- a/crates/fleet/tests/crashes.rs
+++ b/crates/fleet/tests/crashes.rs
@@ -8,8 +8,8 @@
 use common::{Harness, report};
 use googletest::prelude::*;
 use hornbeam_fleet::{
-    CallId, FleetInput, JobOutcome, PollOutcome, PollRequest, RunId, StartOutcome, Submission,
-    WorkerKey,
+    CallId, FleetInput, JobOutcome, PeerMessage, PollOutcome, PollRequest, RunId, StartOutcome,
+    Submission, WorkerKey,
 };
 
 /// Time after which a crashed worker is back.
@@ -265,3 +265,55 @@
     site.advance(15_000, &is_deadly);
     expect_that!(site.answers, contains(eq(&(1, JobOutcome::Completed))));
 }
+
+/// Guards against a second start of a task that may crash its worker while other
+/// tasks need all workers, and against other tasks that wait behind it.
+#[gtest]
+fn suspect_task_waits_for_a_worker_that_no_other_task_needs() {
+    let mut site = Site::new(3, Crash::Refusing);
+    let is_deadly = |run: RunId| run.job == 1;
+    site.submit(1, 1);
+    site.advance(900, &is_deadly);
+    // Two runs at a time on each of the two workers that are left.
+    for job in 10..40 {
+        site.submit(job, job);
+        site.advance(50, &is_deadly);
+    }
+    expect_that!(site.starts_of(1), eq(1));
+    let completed = |(_, outcome): &&(CallId, JobOutcome)| *outcome == JobOutcome::Completed;
+    expect_that!(site.answers.iter().filter(completed).count(), ge(24));
+    site.advance(1000, &is_deadly);
+    expect_that!(site.starts_of(1), eq(2));
+}
+
+/// Guards against a task that joins one that may crash their worker.
+#[gtest]
+fn no_task_joins_a_suspect_task() {
+    let mut site = Site::new(2, Crash::Refusing);
+    site.submit(1, 1);
+    site.advance(100, &|_| true);
+    site.advance(1100, &|_| false);
+    expect_that!(site.starts_of(1), eq(2));
+    site.submit(2, 2);
+    expect_that!(site.harness.starts(), is_empty());
+    site.advance(150, &|_| false);
+    expect_that!(site.answers, contains(eq(&(1, JobOutcome::Completed))));
+    expect_that!(site.starts_of(2), eq(1));
+}
+
+/// Guards against a job that waits for a worker of this host, although all are
+/// lost and a peer has free ones.
+#[gtest]
+fn suspect_task_of_a_host_without_workers_goes_to_a_peer() {
+    let mut site = Site::new(1, Crash::Refusing);
+    site.submit(1, 1);
+    site.advance(900, &|_| true);
+    site.restarts.clear();
+    site.harness.step(FleetInput::Departed("w0".into()));
+    site.harness
+        .receive_batch(2, 1, vec![common::free_status()]);
+    let batches = site.harness.batches();
+    let messages = batches.iter().flat_map(|batch| &batch.messages);
+    let is_run = |message: &&PeerMessage| matches!(message, PeerMessage::Run(_));
+    expect_that!(messages.filter(is_run).count(), eq(1));
+}
