Look for queued suspect tasks among queued jobs only

The search went over the losses of all jobs of the last minute at each step. It now follows the queue, which is short. Tests of the fleet pass.

--- a/crates/fleet/src/run_losses.rs
+++ b/crates/fleet/src/run_losses.rs
@@ -168,16 +168,6 @@
         count
     }
 
-    /// Gets the tasks that may have crashed a worker, the earliest loss first.
-    pub(crate) fn suspect_tasks(&self) -> Vec<(JobKey, TaskIndex)> {
-        let jobs = self.jobs.keys();
-        let tasks = jobs.flat_map(|job| {
-            let tasks = self.suspect_tasks_of(*job);
-            tasks.into_iter().map(|task| (*job, task))
-        });
-        tasks.collect()
-    }
-
     /// Gets the tasks of a job that may have crashed a worker.
     pub(crate) fn suspect_tasks_of(&self, job: JobKey) -> BTreeSet<TaskIndex> {
         let losses = self.of_job(job).iter().map(|loss| loss.run.task);
--- a/crates/fleet/src/scheduling.rs
+++ b/crates/fleet/src/scheduling.rs
@@ -78,7 +78,14 @@
     /// Starts suspect tasks on workers without other runs. They come last, so that
     /// a worker that may crash is one that no other task needs.
     fn start_suspect_tasks(&mut self) {
-        for (key, index) in self.losses.suspect_tasks() {
+        let queued = self.queued_jobs.iter().map(|(_, key)| *key);
+        let suspects: Vec<(JobKey, TaskIndex)> = queued
+            .flat_map(|key| {
+                let tasks = self.losses.suspect_tasks_of(key);
+                tasks.into_iter().map(move |index| (key, index))
+            })
+            .collect();
+        for (key, index) in suspects {
             if self.is_queued(key, index) {
                 self.start_suspect_task(key, index);
             }
