End a drained entry host although connections stay open

A drain may take 5.2 s, and the platform kills the process 6 s after SIGTERM.

Change: a fleet entry host has 400 ms after its drain to close all connections; what is open then is aborted, with a line in the log (ConnectionsAborted).

--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -50,6 +50,9 @@
     /// Log lines were dropped because there were too many or their reader was too
     /// slow.
     LinesLeftOut = 106, Warn;
+    /// Connections did not close in time after a drain, and the process exits
+    /// without waiting for them.
+    ConnectionsAborted = 107, Warn;
     /// A backend server leased its slots to this host.
     ServerLeased = 200, Info;
     /// A backend server withdrew.
--- a/crates/node/src/fleet_entry.rs
+++ b/crates/node/src/fleet_entry.rs
@@ -15,6 +15,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use eyre::{Result, WrapErr};
 use hornbeam_core::ids::{FailureDomainId, HostId};
@@ -49,6 +50,11 @@
     max_bytes: 1 << 20,
 };
 
+/// Time after a drain within which connections must close. The longest drain and
+/// this time end before the platform kills the process, 6 s after SIGTERM; a peer
+/// that is cut off never closes its connections.
+const CLOSE_TIMEOUT: Duration = Duration::from_millis(400);
+
 /// `FleetEntryOptions` are the settings of a fleet entry host.
 #[derive(Clone, Debug, PartialEq)]
 pub struct FleetEntryOptions {
@@ -147,6 +153,7 @@
         };
         let link_options = ServerOptions::default();
         let running = RunningHost::start(lifecycle, servers, tasks, listener, links, link_options);
+        let running = running.with_close_timeout(CLOSE_TIMEOUT);
         Ok(Self {
             caller_address: options.caller_listen,
             link_address,
--- a/crates/node/src/host.rs
+++ b/crates/node/src/host.rs
@@ -2,12 +2,16 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
+use hornbeam_core::event::Event;
+use hornbeam_core::log_event;
 use hornbeam_http::HttpServer;
 use hornbeam_transport::{ServerOptions, Service};
 use tokio::net::TcpListener;
 use tokio::sync::oneshot;
 use tokio::task::JoinSet;
+use tokio::time::timeout;
 
 use crate::lifecycle::{Lifecycle, LifecycleEvent};
 use crate::link_server;
@@ -50,6 +54,7 @@
     servers: Vec<HttpServer>,
     link_shutdown: oneshot::Sender<()>,
     tasks: JoinSet<()>,
+    close_timeout: Option<Duration>,
 }
 
 impl RunningHost {
@@ -75,13 +80,36 @@
             servers,
             link_shutdown,
             tasks,
+            close_timeout: None,
         }
     }
 
+    /// Sets the time after a drain within which all connections must close;
+    /// default none.
+    pub(crate) fn with_close_timeout(mut self, close_timeout: Duration) -> Self {
+        self.close_timeout = Some(close_timeout);
+        self
+    }
+
     /// Drains the host, stops its event loop, and joins all servers and tasks.
-    pub(crate) async fn stop(mut self, stop_event_loop: impl Future<Output = ()>) {
+    /// Connections that do not close in time are aborted.
+    pub(crate) async fn stop(self, stop_event_loop: impl Future<Output = ()>) {
         self.lifecycle.on(LifecycleEvent::Drain);
         self.lifecycle.stopped().await;
+        let Some(close_timeout) = self.close_timeout else {
+            return self.close(stop_event_loop).await;
+        };
+        let closing = timeout(close_timeout, self.close(stop_event_loop));
+        if closing.await.is_err() {
+            log_event!(
+                Event::ConnectionsAborted;
+                "not all connections closed within {} ms",
+                close_timeout.as_millis()
+            );
+        }
+    }
+
+    async fn close(mut self, stop_event_loop: impl Future<Output = ()>) {
         // Answers that the event loop has given are still being written.
         for server in self.servers {
             server.stop().await;
