--- a/crates/fleet/tests/extremes.rs
+++ b/crates/fleet/tests/extremes.rs
@@ -7,8 +7,9 @@
 
 use common::{Harness, SERVICE, queues, report};
 use hornbeam_fleet::{
-    BatchTime, ChunkTask, EndedRun, FleetInput, PeerMessage, PeerStatus, PollOutcome, PollResponse,
-    Resources, RunEnd, RunId, RunProgress, ServiceResources, StartOutcome, Submission, TaskChunk,
+    BatchTime, ChunkTask, EndedRun, FleetInput, LossEvidence, LossReport, PeerInfo, PeerMessage,
+    PeerStatus, PollOutcome, PollResponse, Resources, RunEnd, RunId, RunLoss, RunProgress,
+    ServiceResources, StartOutcome, Submission, TaskChunk,
 };
 use proptest::collection::vec;
 use proptest::prelude::*;
@@ -157,11 +158,28 @@
     Report(Resources, u64),
     Batch(BatchTime, Option<BatchTime>, u64, Vec<PeerMessage>),
     Poll(PollResponse),
+    Refuse,
+    Losses(Vec<RunLoss>),
     Start(u64),
     Queues(f64, u64),
     Wait(u64),
 }
 
+fn loss() -> impl Strategy<Value = RunLoss> {
+    let evidence = prop_oneof![
+        Just(LossEvidence::Silent),
+        Just(LossEvidence::ConnectionRefused),
+        Just(LossEvidence::Restarted),
+        Just(LossEvidence::Answered),
+    ];
+    (run_id(), extreme_u64(), evidence).prop_map(|(run, born_unix_ms, evidence)| RunLoss {
+        run,
+        worker_id: "w1".into(),
+        born_unix_ms,
+        evidence,
+    })
+}
+
 fn batch_time() -> impl Strategy<Value = BatchTime> {
     (0..3_u64, extreme_u64()).prop_map(|(incarnation, sent_ms)| BatchTime {
         incarnation,
@@ -190,6 +208,8 @@
             Step::Batch(time, echo, sequence, messages)
         }),
         poll_response().prop_map(Step::Poll),
+        Just(Step::Refuse),
+        vec(loss(), 0..9).prop_map(Step::Losses),
         extreme_u64().prop_map(Step::Start),
         (stretch, extreme_u64()).prop_map(|(stretch, extra)| Step::Queues(stretch, extra)),
         (0..1_500_u64).prop_map(Step::Wait),
@@ -219,6 +239,22 @@
                 harness.step(FleetInput::PollEnded(worker_key, outcome));
             }
         }
+        Step::Refuse => {
+            for request in harness.polls() {
+                let worker_key = request.target.worker_key;
+                let refused = PollOutcome::ConnectionRefused;
+                harness.step(FleetInput::PollEnded(worker_key, refused));
+            }
+        }
+        Step::Losses(losses) => {
+            let origin = PeerInfo {
+                host_id: "entry-2".into(),
+                address: common::address(2),
+                failure_domain: "a".into(),
+            };
+            let origin = Some(origin);
+            harness.step(FleetInput::LossesReported(LossReport { losses, origin }));
+        }
         Step::Start(clock_ms) => {
             for request in harness.starts() {
                 harness.answer_start(&request, StartOutcome::Accepted(clock_ms));
