Split the handling of lost runs by concept

Records in loss_log.rs, losses of own workers in run_losses.rs, exchange in loss_reports.rs, suspect tasks in suspects.rs; no name does two things any more. The search for the next task of a job looked its losses up once a task and now does once a call, which matters for jobs of hundreds of tasks.

--- a/crates/fleet/src/admission.rs
+++ b/crates/fleet/src/admission.rs
@@ -148,7 +148,7 @@
         if let Some(outcome) = recent.map(|end| end.outcome).filter(is_final) {
             return Some(outcome);
         }
-        let reason = self.give_up_over_limit(job)?;
+        let reason = self.check_loss_limit(job)?;
         let message = format!("job {job:016x} failed: {reason}");
         self.log(Event::FleetJobFailed, Subject::Job(job), message);
         Some(JobOutcome::Failed)
--- a/crates/fleet/src/io.rs
+++ b/crates/fleet/src/io.rs
@@ -10,10 +10,10 @@
 
 use crate::fencing::FencingToken;
 use crate::job::{JobKey, JobOutcome, RunId, Submission};
+use crate::loss_reports::LossReport;
 use crate::peer::PeerBatch;
 use crate::queues::QueueTable;
 use crate::report::WorkerReport;
-use crate::run_losses::LossReport;
 use crate::worker::WorkerKey;
 
 /// `CallId` identifies a call of a caller that waits for an answer.
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -13,6 +13,7 @@
 mod io;
 mod job;
 mod lease;
+mod loss_log;
 mod loss_reports;
 mod neighbours;
 mod options;
@@ -32,6 +33,7 @@
 mod scheduling;
 mod starts;
 mod stragglers;
+mod suspects;
 mod wait_estimate;
 mod worker;
 
@@ -43,10 +45,11 @@
     StartRequest, StopOutcome, StopRequest, Subject, WorkerTarget,
 };
 pub use job::{JobKey, JobOutcome, NotRun, RunId, Submission};
+pub use loss_log::{LossEvidence, RunLoss};
+pub use loss_reports::LossReport;
 pub use options::FleetOptions;
 pub use peer::{BatchTime, ChunkTask, PeerBatch, PeerMessage, PeerStatus, TaskChunk};
 pub use queues::{Limits, Queue, QueueTable, ServiceSettings};
 pub use report::WorkerReport;
 pub use resources::{Resources, ServiceResources};
-pub use run_losses::{LossEvidence, LossReport, RunLoss};
 pub use worker::WorkerKey;
--- a/crates/fleet/src/loss_reports.rs
+++ b/crates/fleet/src/loss_reports.rs
@@ -11,12 +11,24 @@
 
 use hornbeam_core::event::Event;
 use hornbeam_core::ids::HostId;
+use serde::{Deserialize, Serialize};
 use siphasher::sip::SipHasher13;
 
 use crate::fleet::Fleet;
 use crate::io::{FleetOutput, PeerInfo, Subject};
 use crate::job::JobKey;
-use crate::run_losses::{LossReport, MAX_LOSSES_PER_JOB, RunLoss};
+use crate::loss_log::{MAX_LOSSES_PER_JOB, RunLoss};
+
+/// `LossReport` tells another host about losses of one job.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields, rename_all = "snake_case")]
+pub struct LossReport {
+    /// The losses.
+    pub losses: Vec<RunLoss>,
+    /// Host of the job, to which the receiver reports what else it knows; `None`
+    /// if no further report is needed.
+    pub origin: Option<PeerInfo>,
+}
 
 /// Number of hosts that collect the losses of a job, so that the loss of one of
 /// them loses no record.
@@ -67,7 +79,7 @@
             has_news |= self.losses.record(loss.clone(), self.now);
         }
         for loss in &report.losses {
-            self.give_up_if_over_limit(job, loss.run.task);
+            self.end_job_at_loss_limit(job, loss.run.task);
         }
         let Some(origin) = report.origin else {
             return;
--- a/crates/fleet/src/ownership.rs
+++ b/crates/fleet/src/ownership.rs
@@ -9,9 +9,9 @@
 use crate::fleet::Fleet;
 use crate::io::{FleetOutput, ReportAnswer, ReportId, Subject};
 use crate::job::RunId;
+use crate::loss_log::LossEvidence;
 use crate::report::WorkerReport;
 use crate::resources::Resources;
-use crate::run_losses::LossEvidence;
 use crate::worker::{Phase, Worker, WorkerKey};
 
 /// Time without a report or an answer after which a worker is removed.
--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -34,30 +34,6 @@
         fitting.min_by_key(rank).map(|worker| worker.worker_key)
     }
 
-    /// Whether a task fits a worker of this host when that runs nothing else.
-    pub(crate) fn fits_own_worker(&self, service: &ServiceId, need: &Resources) -> bool {
-        self.workers
-            .values()
-            .any(|worker| worker.report.service == *service && worker.report.capacity.can_fit(need))
-    }
-
-    /// Chooses the smallest worker of this host that fits a task and runs nothing.
-    pub(crate) fn choose_idle_worker(
-        &self,
-        service: &ServiceId,
-        need: &Resources,
-    ) -> Option<WorkerKey> {
-        let fits = |worker: &&Worker| {
-            worker.report.service == *service
-                && worker.accepts_runs(self.now)
-                && worker.runs.is_empty()
-                && worker.free().can_fit(need)
-        };
-        let rank = |worker: &&Worker| (worker.failures, worker.report.capacity.cpu_milli);
-        let fitting = self.workers.values().filter(fits);
-        fitting.min_by_key(rank).map(|worker| worker.worker_key)
-    }
-
     /// Chooses a peer with free resources for a task and deducts them from its
     /// known status. Peers in the failure domain of this host come first, then
     /// those with the most free cores.
--- a/crates/fleet/src/polls.rs
+++ b/crates/fleet/src/polls.rs
@@ -9,7 +9,8 @@
     FleetOutput, PollOutcome, PollRequest, PollResponse, RunEnd, StopRequest, Subject,
 };
 use crate::job::RunId;
-use crate::run_losses::{LossEvidence, list_runs};
+use crate::loss_log::LossEvidence;
+use crate::run_losses::list_runs;
 use crate::worker::{Phase, RunState, Worker, WorkerKey};
 
 /// Delay before an unanswered poll is repeated; it doubles up to
--- a/crates/fleet/src/resources.rs
+++ b/crates/fleet/src/resources.rs
@@ -53,12 +53,7 @@
 impl KnownCapacities {
     /// Adds a reported capacity.
     pub(crate) fn add(&mut self, service: &ServiceId, capacity: Resources) {
-        if !self.services.contains_key(service) {
-            self.services.insert(service.clone(), Vec::new());
-        }
-        let Some(known) = self.services.get_mut(service) else {
-            return;
-        };
+        let known = self.services.entry(service.clone()).or_default();
         if known.iter().any(|known| known.can_fit(&capacity)) {
             return;
         }
--- a/crates/fleet/src/runs.rs
+++ b/crates/fleet/src/runs.rs
@@ -85,7 +85,7 @@
             }
             RunEnd::Lost => {
                 task.avoid = worker_key;
-                if let Some(reason) = self.give_up_over_limit(id.job) {
+                if let Some(reason) = self.check_loss_limit(id.job) {
                     return self.end_job(id.job, JobOutcome::Failed, &reason);
                 }
                 let losses = self.describe_losses(id);
--- a/crates/fleet/src/scheduling.rs
+++ b/crates/fleet/src/scheduling.rs
@@ -7,7 +7,7 @@
 
 use crate::fleet::Fleet;
 use crate::io::FleetOutput;
-use crate::job::{Job, JobKey, RunId, Task, TaskState};
+use crate::job::{JobKey, RunId, Task, TaskState};
 use crate::peer::{ChunkTask, PeerMessage, TaskChunk};
 use crate::resources::Resources;
 use crate::worker::{Run, RunState, WorkerKey};
@@ -23,7 +23,7 @@
 /// Time for which a task may wait at a peer that reported free resources. They
 /// may be occupied briefly; if they stay occupied the task is returned, because
 /// resources may be free elsewhere.
-const FREE_RESOURCES_WAIT: Duration = Duration::from_millis(10);
+pub(crate) const FREE_RESOURCES_WAIT: Duration = Duration::from_millis(10);
 
 /// Time for which tasks wait here before they are sent to wait at peers. Within
 /// it, peers that were told of waiting tasks report their free resources. A
@@ -75,61 +75,6 @@
         self.start_suspect_tasks();
     }
 
-    /// Starts suspect tasks on workers without other runs. They come last, so that
-    /// a worker that may crash is one that no other task needs.
-    fn start_suspect_tasks(&mut self) {
-        let queued = self.queued_jobs.iter().map(|(_, key)| *key);
-        let suspects: Vec<(JobKey, TaskIndex)> = queued
-            .flat_map(|key| {
-                let tasks = self.losses.suspect_tasks_of(key);
-                tasks.into_iter().map(move |index| (key, index))
-            })
-            .collect();
-        for (key, index) in suspects {
-            if self.is_queued(key, index) {
-                self.start_suspect_task(key, index);
-            }
-        }
-    }
-
-    fn start_suspect_task(&mut self, key: JobKey, index: TaskIndex) {
-        let Some(job) = self.jobs.get(&key) else {
-            return;
-        };
-        let (service, need, expected) = (job.service.clone(), job.need, job.expected);
-        let spec = job.spec.clone();
-        if let Some(worker_key) = self.choose_idle_worker(&service, &need) {
-            let run = self.begin_attempt(key, index, TaskState::Local(worker_key));
-            return self.start_run(worker_key, run, spec, need, expected);
-        }
-        // Only a host without workers leaves a suspect task to a peer, which may
-        // not know that it is one.
-        if !self.fits_own_worker(&service, &need)
-            && let Some(host) = self.choose_peer(&service, &need)
-        {
-            let run = self.begin_attempt(key, index, TaskState::Remote(host.clone()));
-            let task = ChunkTask {
-                task: run.task,
-                attempt: run.attempt,
-            };
-            self.send_chunk(key, &host, vec![task], FREE_RESOURCES_WAIT);
-        }
-    }
-
-    fn is_queued(&self, key: JobKey, index: TaskIndex) -> bool {
-        let job = self.jobs.get(&key);
-        let task = job.and_then(|job| job.tasks.get(index as usize));
-        task.is_some_and(|task| task.state == TaskState::Queued)
-    }
-
-    /// Counts the tasks of a job that wait for resources like any other, without
-    /// suspect ones.
-    pub(crate) fn queued_tasks(&self, key: JobKey, job: &Job) -> usize {
-        let suspects = self.losses.suspect_tasks_of(key);
-        let queued = suspects.iter().filter(|index| self.is_queued(key, **index));
-        job.queued - queued.count()
-    }
-
     /// Gets the service and the resources that waiting tasks need.
     fn required_resources(&self, waiting: &Waiting) -> Option<(String, Resources)> {
         match waiting {
@@ -193,8 +138,9 @@
 
     fn next_queued(&self, key: JobKey) -> Option<TaskIndex> {
         let job = self.jobs.get(&key).filter(|job| job.queued > 0)?;
+        let suspects = self.losses.suspect_tasks_of(key);
         let is_ready = |(index, task): &(TaskIndex, &Task)| {
-            task.state == TaskState::Queued && !self.is_suspect(key, *index)
+            task.state == TaskState::Queued && !suspects.contains(index)
         };
         let (index, _) = (0..).zip(&job.tasks).find(is_ready)?;
         Some(index)
@@ -237,7 +183,12 @@
     }
 
     /// Removes a task from the queue and assigns a new attempt number.
-    fn begin_attempt(&mut self, key: JobKey, index: TaskIndex, state: TaskState) -> RunId {
+    pub(crate) fn begin_attempt(
+        &mut self,
+        key: JobKey,
+        index: TaskIndex,
+        state: TaskState,
+    ) -> RunId {
         let now = self.now;
         let mut run = RunId {
             job: key,
@@ -261,7 +212,13 @@
 
     /// Sends tasks to a peer. They may wait there for the given time, but not
     /// beyond their latest start time.
-    fn send_chunk(&mut self, key: JobKey, host: &HostId, tasks: Vec<ChunkTask>, wait: Duration) {
+    pub(crate) fn send_chunk(
+        &mut self,
+        key: JobKey,
+        host: &HostId,
+        tasks: Vec<ChunkTask>,
+        wait: Duration,
+    ) {
         let Some(job) = self.jobs.get(&key) else {
             return;
         };
--- a/crates/fleet/src/worker.rs
+++ b/crates/fleet/src/worker.rs
@@ -54,7 +54,7 @@
     /// Whether the last poll listed runs that this host does not know, which
     /// occupy an unknown amount of resources.
     pub(crate) has_unknown_runs: bool,
-    /// Number of consecutive refused connections.
+    /// Number of refused connections since the last answer.
     pub(crate) refused_polls: u32,
     /// Runs that were on the worker when it became silent, until it answers.
     /// With the host of the job, if that is a peer.
