Leave tasks that are slow on every worker where they run

Two tasks of a job that take ten times as long as declared made their worker look slow, were stopped and started on the next one, and so on; each worker got no runs for 2 s, and the tasks never ended while other workers were free.

Change: from its fifth attempt on a task is not moved, and its progress says nothing about its worker.

Measured: fleet::stragglers task_that_is_slow_on_every_worker_stays failed before (16 starts on 8 workers) and passes.

--- a/crates/fleet/src/stragglers.rs
+++ b/crates/fleet/src/stragglers.rs
@@ -32,6 +32,11 @@
 /// Time for which a slow worker gets no new runs; the next run tests it.
 const SLOW_WORKER_PAUSE: Duration = Duration::from_secs(2);
 
+/// Last attempt of a task that counts as slow. A task that was slow on several
+/// workers is slow by itself, so it stays where it is and says nothing about the
+/// worker.
+const MAX_SLOW_ATTEMPT: u32 = 4;
+
 /// Shortest wait of a poll of a worker with an overdue run.
 const MIN_POLL_WAIT: Duration = Duration::from_millis(100);
 
@@ -68,6 +73,9 @@
             if progress.done_percent > run.progress.0 {
                 run.progress = (progress.done_percent, now);
             }
+            if progress.run.attempt > MAX_SLOW_ATTEMPT {
+                continue;
+            }
             if let Some(remaining) = slow_remaining(run, progress.done_percent, now) {
                 is_stalled |= now >= run.progress.1 + STALL_TIMEOUT;
                 slow.push((progress.run, remaining, run.expected, run.need));
--- a/crates/fleet/tests/stragglers.rs
+++ b/crates/fleet/tests/stragglers.rs
@@ -4,7 +4,9 @@
 
 use common::{Harness, run};
 use googletest::prelude::*;
-use hornbeam_fleet::{FleetInput, PollOutcome, PollResponse, RunId, RunProgress};
+use hornbeam_fleet::{
+    FleetInput, PollOutcome, PollResponse, RunEnd, RunId, RunProgress, StartRequest,
+};
 
 fn report_progress(harness: &mut Harness, worker_key: u64, run: RunId, done_percent: u32) {
     let response = PollResponse {
@@ -89,3 +91,51 @@
     report_progress(&mut harness, request.target.worker_key, request.run, 48);
     expect_that!(harness.stops(), is_empty());
 }
+
+/// Guards against tasks that are slow on every worker, move from one to the next
+/// without an end, and keep new runs off each of them.
+#[gtest]
+fn task_that_is_slow_on_every_worker_stays() {
+    const WORKERS: u32 = 8;
+    const MAX_MOVES: usize = 4;
+    let mut harness = Harness::new(1);
+    for worker in 0..WORKERS {
+        harness.add_worker(&format!("w{worker}"));
+    }
+    harness.submit(1, 2);
+    let mut starts = 0;
+    for _ in 0..WORKERS {
+        let requests = harness.starts();
+        starts += requests.len();
+        for request in &requests {
+            harness.accept_start(request);
+        }
+        harness.advance(450);
+        let Some(request) = requests.first() else {
+            break;
+        };
+        let worker_key = request.target.worker_key;
+        let slow = |request: &StartRequest| RunProgress {
+            run: request.run,
+            done_percent: 22,
+        };
+        let response = PollResponse {
+            clock_ms: u64::try_from(harness.now.as_millis()).expect("a small time"),
+            running: requests.iter().map(slow).collect(),
+            ..PollResponse::default()
+        };
+        harness.step(FleetInput::PollEnded(
+            worker_key,
+            PollOutcome::Answered(response),
+        ));
+        harness.polls();
+        let ended: Vec<_> = harness.stops().iter().map(|stop| stop.run).collect();
+        let ended: Vec<_> = (1..).zip(ended).collect();
+        let ended: Vec<_> = ended
+            .into_iter()
+            .map(|(sequence, run)| (sequence, run, RunEnd::Lost))
+            .collect();
+        harness.answer_poll(worker_key, &[], &ended);
+    }
+    expect_that!(starts, le(2 * (1 + MAX_MOVES)));
+}
