--- a/crates/fleet/tests/stragglers.rs
+++ b/crates/fleet/tests/stragglers.rs
@@ -129,11 +129,13 @@
             PollOutcome::Answered(response),
         ));
         harness.polls();
-        let ended: Vec<_> = harness.stops().iter().map(|stop| stop.run).collect();
-        let ended: Vec<_> = (1..).zip(ended).collect();
-        let ended: Vec<_> = ended
-            .into_iter()
-            .map(|(sequence, run)| (sequence, run, RunEnd::Lost))
+        let stops = harness.stops();
+        if stops.is_empty() {
+            break;
+        }
+        let ended: Vec<_> = (1..)
+            .zip(stops)
+            .map(|(sequence, stop)| (sequence, stop.run, RunEnd::Lost))
             .collect();
         harness.answer_poll(worker_key, &[], &ended);
     }
