Count only crashes of workers that ran the task, and fail jobs for those alone

Cause: a run counted for its task as soon as its start was requested. And four losses with weak evidence failed a job too, although a worker that is cut off is no failure of the task.

Change: a loss says whether the run is known to have started. Crashes count against the limit of two only then; otherwise they count like silent workers. At four losses without two crashes the job ends without a result instead of as failed, also when it is submitted again, and nothing starts.

--- a/crates/fleet/src/admission.rs
+++ b/crates/fleet/src/admission.rs
@@ -148,10 +148,10 @@
         if let Some(outcome) = recent.map(|end| end.outcome).filter(is_final) {
             return Some(outcome);
         }
-        let reason = self.check_loss_limit(job)?;
-        let message = format!("job {job:016x} failed: {reason}");
+        let (outcome, reason) = self.check_loss_limit(job)?;
+        let message = format!("job {job:016x} ends as {outcome:?}: {reason}");
         self.log(Event::FleetJobFailed, Subject::Job(job), message);
-        Some(JobOutcome::Failed)
+        Some(outcome)
     }
 
     /// Whether an earlier call for a job may have run some of it, here or at
--- a/crates/fleet/src/loss_log.rs
+++ b/crates/fleet/src/loss_log.rs
@@ -12,7 +12,7 @@
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
 
-use crate::job::{JobKey, RunId};
+use crate::job::{JobKey, JobOutcome, RunId};
 
 /// Number of workers that may crash under a task before it is given up. After
 /// the first one no other task joins it, so the second is hardly ever crashed by
@@ -62,6 +62,9 @@
     pub born_unix_ms: u64,
     /// What shows the loss.
     pub evidence: LossEvidence,
+    /// Whether the run is known to have started. If not, the worker may have
+    /// crashed before its start request arrived.
+    pub has_started: bool,
 }
 
 impl RunLoss {
@@ -74,9 +77,9 @@
 /// `LossCount` counts the workers that were lost under a task.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub(crate) struct LossCount {
-    /// Workers that crashed.
+    /// Workers that crashed while they ran it.
     pub(crate) crashed: usize,
-    /// Workers that became silent.
+    /// Workers that became silent, or may have crashed before its start.
     pub(crate) silent: usize,
 }
 
@@ -87,9 +90,14 @@
         self.crashed > 0 || self.silent > 1
     }
 
-    /// Whether the task must not start again.
-    pub(crate) fn is_over_limit(self) -> bool {
-        self.crashed >= MAX_CRASHES || self.crashed + self.silent >= MAX_LOSSES
+    /// Gets the outcome of the job if the task must not start again. Only crashes
+    /// are a failure of the task.
+    pub(crate) fn outcome_at_limit(self) -> Option<JobOutcome> {
+        if self.crashed >= MAX_CRASHES {
+            return Some(JobOutcome::Failed);
+        }
+        let is_over_limit = self.crashed + self.silent >= MAX_LOSSES;
+        is_over_limit.then_some(JobOutcome::TimedOut)
     }
 }
 
@@ -139,7 +147,10 @@
     /// Whether a task of a job must not start again.
     pub(crate) fn is_over_limit(&self, job: JobKey) -> bool {
         let mut losses = self.of_job(job).iter();
-        losses.any(|loss| self.count(job, loss.run.task).is_over_limit())
+        losses.any(|loss| {
+            let count = self.count(job, loss.run.task);
+            count.outcome_at_limit().is_some()
+        })
     }
 
     /// Counts the workers that were lost under a task.
@@ -147,11 +158,11 @@
         let mut count = LossCount::default();
         for loss in self.of_job(job).iter().filter(|loss| loss.run.task == task) {
             match loss.evidence {
-                LossEvidence::Silent => count.silent += 1,
-                LossEvidence::ConnectionRefused | LossEvidence::Restarted => {
+                LossEvidence::Answered => {}
+                LossEvidence::ConnectionRefused | LossEvidence::Restarted if loss.has_started => {
                     count.crashed += 1;
                 }
-                LossEvidence::Answered => {}
+                _ => count.silent += 1,
             }
         }
         count
--- a/crates/fleet/src/run_losses.rs
+++ b/crates/fleet/src/run_losses.rs
@@ -8,7 +8,7 @@
 use crate::io::Subject;
 use crate::job::{JobKey, JobOutcome, RunId, TaskState};
 use crate::loss_log::{LossEvidence, RunLoss};
-use crate::worker::{Worker, WorkerKey};
+use crate::worker::{LostRun, RunState, Worker, WorkerKey};
 
 /// Number of refused connections since its last answer after which a worker counts
 /// as crashed. A single one may be a worker whose queue of new connections is full.
@@ -36,23 +36,27 @@
             return;
         };
         let peer_tasks = &self.peer_tasks;
-        for run in worker.runs.keys() {
-            let lost_run = worker.lost_runs.entry(*run);
-            lost_run.or_insert_with(|| peer_tasks.get(run).map(|task| task.origin.clone()));
+        for (id, run) in &worker.runs {
+            let lost_run = worker.lost_runs.entry(*id);
+            lost_run.or_insert_with(|| LostRun {
+                origin: peer_tasks.get(id).map(|task| task.origin.clone()),
+                has_started: matches!(run.state, RunState::Running(_)),
+            });
         }
         let lost_runs = worker.lost_runs.clone();
         let (worker_id, born_unix_ms) = worker.incarnation();
         let mut news = Vec::new();
         let mut news_by_job: IndexMap<(JobKey, Option<HostId>), Vec<RunLoss>> = IndexMap::new();
-        for (run, origin) in lost_runs {
+        for (run, lost_run) in lost_runs {
             let loss = RunLoss {
                 run,
                 worker_id: worker_id.clone(),
                 born_unix_ms,
                 evidence,
+                has_started: lost_run.has_started,
             };
             if self.losses.record(loss.clone(), now) {
-                let job = news_by_job.entry((run.job, origin)).or_default();
+                let job = news_by_job.entry((run.job, lost_run.origin)).or_default();
                 job.push(loss.clone());
                 news.push(loss);
             }
@@ -68,7 +72,7 @@
         }
     }
 
-    /// Fails a job if one of its tasks that are not done has lost too many
+    /// Ends a job if one of its tasks that are not done has lost too many
     /// workers.
     pub(crate) fn end_job_at_loss_limit(&mut self, key: JobKey, index: TaskIndex) {
         let task = self
@@ -76,24 +80,26 @@
             .get(&key)
             .and_then(|job| job.tasks.get(index as usize));
         let is_open = task.is_some_and(|task| task.state != TaskState::Done);
-        if is_open && let Some(reason) = self.check_loss_limit(key) {
-            self.end_job(key, JobOutcome::Failed, &reason);
+        if is_open && let Some((outcome, reason)) = self.check_loss_limit(key) {
+            self.end_job(key, outcome, &reason);
         }
     }
 
-    /// Gets the reason to give up a job of which a task has lost too many workers,
-    /// and logs that decision.
-    pub(crate) fn check_loss_limit(&mut self, key: JobKey) -> Option<String> {
+    /// Gets the outcome and the reason to give up a job of which a task has lost too
+    /// many workers, and logs that decision.
+    pub(crate) fn check_loss_limit(&mut self, key: JobKey) -> Option<(JobOutcome, String)> {
         let mut losses = self.losses.of_job(key).iter().rev();
-        let over_limit = |loss: &&RunLoss| self.losses.count(key, loss.run.task).is_over_limit();
-        let run = losses.find(over_limit)?.run;
+        let (run, outcome) = losses.find_map(|loss| {
+            let count = self.losses.count(key, loss.run.task);
+            Some((loss.run, count.outcome_at_limit()?))
+        })?;
         let losses = self.losses.of_job(key).iter();
         let workers = losses.filter(|loss| loss.run.task == run.task && loss.counts());
         let workers: Vec<&str> = workers.map(|loss| loss.worker_id.as_str()).collect();
         let reason = format!("{}: {}", self.describe_losses(run), workers.join(", "));
         let message = format!("task {} of job {key:016x} is given up: {reason}", run.task);
         self.log(Event::TaskGivenUp, Subject::Run(run), message);
-        Some(reason)
+        Some((outcome, reason))
     }
 
     fn log_losses(&mut self, worker_id: &WorkerId, evidence: LossEvidence, losses: &[RunLoss]) {
--- a/crates/fleet/src/runs.rs
+++ b/crates/fleet/src/runs.rs
@@ -85,8 +85,8 @@
             }
             RunEnd::Lost => {
                 task.avoid = worker_key;
-                if let Some(reason) = self.check_loss_limit(id.job) {
-                    return self.end_job(id.job, JobOutcome::Failed, &reason);
+                if let Some((outcome, reason)) = self.check_loss_limit(id.job) {
+                    return self.end_job(id.job, outcome, &reason);
                 }
                 let losses = self.describe_losses(id);
                 self.log(
--- a/crates/fleet/src/worker.rs
+++ b/crates/fleet/src/worker.rs
@@ -57,8 +57,16 @@
     /// Number of refused connections since the last answer.
     pub(crate) refused_polls: u32,
     /// Runs that were on the worker when it became silent, until it answers.
-    /// With the host of the job, if that is a peer.
-    pub(crate) lost_runs: IndexMap<RunId, Option<HostId>>,
+    pub(crate) lost_runs: IndexMap<RunId, LostRun>,
+}
+
+/// `LostRun` is a run that was on a worker when it became silent.
+#[derive(Clone, Debug)]
+pub(crate) struct LostRun {
+    /// Host of the job, if that is a peer.
+    pub(crate) origin: Option<HostId>,
+    /// Whether the run is known to have started.
+    pub(crate) has_started: bool,
 }
 
 /// `Phase` is the progress of taking ownership of a worker.
--- a/crates/fleet/tests/crashes.rs
+++ b/crates/fleet/tests/crashes.rs
@@ -317,3 +317,28 @@
     let is_run = |message: &&PeerMessage| matches!(message, PeerMessage::Run(_));
     expect_that!(messages.filter(is_run).count(), eq(1));
 }
+
+/// Guards against a job that is shown as failed although only one worker has
+/// crashed under its task: the other one crashed before the start arrived.
+#[gtest]
+fn worker_that_crashed_before_the_start_does_not_fail_the_job() {
+    let mut harness = Harness::new(1);
+    for name in ["w1", "w2", "w3"] {
+        harness.add_worker(name);
+    }
+    harness.submit(1, 1);
+    for is_answered in [false, true] {
+        let start = harness.starts().remove(0);
+        if is_answered {
+            harness.accept_start(&start);
+        }
+        for _ in 0..12 {
+            let refused = PollOutcome::ConnectionRefused;
+            harness.step(FleetInput::PollEnded(start.target.worker_key, refused));
+            harness.advance(100);
+            harness.polls();
+        }
+    }
+    expect_that!(harness.answers(), is_empty());
+    expect_that!(harness.starts().len(), eq(1));
+}
--- a/crates/fleet/tests/extremes.rs
+++ b/crates/fleet/tests/extremes.rs
@@ -172,12 +172,15 @@
         Just(LossEvidence::Restarted),
         Just(LossEvidence::Answered),
     ];
-    (run_id(), extreme_u64(), evidence).prop_map(|(run, born_unix_ms, evidence)| RunLoss {
-        run,
-        worker_id: "w1".into(),
-        born_unix_ms,
-        evidence,
-    })
+    (run_id(), extreme_u64(), evidence, any::<bool>()).prop_map(
+        |(run, born_unix_ms, evidence, has_started)| RunLoss {
+            run,
+            worker_id: "w1".into(),
+            born_unix_ms,
+            evidence,
+            has_started,
+        },
+    )
 }
 
 fn batch_time() -> impl Strategy<Value = BatchTime> {
--- a/crates/fleet/tests/jobs.rs
+++ b/crates/fleet/tests/jobs.rs
@@ -337,6 +337,7 @@
         worker_id: "w9".into(),
         born_unix_ms: 5,
         evidence: LossEvidence::Silent,
+        has_started: true,
     };
     let report = LossReport {
         losses: vec![loss],
--- a/crates/fleet/tests/loss_reports.rs
+++ b/crates/fleet/tests/loss_reports.rs
@@ -23,6 +23,7 @@
         worker_id: worker.into(),
         born_unix_ms: 5,
         evidence,
+        has_started: true,
     }
 }
 
