--- a/review/standins/clients.rs
+++ b/review/standins/clients.rs
@@ -78,9 +78,15 @@
     }
 }
 
-/// Submits one job; returns whether it was completed.
-fn submit(fronts: &[SocketAddr], names: &[String], number: usize, work: Work, record: &Record) -> bool {
-    let id = format!("{:016x}", 0x5c0e_7a21_0000_0000_u64 + number as u64);
+/// Gets the id of a job.
+pub fn job_id(number: usize) -> String {
+    format!("{:016x}", 0x5c0e_7a21_0000_0000_u64 + number as u64)
+}
+
+/// Submits one job; returns whether it was completed. The client turns to another
+/// entry host each time it sends the job again.
+pub fn submit(fronts: &[SocketAddr], names: &[String], number: usize, work: Work, record: &Record) -> bool {
+    let id = job_id(number);
     let Work { tasks, work_ms, cpu } = work;
     let body = format!(
         "{{\"spec\":\"{work_ms} {cpu}\",\"bestEffort\":true,\"steps\":[{{\"count\":{tasks},\"cpu\":{cpu},\
--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -7,6 +7,7 @@
 mod late_deregistration;
 mod late_report;
 mod record;
+mod silent_channels;
 mod system;
 mod worker;
 
@@ -32,6 +33,7 @@
     record.line(format!("{scenario}, {} the disruption", if trouble { "with" } else { "without" }));
     let verdict = match scenario.as_str() {
         "late-deregistration" => late_deregistration::play(trouble, &record),
+        "silent-channels" => silent_channels::play(trouble, &record),
         "late-report" => late_report::play(trouble, &record),
         _ => Verdict::NotRun("no such scenario".to_owned()),
     };
