--- a/review/standins/system.rs
+++ b/review/standins/system.rs
@@ -3,6 +3,7 @@
 
 use std::fs::{self, File};
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
+use std::os::unix::process::CommandExt;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::thread;
@@ -200,18 +201,37 @@
         fs::write(&path, settings).expect("a settings file");
         let log = File::create(folder.join(format!("{}.log", self.name))).expect("a log file");
         let errors = log.try_clone().expect("a log file");
-        let child = Command::new("target/release/hornbeamd")
+        let mut command = Command::new("target/release/hornbeamd");
+        command
             .args(["--role", &format!("fleet-{}", self.role), "--settings-file"])
             .arg(&path)
             .args(["--log-format", "json"])
             .stdin(Stdio::null())
             .stdout(log)
-            .stderr(errors)
-            .spawn();
+            .stderr(errors);
+        // SAFETY: `prctl` is async-signal-safe and touches no memory of this
+        // process.
+        unsafe { command.pre_exec(end_with_parent) };
+        let child = command.spawn();
         self.child = Some(child.expect("target/release/hornbeamd starts"));
     }
 }
 
+unsafe extern "C" {
+    fn prctl(option: i32, ...) -> i32;
+}
+
+/// Lets the process be killed when this one ends, however that happens.
+fn end_with_parent() -> std::io::Result<()> {
+    const PR_SET_PDEATHSIG: i32 = 1;
+    const SIGKILL: std::ffi::c_ulong = 9;
+    // SAFETY: the option takes one argument, the number of a signal.
+    match unsafe { prctl(PR_SET_PDEATHSIG, SIGKILL) } {
+        0 => Ok(()),
+        _ => Err(std::io::Error::last_os_error()),
+    }
+}
+
 /// Finds a network of loopback addresses on which all ports are free.
 fn free_network(hosts: usize) -> [u8; 3] {
     let process = std::process::id();
