--- a/review/standins/clients.rs
+++ b/review/standins/clients.rs
@@ -85,9 +85,19 @@
 
 /// Submits one job; returns whether it was completed. The client turns to another
 /// entry host each time it sends the job again.
-pub fn submit(fronts: &[SocketAddr], names: &[String], number: usize, work: Work, record: &Record) -> bool {
+pub fn submit(
+    fronts: &[SocketAddr],
+    names: &[String],
+    number: usize,
+    work: Work,
+    record: &Record,
+) -> bool {
     let id = job_id(number);
-    let Work { tasks, work_ms, cpu } = work;
+    let Work {
+        tasks,
+        work_ms,
+        cpu,
+    } = work;
     let body = format!(
         "{{\"spec\":\"{work_ms} {cpu}\",\"bestEffort\":true,\"steps\":[{{\"count\":{tasks},\"cpu\":{cpu},\
          \"memMb\":64,\"estimateMs\":{work_ms}}}]}}"
@@ -99,8 +109,15 @@
         record.line(format!("job    {id} is sent to {}", names[at]));
         let answer = http::call(fronts[at], &text, Duration::from_millis(BUDGET_MS));
         let status = answer.as_ref().map_or(0, http::Message::status);
-        let state = answer.as_ref().ok().and_then(|answer| http::field(&answer.body, "state"));
-        record.line(format!("job    {id} is answered by {} with {status} {}", names[at], state.unwrap_or("")));
+        let state = answer
+            .as_ref()
+            .ok()
+            .and_then(|answer| http::field(&answer.body, "state"));
+        record.line(format!(
+            "job    {id} is answered by {} with {status} {}",
+            names[at],
+            state.unwrap_or("")
+        ));
         match status {
             0 | 502 | 504 => thread::sleep(RETRANSMIT),
             _ => return state == Some("completed"),
--- a/review/standins/late_deregistration.rs
+++ b/review/standins/late_deregistration.rs
@@ -77,7 +77,11 @@
     thread::sleep(ENDS_ANYWAY);
     leaving.end();
     thread::sleep(DOWN);
-    workers.push(Worker::start(options(0), record.clone(), trouble.then_some(cut_until)));
+    workers.push(Worker::start(
+        options(0),
+        record.clone(),
+        trouble.then_some(cut_until),
+    ));
     thread::sleep((cut_until + RETRANSMISSION).saturating_duration_since(Instant::now()));
     if trouble {
         record.line("cut    has been over for 0.7 s");
--- a/review/standins/late_report.rs
+++ b/review/standins/late_report.rs
@@ -11,7 +11,9 @@
 use crate::worker::{CutControl, Options, Worker};
 
 const CONTROL_ZONES: [&str; 4] = ["almaty-a", "almaty-b", "almaty-c", "almaty-d"];
-const ENTRY_ZONES: [&str; 6] = ["almaty-a", "almaty-a", "almaty-b", "almaty-b", "almaty-c", "almaty-c"];
+const ENTRY_ZONES: [&str; 6] = [
+    "almaty-a", "almaty-a", "almaty-b", "almaty-b", "almaty-c", "almaty-c",
+];
 const WORKERS: u8 = 6;
 /// Length of the cut of the new worker's path to one control host.
 const CUT: Duration = Duration::from_millis(4200);
@@ -62,7 +64,10 @@
     let mut added = options(WORKERS);
     if trouble {
         let control = added.controls[0];
-        record.line(format!("cut    the path from i-6 to {} is cut for 4.2 s", system.name_of(control)));
+        record.line(format!(
+            "cut    the path from i-6 to {} is cut for 4.2 s",
+            system.name_of(control)
+        ));
         added.cut_control = Some(CutControl {
             address: control,
             until: cut_until,
@@ -80,7 +85,10 @@
         return Verdict::NotRun("the drain was not acknowledged".into());
     };
     let acked_at = record.now() - acked.elapsed();
-    record.line(format!("drain  of i-6 was acknowledged at {:.3}", acked_at.as_secs_f64()));
+    record.line(format!(
+        "drain  of i-6 was acknowledged at {:.3}",
+        acked_at.as_secs_f64()
+    ));
     thread::sleep((acked + SERVES_ON).saturating_duration_since(Instant::now()));
     let _ = added.deregister(false);
     added.end();
--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -30,7 +30,10 @@
     };
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let record = Record::create(path);
-    record.line(format!("{scenario}, {} the disruption", if trouble { "with" } else { "without" }));
+    record.line(format!(
+        "{scenario}, {} the disruption",
+        if trouble { "with" } else { "without" }
+    ));
     let verdict = match scenario.as_str() {
         "late-deregistration" => late_deregistration::play(trouble, &record),
         "silent-channels" => silent_channels::play(trouble, &record),
--- a/review/standins/record.rs
+++ b/review/standins/record.rs
@@ -54,7 +54,9 @@
     }
 
     pub fn run_started(&self, task: &str, attempt: u64, worker: &str) -> usize {
-        self.line(format!("run    {task} attempt {attempt} starts on {worker}"));
+        self.line(format!(
+            "run    {task} attempt {attempt} starts on {worker}"
+        ));
         let started = self.now();
         let mut state = self.lock();
         state.runs.push(Run {
@@ -75,7 +77,9 @@
             state.runs[at].clone()
         };
         let (task, attempt, worker) = (&run.task, run.attempt, &run.worker);
-        self.line(format!("run    {task} attempt {attempt} ends on {worker}: {how}"));
+        self.line(format!(
+            "run    {task} attempt {attempt} ends on {worker}: {how}"
+        ));
     }
 
     pub fn runs(&self) -> Vec<Run> {
--- a/review/standins/silent_channels.rs
+++ b/review/standins/silent_channels.rs
@@ -68,14 +68,20 @@
         number += 1;
         tasks.push(format!("{}.0.0.0", job_id(number)));
         let (fronts, names, record) = (fronts.clone(), names.clone(), record.clone());
-        clients.push(thread::spawn(move || submit(&fronts, &names, number, LONG, &record)));
+        clients.push(thread::spawn(move || {
+            submit(&fronts, &names, number, LONG, &record)
+        }));
     }
     thread::sleep(Duration::from_millis(300));
     if trouble {
-        let busy = workers.iter().find(|worker| tasks.iter().any(|task| worker.runs(task)));
+        let busy = workers
+            .iter()
+            .find(|worker| tasks.iter().any(|task| worker.runs(task)));
         let Some(worker) = busy else {
             return Verdict::NotRun("no long task has started".into());
         };
+        let all: usize = workers.iter().map(Worker::channels).sum();
+        record.line(format!("silent {all} channels to all workers are open"));
         let (silent, working) = worker.silence_idle_channels();
         record.line(format!(
             "silent {silent} idle channels to {} go silent, {working} work",
--- a/review/standins/system.rs
+++ b/review/standins/system.rs
@@ -62,7 +62,11 @@
             let process = system.process("entry", "edge", host, zone);
             system.entries.push(process);
         }
-        let seeds: Vec<String> = system.control_addresses().iter().map(|at| format!("\"{at}\"")).collect();
+        let seeds: Vec<String> = system
+            .control_addresses()
+            .iter()
+            .map(|at| format!("\"{at}\""))
+            .collect();
         let seeds = seeds[..seeds.len().min(3)].join(", ");
         let folder = system.folder.clone();
         for process in system.controls.iter_mut().chain(&mut system.entries) {
@@ -91,12 +95,14 @@
 
     pub fn control_addresses(&self) -> Vec<SocketAddr> {
         let ips = self.controls.iter().map(|process| process.ip);
-        ips.map(|ip| SocketAddr::new(ip.into(), CONTROL_PORT)).collect()
+        ips.map(|ip| SocketAddr::new(ip.into(), CONTROL_PORT))
+            .collect()
     }
 
     pub fn front_addresses(&self) -> Vec<SocketAddr> {
         let ips = self.entries.iter().map(|process| process.ip);
-        ips.map(|ip| SocketAddr::new(ip.into(), FRONT_PORT)).collect()
+        ips.map(|ip| SocketAddr::new(ip.into(), FRONT_PORT))
+            .collect()
     }
 
     /// Gets the name of the machine at an address.
@@ -118,7 +124,8 @@
         let deadline = Instant::now() + Duration::from_secs(20);
         while Instant::now() < deadline {
             for control in self.control_addresses() {
-                let text = http::request("POST", &control.to_string(), "/config/replace", "", &body);
+                let text =
+                    http::request("POST", &control.to_string(), "/config/replace", "", &body);
                 let answer = http::call(control, &text, Duration::from_secs(1));
                 if answer.is_ok_and(|answer| answer.status() == 200) {
                     record.line("config version 7 is acknowledged");
@@ -194,7 +201,9 @@
             settings += &format!("data_folder = \"{}\"\n[listen]\n", data.display());
             settings += &format!("operators = \"{ip}:{CONTROL_PORT}\"\n");
         } else {
-            settings += &format!("[listen]\ncallers = \"{ip}:{FRONT_PORT}\"\nreadiness = \"{ip}:{READY_PORT}\"\n");
+            settings += &format!(
+                "[listen]\ncallers = \"{ip}:{FRONT_PORT}\"\nreadiness = \"{ip}:{READY_PORT}\"\n"
+            );
         }
         settings += "[terms]\nmax_lease_ms = 1000\nstop_ms = 50\nlosses_borne = 1\n";
         let path = folder.join(format!("{}.toml", self.name));
@@ -239,9 +248,18 @@
         let mixed = process.wrapping_mul(31).wrapping_add(step * 7919);
         let network = [127, 20 + (mixed % 200) as u8, (mixed / 200 % 250) as u8];
         let [a, b, c] = network;
-        let is_free = |host: u8, port: u16| TcpListener::bind((Ipv4Addr::new(a, b, c, host), port)).is_ok();
-        let ports = [FRONT_PORT, CONTROL_PORT, READY_PORT, FIRST_PORT, FIRST_PORT + 1, LAST_PORT];
-        let hosts_free = (1..=hosts as u8).all(|host| ports.iter().all(|port| is_free(host, *port)));
+        let is_free =
+            |host: u8, port: u16| TcpListener::bind((Ipv4Addr::new(a, b, c, host), port)).is_ok();
+        let ports = [
+            FRONT_PORT,
+            CONTROL_PORT,
+            READY_PORT,
+            FIRST_PORT,
+            FIRST_PORT + 1,
+            LAST_PORT,
+        ];
+        let hosts_free =
+            (1..=hosts as u8).all(|host| ports.iter().all(|port| is_free(host, *port)));
         if hosts_free && (100..120).all(|host| is_free(host, WORKER_PORT)) {
             return network;
         }
--- a/review/standins/worker.rs
+++ b/review/standins/worker.rs
@@ -110,7 +110,9 @@
     pub fn start(options: Options, record: Record, cut_until: Option<Instant>) -> Self {
         let listener = bind(options.address);
         listener.set_nonblocking(true).expect("a listener");
-        let born = SystemTime::now().duration_since(UNIX_EPOCH).expect("a time");
+        let born = SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .expect("a time");
         record.line(format!("worker {} starts its life", options.id));
         let shared = Arc::new(Shared {
             options,
@@ -136,7 +138,9 @@
 
     /// Says from now on that it drains, at once for the first time.
     pub fn drain(&self) {
-        self.shared.record.line(format!("worker {} is to leave", self.id()));
+        self.shared
+            .record
+            .line(format!("worker {} is to leave", self.id()));
         self.shared.lock().draining = true;
         self.shared.changed.notify_all();
     }
@@ -154,13 +158,26 @@
     /// work. Returns how many were silenced, and how many work on.
     pub fn silence_idle_channels(&self) -> (usize, usize) {
         let mut state = self.shared.lock();
-        state.connections.retain(|connection| !connection.flags.is_closed.load(Ordering::SeqCst));
+        state
+            .connections
+            .retain(|connection| !connection.flags.is_closed.load(Ordering::SeqCst));
         let is_idle = |connection: &&Connection| !connection.flags.is_busy.load(Ordering::SeqCst);
         let idle = state.connections.iter().filter(is_idle);
-        let silenced = idle.map(|connection| connection.flags.is_silent.store(true, Ordering::SeqCst)).count();
+        let silenced = idle
+            .map(|connection| connection.flags.is_silent.store(true, Ordering::SeqCst))
+            .count();
         (silenced, state.connections.len() - silenced)
     }
 
+    /// Counts the open channels.
+    pub fn channels(&self) -> usize {
+        let state = self.shared.lock();
+        let connections = state.connections.iter();
+        let open =
+            connections.filter(|connection| !connection.flags.is_closed.load(Ordering::SeqCst));
+        open.count()
+    }
+
     /// Whether the worker runs a task.
     pub fn runs(&self, task: &str) -> bool {
         self.shared.lock().running.contains_key(task)
@@ -202,7 +219,9 @@
         }
         let answer = http::call(address, &text, REPORT_TIMEOUT);
         let status = answer.map_or(0, |answer| answer.status());
-        record.line(format!("worker {id}: its deregistration is answered with {status}"));
+        record.line(format!(
+            "worker {id}: its deregistration is answered with {status}"
+        ));
         Ok(status == 200)
     }
 
@@ -281,7 +300,8 @@
         for run in runs {
             self.record.run_ended(run.record, "gone with its worker");
         }
-        self.record.line(format!("worker {} ends its life", self.options.id));
+        self.record
+            .line(format!("worker {} ends its life", self.options.id));
         self.changed.notify_all();
     }
 
@@ -321,8 +341,12 @@
             if flags.is_silent.load(Ordering::SeqCst) {
                 // The packet is lost, like all later ones.
                 let path = request.first_line.split(' ').nth(1).unwrap_or_default();
-                self.record.line(format!("silent {path} {} {} at {}", http::field(&request.body, "task").unwrap_or(""),
-                    http::number(&request.body, "attempt").unwrap_or(0), self.options.id));
+                self.record.line(format!(
+                    "silent {path} {} {} at {}",
+                    http::field(&request.body, "task").unwrap_or(""),
+                    http::number(&request.body, "attempt").unwrap_or(0),
+                    self.options.id
+                ));
                 while self.is_alive() {
                     thread::sleep(Duration::from_millis(50));
                 }
@@ -372,7 +396,10 @@
         let clock_ms = self.clock_ms();
         match outcome {
             Ok(()) => (200, format!("{{\"clockMs\":{clock_ms}}}")),
-            Err(reason) => (409, format!("{{\"clockMs\":{clock_ms},\"reason\":\"{reason}\"}}")),
+            Err(reason) => (
+                409,
+                format!("{{\"clockMs\":{clock_ms},\"reason\":\"{reason}\"}}"),
+            ),
         }
     }
 
@@ -402,10 +429,18 @@
             return Err("late");
         }
         self.extend(&mut state, body);
-        if state.running.get(&task).is_some_and(|run| run.attempt == attempt) {
+        if state
+            .running
+            .get(&task)
+            .is_some_and(|run| run.attempt == attempt)
+        {
             return Ok(());
         }
-        if state.highest.get(&task).is_some_and(|highest| attempt <= *highest) {
+        if state
+            .highest
+            .get(&task)
+            .is_some_and(|highest| attempt <= *highest)
+        {
             return Err("old");
         }
         // The spec of a job names its work in ms and its cpu.
@@ -436,7 +471,10 @@
         let attempt = http::number(body, "attempt").unwrap_or(0);
         let mut state = self.lock();
         Self::take_fence(&mut state, body)?;
-        self.record.line(format!("stop   {task} attempt {attempt} at {}", self.options.id));
+        self.record.line(format!(
+            "stop   {task} attempt {attempt} at {}",
+            self.options.id
+        ));
         let highest = state.highest.entry(task.clone()).or_default();
         *highest = (*highest).max(attempt);
         if let Some(run) = state.running.get_mut(&task)
@@ -596,14 +634,16 @@
             let left = again.saturating_duration_since(Instant::now());
             thread::sleep(left.min(REPORT_TIMEOUT));
             if left > REPORT_TIMEOUT {
-                self.record.line(format!("cut    the {name} to {address} gets no answer"));
+                self.record
+                    .line(format!("cut    the {name} to {address} gets no answer"));
                 return false;
             }
         }
         let channel = channel.filter(|channel| channel.address == address);
         let channel = channel.map_or_else(|| Channel::open(address, REPORT_TIMEOUT), Ok);
         let Ok(mut channel) = channel else {
-            self.record.line(format!("report the {name} finds nobody at {address}"));
+            self.record
+                .line(format!("report the {name} finds nobody at {address}"));
             return false;
         };
         if let Some(cut) = options.cut_control
@@ -617,7 +657,9 @@
         let sent = channel.send(&text);
         let answer = sent.and_then(|()| channel.answer(REPORT_TIMEOUT));
         let status = answer.as_ref().map_or(0, Message::status);
-        self.record.line(format!("report the {name} to {address} is answered with {status}"));
+        self.record.line(format!(
+            "report the {name} to {address} is answered with {status}"
+        ));
         let Ok(answer) = answer else {
             return false;
         };
@@ -639,7 +681,8 @@
 
     /// Keeps a report on its way until some time after the cut.
     fn hold_up(&self, channel: Channel, text: String, name: String, cut: CutControl) {
-        self.record.line(format!("cut    holds up the {name} to {}", cut.address));
+        self.record
+            .line(format!("cut    holds up the {name} to {}", cut.address));
         let held = HeldMessage {
             channel,
             text,
