Let the lease end if the stop of a run is not answered

Cause: all runs on a worker share one lease, and polls, probes and starts extended it whether or not a stop was unanswered. If each stop request was lost, here on silent connections, nothing limited the run but its own end. The same held for listed runs that their owner does not know.

Fix: the lease is extended only while no stop request of a run on the worker is unanswered and no unknown run is listed. So a run ends at most 150 ms (timeout of the stop) and one lease after its job, some 1,190 ms. The worker gets no new run meanwhile. Its other runs end too if stops stay unanswered for a second. The timeout of a stop is now decided by the fleet, and a resubmitted job waits 1,250 ms in place of 1,100 at the host that had it.

Ruled out: that the reviewer's second guess alone is the cause (the client keeps the other connections opened before the one on which a request was lost).

--- a/crates/fleet/src/admission.rs
+++ b/crates/fleet/src/admission.rs
@@ -27,8 +27,9 @@
 const RETRY_AFTER_MS: u64 = 1000;
 
 /// Time after the end of a job within which its last runs have ended: stops are
-/// sent at once, and if they are not answered the lease expires.
-const MAX_RUN_END_DELAY: Duration = Duration::from_millis(1100);
+/// sent at once, and if they are not answered the lease is not extended and
+/// expires. It is shorter than the time after which callers send a job again.
+const MAX_RUN_END_DELAY: Duration = Duration::from_millis(1250);
 
 /// Time for which the end of a job is remembered. A call that was delayed in
 /// the network can arrive seconds after the answer.
--- a/crates/fleet/src/io.rs
+++ b/crates/fleet/src/io.rs
@@ -183,6 +183,8 @@
     pub target: WorkerTarget,
     /// The run.
     pub run: RunId,
+    /// Time to wait for the answer.
+    pub timeout: Duration,
 }
 
 /// `PollRequest` gets a worker's active and ended runs and may extend its
--- a/crates/fleet/src/lease.rs
+++ b/crates/fleet/src/lease.rs
@@ -43,6 +43,12 @@
         Some(self.latest_expiry_ms)
     }
 
+    /// Gets the latest expiry sent, on the worker's clock; `None` until the clock
+    /// has been read.
+    pub(crate) fn latest_expiry_ms(&self) -> Option<u64> {
+        self.reading.map(|_| self.latest_expiry_ms)
+    }
+
     /// Gets the time by which all runs under this lease have ended, whether or
     /// not the requests to the worker arrived.
     pub(crate) fn ends_by(&self) -> Duration {
--- a/crates/fleet/src/polls.rs
+++ b/crates/fleet/src/polls.rs
@@ -45,17 +45,13 @@
         worker.poll_sent_at = Some(now);
         // After an unanswered poll the worker must answer at once, and its lease
         // is not extended: its tasks start elsewhere once the lease has expired.
-        let extends = worker.phase == Phase::Ready && worker.unanswered_polls == 0;
-        let (lease_end_ms, wait) = if extends {
-            let lease_end_ms = worker.lease.extend(now, max_lease);
-            let longest = if worker.has_unknown_runs {
-                max_stop_time
-            } else {
-                poll_wait
-            };
-            (lease_end_ms, worker.poll_wait(now, longest))
-        } else {
+        let (lease_end_ms, wait) = if worker.phase != Phase::Ready || worker.unanswered_polls > 0 {
             (None, Duration::ZERO)
+        } else if worker.may_extend_lease() {
+            let lease_end_ms = worker.extend_lease(now, max_lease);
+            (lease_end_ms, worker.poll_wait(now, poll_wait))
+        } else {
+            (None, worker.poll_wait(now, max_stop_time))
         };
         let request = PollRequest {
             target: worker.target(),
@@ -175,13 +171,10 @@
             return self.log(Event::WorkerOwned, subject, message);
         }
         worker.next_poll_at = now + max_stop_time;
-        let target = worker.target();
-        for progress in &response.running {
-            let target = target.clone();
-            self.emit(FleetOutput::Stop(StopRequest {
-                target,
-                run: progress.run,
-            }));
+        let runs = response.running.iter().map(|progress| progress.run);
+        let stops: Vec<StopRequest> = runs.map(|run| worker.stop_request(run)).collect();
+        for stop in stops {
+            self.emit(FleetOutput::Stop(stop));
         }
     }
 
@@ -247,7 +240,9 @@
             worker.has_unknown_runs = !foreign.is_empty();
             self.resources_changed = true;
         }
-        let target = worker.target();
+        // A delayed start request has started the foreign runs.
+        let stops = foreign.into_iter().map(|run| worker.stop_request(run));
+        let stops: Vec<StopRequest> = stops.collect();
         for id in lost {
             if let Some(worker) = self.workers.get_mut(&worker_key) {
                 worker.remove(id);
@@ -259,10 +254,8 @@
             );
             self.end_run_as_lost(worker_key, id);
         }
-        // A delayed start request has started these runs.
-        for run in foreign {
-            let target = target.clone();
-            self.emit(FleetOutput::Stop(StopRequest { target, run }));
+        for stop in stops {
+            self.emit(FleetOutput::Stop(stop));
         }
     }
 
--- a/crates/fleet/src/probes.rs
+++ b/crates/fleet/src/probes.rs
@@ -61,8 +61,8 @@
             return;
         };
         worker.probe_sent_at = Some(now);
-        let extends = worker.unanswered_polls == 0;
-        let lease_end_ms = extends.then(|| worker.lease.extend(now, max_lease));
+        let extends = worker.unanswered_polls == 0 && worker.may_extend_lease();
+        let lease_end_ms = extends.then(|| worker.extend_lease(now, max_lease));
         let request = PollRequest {
             target: worker.target(),
             lease_end_ms: lease_end_ms.flatten(),
--- a/crates/fleet/src/scheduling.rs
+++ b/crates/fleet/src/scheduling.rs
@@ -267,6 +267,7 @@
                 ends_by: self.now,
                 stop_at: None,
                 stop_requested: false,
+                stop_is_unanswered: false,
             },
         );
         self.resources_changed = true;
@@ -280,7 +281,7 @@
         let Some(worker) = self.workers.get_mut(&worker_key) else {
             return;
         };
-        let Some(lease_end_ms) = worker.lease.extend(now, max_lease) else {
+        let Some(lease_end_ms) = worker.extend_lease(now, max_lease) else {
             return;
         };
         let ends_by = worker.lease.ends_by();
--- a/crates/fleet/src/starts.rs
+++ b/crates/fleet/src/starts.rs
@@ -146,6 +146,7 @@
         let Some(run) = worker.runs.get_mut(&id) else {
             return;
         };
+        run.stop_is_unanswered = outcome == StopOutcome::Unanswered;
         match outcome {
             StopOutcome::Accepted if run.state == RunState::Unknown => {
                 // The run either never starts, or ends within the time that a
@@ -185,10 +186,12 @@
         if due.is_empty() {
             return;
         }
-        let target = worker.target();
-        for run in due {
-            let target = target.clone();
-            self.emit(FleetOutput::Stop(StopRequest { target, run }));
+        let stops: Vec<StopRequest> = due
+            .into_iter()
+            .map(|run| worker.stop_request(run))
+            .collect();
+        for stop in stops {
+            self.emit(FleetOutput::Stop(stop));
         }
     }
 
--- a/crates/fleet/src/worker.rs
+++ b/crates/fleet/src/worker.rs
@@ -7,12 +7,15 @@
 use indexmap::IndexMap;
 
 use crate::fencing::FencingToken;
-use crate::io::WorkerTarget;
+use crate::io::{StopRequest, WorkerTarget};
 use crate::job::RunId;
 use crate::lease::Lease;
 use crate::report::WorkerReport;
 use crate::resources::Resources;
 
+/// Timeout of a stop request. A round trip takes a few milliseconds.
+pub(crate) const STOP_TIMEOUT: Duration = Duration::from_millis(150);
+
 /// `WorkerKey` identifies one period of ownership of a worker within a process.
 pub type WorkerKey = u64;
 
@@ -104,6 +107,8 @@
     pub(crate) stop_at: Option<Duration>,
     /// Whether the run is to be stopped.
     pub(crate) stop_requested: bool,
+    /// Whether the last stop request got no answer.
+    pub(crate) stop_is_unanswered: bool,
 }
 
 /// `RunState` is the state of a run.
@@ -150,6 +155,24 @@
         }
     }
 
+    /// Whether the lease may be extended. It covers all runs on the worker, so it
+    /// is the only limit of a run that is to end if stop requests are lost.
+    pub(crate) fn may_extend_lease(&self) -> bool {
+        self.phase == Phase::Ready
+            && !self.has_unknown_runs
+            && !self.runs.values().any(|run| run.stop_is_unanswered)
+    }
+
+    /// Extends the lease if it may be extended, and gets its expiry on the worker's
+    /// clock; `None` until the clock has been read.
+    pub(crate) fn extend_lease(&mut self, now: Duration, length: Duration) -> Option<u64> {
+        if self.may_extend_lease() {
+            self.lease.extend(now, length)
+        } else {
+            self.lease.latest_expiry_ms()
+        }
+    }
+
     /// Gets the address and fencing token for requests to the worker.
     pub(crate) fn target(&self) -> WorkerTarget {
         WorkerTarget {
@@ -162,14 +185,22 @@
 
     /// Whether the worker may get new runs now.
     pub(crate) fn accepts_runs(&self, now: Duration) -> bool {
-        self.phase == Phase::Ready
+        self.may_extend_lease()
             && !self.report.draining
             && self.unanswered_polls == 0
-            && !self.has_unknown_runs
             && !self.runs.values().any(|run| run.is_exclusive)
             && now >= self.blocked_until
     }
 
+    /// Builds the request to stop a run.
+    pub(crate) fn stop_request(&self, run: RunId) -> StopRequest {
+        StopRequest {
+            target: self.target(),
+            run,
+            timeout: STOP_TIMEOUT,
+        }
+    }
+
     /// Gets the free resources.
     pub(crate) fn free(&self) -> Resources {
         let mut free = self.report.capacity;
