Open a new connection after a request to a worker without an answer

Cause: a request without an answer closed only its own connection. The repeat took the next one from the pool, which had been opened before and was silent as well. The form with backend servers closes the connections of a server in that case (dispatch::exchanges); the one with guarded workers did not.

Fix: an unanswered start that is repeated, an unanswered stop and the first unanswered poll close the idle connections to the worker, so that the repeat opens a new one.

fleet::stops request_after_an_unanswered_one_is_sent_on_a_new_connection: failed before (0 closes in place of 1 after each of the three requests).

--- a/crates/fleet/src/io.rs
+++ b/crates/fleet/src/io.rs
@@ -85,7 +85,8 @@
     /// Report losses to another host at an address; the end comes back as
     /// [`FleetInput::LossReportEnded`].
     ReportLosses(HostId, SocketAddr, LossReport),
-    /// Close the idle connections to a worker that is no longer owned.
+    /// Close the idle connections to a worker, so that the next request opens a
+    /// new one.
     DropConnections(SocketAddr),
     /// Record the times of an ended job in the metrics.
     RecordTimes(JobTimes),
--- a/crates/fleet/src/polls.rs
+++ b/crates/fleet/src/polls.rs
@@ -94,6 +94,7 @@
             return;
         }
         worker.unanswered_polls += 1;
+        let is_first = worker.unanswered_polls == 1;
         let delay = POLL_RETRY_DELAY * 2_u32.pow((worker.unanswered_polls - 1).min(5));
         worker.next_poll_at = self.now + delay.min(MAX_POLL_RETRY_DELAY);
         let message = format!(
@@ -105,6 +106,9 @@
         let subject = Subject::Worker(worker.report.worker_id.clone());
         self.resources_changed = true;
         self.log(Event::WorkerUnanswered, subject, message);
+        if is_first {
+            self.replace_connections(worker_key);
+        }
     }
 
     pub(crate) fn on_poll_response(
--- a/crates/fleet/src/starts.rs
+++ b/crates/fleet/src/starts.rs
@@ -59,6 +59,7 @@
                 self.remove_unstarted(worker_key, id, "its worker could not be reached");
             }
             StartOutcome::Unanswered if (tries as usize) < START_TIMEOUTS.len() => {
+                self.replace_connections(worker_key);
                 self.send_start(worker_key, id);
             }
             // The outcome of a retry proves nothing about earlier requests,
@@ -154,7 +155,20 @@
                 run.ends_by = run.ends_by.min(now + 2 * max_stop_time);
             }
             StopOutcome::Accepted => {}
-            _ => run.stop_at = Some(now + STOP_RETRY_DELAY),
+            _ => {
+                run.stop_at = Some(now + STOP_RETRY_DELAY);
+                self.replace_connections(worker_key);
+            }
+        }
+    }
+
+    /// Lets the next request to a worker open a new connection. A request without
+    /// an answer may have been sent on a connection that has gone silent, and
+    /// others that were opened before it can be silent as well.
+    pub(crate) fn replace_connections(&mut self, worker_key: WorkerKey) {
+        if let Some(worker) = self.workers.get(&worker_key) {
+            let address = worker.report.address;
+            self.emit(FleetOutput::DropConnections(address));
         }
     }
 
--- a/crates/fleet/tests/stops.rs
+++ b/crates/fleet/tests/stops.rs
@@ -6,7 +6,7 @@
 
 use common::{Harness, run};
 use googletest::prelude::*;
-use hornbeam_fleet::{FleetInput, RunId, StopOutcome};
+use hornbeam_fleet::{FleetInput, FleetOutput, PollOutcome, RunId, StartOutcome, StopOutcome};
 
 /// Time after a missing answer at which a caller sends its job again.
 const CALLER_RETRY_DELAY: Duration = Duration::from_millis(1300);
@@ -105,3 +105,34 @@
     harness.answer_poll(worker, &[], &[]);
     expect_that!(harness.poll().lease_end_ms, some(anything()));
 }
+
+/// Counts the requests so far to close the connections to workers.
+fn closed_connections(harness: &mut Harness) -> usize {
+    let is_close = |output: &FleetOutput| matches!(output, FleetOutput::DropConnections(_));
+    let count = harness.outputs.iter().filter(|output| is_close(output));
+    let count = count.count();
+    harness.outputs.retain(|output| !is_close(output));
+    count
+}
+
+/// Guards against requests that are lost one after the other because each is sent
+/// on another connection that has gone silent.
+#[gtest]
+fn request_after_an_unanswered_one_is_sent_on_a_new_connection() {
+    let mut harness = Harness::new(1);
+    let worker = harness.add_worker("w1");
+    harness.submit(1, 1);
+    let start = harness.starts().remove(0);
+    expect_that!(closed_connections(&mut harness), eq(0));
+    harness.answer_start(&start, StartOutcome::Unanswered);
+    expect_that!(closed_connections(&mut harness), eq(1));
+    harness.accept_start(&start);
+    harness.step(FleetInput::PollEnded(worker, PollOutcome::Unanswered));
+    expect_that!(closed_connections(&mut harness), eq(1));
+    harness.answer_poll(worker, &[start.run], &[]);
+    harness.step(FleetInput::CallerDisconnected(1, 1));
+    let stop = harness.stops().remove(0);
+    let lost = FleetInput::StopRequestEnded(worker, stop.run, StopOutcome::Unanswered);
+    harness.step(lost);
+    expect_that!(closed_connections(&mut harness), eq(1));
+}
