End the runs of a deregistered worker with their lease

Cause: a deregistration names neither the incarnation that sent it nor a sequence number, but its arrival counted as the end of all runs on the worker. One that a partition holds up arrives when the worker has started again under its id.

Fix: the runs of a worker that deregisters count as lost when their lease has expired, as after a take-over by another host. A worker that answers polls and does not drain is kept, since a leaving one reports that it drains first; the new event StaleMessage says so. Else its runs would be stopped by the next take-over, for a message that says nothing about them.

Related paths: the deregistration that a control host passes on ends in the same place. Restarts (a report or an answer of a later incarnation, or 421) do prove that the runs have ended. Workers that are handed over have no runs.

fleet::crashes suspect_task_of_a_host_without_workers_goes_to_a_peer: the task of the run that was lost goes to the peer 150 ms later, since a deregistration does not end the run; the check itself is unchanged.

--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -137,6 +137,8 @@
     MessageRejected = 730, Warn;
     /// A guarded worker reported another capacity.
     WorkerResized = 731, Info;
+    /// A delayed message about a guarded worker was ignored.
+    StaleMessage = 732, Info;
     /// A published configuration was accepted.
     PublishAccepted = 740, Info;
     /// A published configuration was rejected as invalid.
--- a/crates/fleet/src/ownership.rs
+++ b/crates/fleet/src/ownership.rs
@@ -112,10 +112,29 @@
         ReportAnswer::Taken
     }
 
+    /// Handles the deregistration of a worker. It does not name the incarnation
+    /// that sent it and can arrive late, so it does not prove that the runs on
+    /// the worker have ended: they count as lost when their lease has expired. A
+    /// worker that leaves reports that it drains first, so one that answers and
+    /// does not drain has restarted under its id since then.
     pub(crate) fn on_departed(&mut self, worker_id: &WorkerId) {
-        if let Some(worker_key) = self.worker_keys_by_id.get(worker_id).copied() {
-            self.remove_worker(worker_key, self.now, "it left");
+        let worker_key = self.worker_keys_by_id.get(worker_id);
+        let Some(worker) = worker_key.and_then(|worker_key| self.workers.get(worker_key)) else {
+            return;
+        };
+        if worker.report.draining || worker.unanswered_polls > 0 {
+            let (worker_key, ends_by) = (worker.worker_key, worker.lease.ends_by());
+            return self.remove_worker(worker_key, ends_by, "it left");
         }
+        let message = format!(
+            "deregistration of worker {worker_id} is ignored: the worker answers and does not drain; {} runs on it",
+            worker.runs.len()
+        );
+        self.log(
+            Event::StaleMessage,
+            Subject::Worker(worker_id.clone()),
+            message,
+        );
     }
 
     /// Handles a restart of a worker: none of its runs is left.
--- a/crates/fleet/tests/crashes.rs
+++ b/crates/fleet/tests/crashes.rs
@@ -310,6 +310,8 @@
     site.advance(900, &|_| true);
     site.restarts.clear();
     site.harness.step(FleetInput::Departed("w0".into()));
+    // The run counts as lost only when its lease has expired.
+    site.harness.advance(150);
     site.harness
         .receive_batch(2, 1, vec![common::free_status()]);
     let batches = site.harness.batches();
--- a/crates/fleet/tests/events.rs
+++ b/crates/fleet/tests/events.rs
@@ -82,6 +82,7 @@
     leaving.draining = true;
     harness.step(FleetInput::Reported(9, leaving));
     harness.step(FleetInput::Departed("w2".into()));
+    harness.step(FleetInput::Departed("w4".into()));
     let silent = 3;
     for _ in 0..2 {
         harness.step(FleetInput::PollEnded(silent, PollOutcome::Unanswered));
@@ -168,6 +169,7 @@
         (Event::LeaseEnded, worker("w1")),
         (Event::WorkerDraining, worker("w2")),
         (Event::WorkerForgotten, worker("w2")),
+        (Event::StaleMessage, worker("w4")),
         (Event::WorkerUnanswered, worker("w3")),
         (Event::WorkerRestored, worker("w3")),
     ] {
--- a/crates/fleet/tests/ownership.rs
+++ b/crates/fleet/tests/ownership.rs
@@ -323,3 +323,40 @@
     });
     expect_that!(refused, eq(true));
 }
+
+/// Guards against a second run beside the first one when a delayed deregistration
+/// of a worker's previous incarnation arrives.
+#[gtest]
+fn late_deregistration_does_not_end_the_runs_of_the_next_incarnation() {
+    let mut harness = Harness::new(1);
+    harness.add_worker("w1");
+    harness.add_worker("w2");
+    let first = harness.start_job(1);
+    let worker = first.target.worker_key;
+    harness.answer_poll(worker, &[first.run], &[]);
+    harness.step(FleetInput::Departed(first.target.worker_id));
+    expect_that!(harness.starts(), is_empty());
+    harness.polls();
+    harness.answer_poll(worker, &[], &[(1, first.run, RunEnd::Done)]);
+    expect_that!(harness.answers().len(), eq(1));
+}
+
+/// Guards against a second run beside the first one when the deregistration is of
+/// a previous incarnation and the current one drains as well.
+#[gtest]
+fn deregistration_of_a_draining_worker_ends_its_runs_with_the_lease() {
+    let mut harness = Harness::new(1);
+    harness.add_worker("w1");
+    harness.add_worker("w2");
+    let first = harness.start_job(1);
+    let granted_at = harness.now;
+    let mut draining = report(&first.target.worker_id, 2);
+    draining.draining = true;
+    harness.step(FleetInput::Reported(2, draining));
+    harness.step(FleetInput::Departed(first.target.worker_id));
+    while harness.starts().is_empty() {
+        harness.advance(1);
+        assert_that!(harness.now - granted_at, lt(Duration::from_millis(1300)));
+    }
+    expect_that!(harness.now - granted_at, ge(Duration::from_millis(1000)));
+}
