Probe a link within a quarter of the time that a call has left

Cause: the probe of a connection on which a call got no answer takes up to 500 ms, and a batch (250 ms) or the relay of a status report (350 ms) has less. The deadline of the call cancelled the probe before it could replace the connection, and so did that of each later call.

Fix: a probe takes at most a quarter of the time that its call has left, so the rest suffices to connect again and to exchange the messages. It holds for every link.

transport::link a_silent_connection_is_replaced_by_calls_shorter_than_the_probe: failed before (NotSent for each later call).

--- a/crates/transport/src/link.rs
+++ b/crates/transport/src/link.rs
@@ -24,6 +24,10 @@
 /// that closed right after the check that it was usable.
 const MAX_ATTEMPTS: u32 = 2;
 
+/// Largest part of the time that a call has left for the probe of a connection.
+/// The rest must suffice to replace the connection and to exchange the messages.
+const MAX_PROBE_SHARE_PERCENT: u32 = 25;
+
 /// `LinkOptions` are the settings of a [`Link`].
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct LinkOptions {
@@ -34,7 +38,8 @@
     /// Time without a response after which a connection is probed by a ping
     /// before its next use, and replaced if the ping fails; default 1 s.
     pub probe_after: Duration,
-    /// Time within which a ping must be answered; default 500 ms.
+    /// Time within which a ping must be answered, at most a quarter of the time
+    /// that the call has left; default 500 ms.
     pub probe_timeout: Duration,
     /// Maximum size of a message in bytes; default 16 MiB.
     pub max_message_bytes: usize,
@@ -146,7 +151,7 @@
     }
 
     async fn usable_connection_before(&self, deadline: Instant) -> Result<Arc<Connection>> {
-        timeout_at(deadline, self.usable_connection())
+        timeout_at(deadline, self.usable_connection(deadline))
             .await
             .unwrap_or_else(|_| Err(no_usable_connection()))
     }
@@ -167,10 +172,10 @@
 
     /// Gets the shared connection, or a new one if it has closed or does not
     /// respond to a ping. Calls in flight on the old one are not affected.
-    async fn usable_connection(&self) -> Result<Arc<Connection>> {
+    async fn usable_connection(&self, deadline: Instant) -> Result<Arc<Connection>> {
         let mut current = self.current.lock().await;
         if let Some(connection) = current.as_ref()
-            && self.is_usable(connection).await
+            && self.is_usable(connection, deadline).await
         {
             return Ok(connection.clone());
         }
@@ -180,12 +185,16 @@
         Ok(connection)
     }
 
-    async fn is_usable(&self, connection: &Connection) -> bool {
+    async fn is_usable(&self, connection: &Connection, deadline: Instant) -> bool {
         if connection.is_closed() {
             return false;
         }
-        connection.received_within(self.options.probe_after)
-            || connection.ping(self.options.probe_timeout).await
+        if connection.received_within(self.options.probe_after) {
+            return true;
+        }
+        let left = deadline.saturating_duration_since(Instant::now());
+        let limit = left * MAX_PROBE_SHARE_PERCENT / 100;
+        connection.ping(limit.min(self.options.probe_timeout)).await
     }
 
     async fn open_connection(&self) -> Result<Connection> {
--- a/crates/transport/tests/link.rs
+++ b/crates/transport/tests/link.rs
@@ -86,6 +86,29 @@
     expect_true!(long.await.unwrap().is_ok());
 }
 
+/// Guards against a link that never recovers from a connection that has gone
+/// silent, because its calls have less time than a probe takes by default.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_silent_connection_is_replaced_by_calls_shorter_than_the_probe() {
+    let server = start(ServerOptions::default()).await;
+    let proxy = Proxy::start(server.address, usize::MAX, usize::MAX).await;
+    let options = LinkOptions::default();
+    let call_timeout = options.probe_timeout / 2;
+    let link = Link::new(proxy.address, options);
+    let echo = async |byte| {
+        link.call::<_, Vec<u8>>(&TestRequest::Echo(vec![byte]), call_timeout)
+            .await
+    };
+    expect_that!(echo(1).await, ok(eq(&vec![1])));
+    let _stalled = proxy.stall();
+    let lost = echo(2).await;
+    expect_true!(matches!(lost, Err(Error::OutcomeUnknown(_))), "{lost:?}");
+    expect_that!(echo(3).await, ok(eq(&vec![3])));
+    expect_that!(echo(4).await, ok(eq(&vec![4])));
+    expect_that!(proxy.connections.load(Ordering::SeqCst), eq(2));
+}
+
 /// Guards against using a connection that became unresponsive while idle without
 /// a probe, which would make the outcome of the next call unknown.
 #[gtest]
