Decline reports with a start time in the future

Here a report under the id of a sound worker, with a start time that is too large, replaced the worker: its runs counted as ended and started elsewhere beside the first ones, and its own reports were ignored as those of a former incarnation until the host gave the odd one up 5 s later.

Cause: any later start time was taken for a restart.

fleet::ownership report_with_a_start_time_in_the_future_replaces_no_worker failed before (taken, and a second start at once).

--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -137,7 +137,7 @@
     MessageRejected = 730, Warn;
     /// A guarded worker reported another capacity.
     WorkerResized = 731, Info;
-    /// A delayed message about a guarded worker was ignored.
+    /// A delayed or implausible message about a guarded worker was ignored.
     StaleMessage = 732, Info;
     /// A published configuration was accepted.
     PublishAccepted = 740, Info;
--- a/crates/fleet/src/ownership.rs
+++ b/crates/fleet/src/ownership.rs
@@ -22,6 +22,10 @@
 /// double, so the last one covers clocks that differ by a day.
 const MAX_TOKEN_RAISES: u32 = 17;
 
+/// Largest amount by which the clock of a worker's host may be ahead of this
+/// host's clock.
+const MAX_CLOCK_LEAD_MS: u64 = 24 * 60 * 60 * 1000;
+
 impl Fleet {
     pub(crate) fn on_reported(&mut self, id: ReportId, report: WorkerReport) {
         let answer = self.record_report(report, None);
@@ -35,6 +39,16 @@
         report: WorkerReport,
         above: Option<FencingToken>,
     ) -> ReportAnswer {
+        // Such an incarnation would hide all sound reports of the worker.
+        if report.born_unix_ms > self.unix_ms.saturating_add(MAX_CLOCK_LEAD_MS) {
+            let message = format!(
+                "report of worker {} is declined: its start time {} ms is in the future",
+                report.worker_id, report.born_unix_ms
+            );
+            let subject = Subject::Worker(report.worker_id);
+            self.log(Event::StaleMessage, subject, message);
+            return ReportAnswer::Declined;
+        }
         let Some(worker_key) = self.worker_keys_by_id.get(&report.worker_id).copied() else {
             return self.add_worker(report, above);
         };
--- a/crates/fleet/tests/ownership.rs
+++ b/crates/fleet/tests/ownership.rs
@@ -360,3 +360,21 @@
     }
     expect_that!(harness.now - granted_at, ge(Duration::from_millis(1000)));
 }
+
+/// Guards against a report with an impossible start time that hides a worker and
+/// ends its runs. It may come from another writer under the worker's id.
+#[gtest]
+fn report_with_a_start_time_in_the_future_replaces_no_worker() {
+    let mut harness = Harness::new(1);
+    harness.add_worker("w1");
+    harness.add_worker("w2");
+    let first = harness.start_job(1);
+    let mut odd = report(&first.target.worker_id, 1);
+    odd.born_unix_ms = u64::MAX;
+    harness.step(FleetInput::Reported(2, odd));
+    expect_that!(report_answer(&harness), some(eq(ReportAnswer::Declined)));
+    expect_that!(harness.starts(), is_empty());
+    let sound = report(&first.target.worker_id, 2);
+    harness.step(FleetInput::Reported(3, sound));
+    expect_that!(report_answer(&harness), some(eq(ReportAnswer::Taken)));
+}
