--- a/crates/daemon/tests/fleet_processes.rs
+++ b/crates/daemon/tests/fleet_processes.rs
@@ -13,6 +13,8 @@
 use hornbeam_http::{ClientOptions, HttpClient};
 use hornbeam_platform::standin;
 use serde_json::{Value, json};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 use tokio::task::JoinSet;
 
 /// Time for a restarted control host to catch up before the next host is lost.
@@ -150,6 +152,72 @@
     assert_eq!(fleet.log.runs().len(), runs_before);
 }
 
+/// Posts a body that need not be valid JSON, and gets the status of the answer.
+async fn post_text(to: SocketAddr, path: &str, body: &str) -> Option<u16> {
+    let mut stream = TcpStream::connect(to).await.ok()?;
+    let head = format!(
+        "POST {path} HTTP/1.1\r\nhost: {to}\r\ncontent-length: {}\r\nconnection: close\r\n\r\n",
+        body.len()
+    );
+    stream.write_all(head.as_bytes()).await.ok()?;
+    stream.write_all(body.as_bytes()).await.ok()?;
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).await.ok()?;
+    answer.split(' ').nth(1)?.parse().ok()
+}
+
+/// Guards against one odd status report, among those of sound workers, that ends
+/// the processes that read it, or hides another worker.
+#[tokio::test(flavor = "multi_thread")]
+async fn odd_reports_end_no_process_and_hide_no_worker() {
+    let size = FleetSize {
+        controls: 1,
+        entries: 1,
+        workers: 1,
+    };
+    let fleet = Fleet::start(size, network(7)).await;
+    publish(&fleet, 1).await;
+    wait_until_served(&fleet).await;
+    let report = |born: &str, seq: &str, address: &str, labels: &str| {
+        format!(
+            "{{\"service\":\"subscribe\",\"address\":\"{address}\",\"zone\":\"fd-a\",\"state\":\"ready\",\
+             \"born\":{born},\"seq\":{seq},\"labels\":{labels},\
+             \"capacity\":{{\"cpu\":16000,\"memMb\":1000}}}}"
+        )
+    };
+    let nested = format!("{}{}", "[".repeat(50_000), "]".repeat(50_000));
+    let unknown_field = format!("[], \"more\":{nested}");
+    let good = "127.0.0.1:9";
+    let odd = [
+        ("odd-1", report("1", "1", good, &nested), 400),
+        ("odd-2", report("1e400", "1", good, "[]"), 400),
+        (
+            "odd-3",
+            report("1", "18446744073709551616", good, "[]"),
+            400,
+        ),
+        ("odd-4", report("1", "1", "127.0.0.1:65536", "[]"), 400),
+        ("odd-5", report("1", "1", "127.0.0.1:0", "[]"), 400),
+        ("odd-6", report("1", "1", good, &unknown_field), 200),
+        ("odd-7", "[".repeat(100_000), 400),
+        // No worker can have started then; the id is that of a sound worker.
+        ("w-0", report("18446744073709551615", "1", good, "[]"), 503),
+    ];
+    let control = fleet.control_addresses()[0];
+    for (worker, body, status) in &odd {
+        let path = format!("/instances/{worker}/heartbeat");
+        let answer = post_text(control, &path, body).await;
+        let shown = &body[..body.len().min(200)];
+        assert_eq!(answer, Some(*status), "{worker}: {shown}");
+    }
+    let client = FleetClient::new();
+    for job in 1..=20 {
+        let answer = client.submit(fleet.caller_addresses()[0], 0x1000 + job, 1, 20);
+        let completed = Some((200, "completed".to_owned()));
+        assert_eq!(answer.await, completed, "{}", fleet.log_tail(1, 20));
+    }
+}
+
 fn run_hornbeamd(settings: &str) -> Output {
     let folder = tempfile::TempDir::new().expect("a folder");
     let path = folder.path().join("host.toml");
