Verify messages about workers of other owners before a take-over

Cause: a status report shows its order (start time, sequence number) only to the host that owns the worker. Any other host took an unknown worker's report as news, however long it had been held up, and its first poll had a higher fencing token, which shut out the rightful owner. A hand-over between entry hosts had no check of its age either.

Fix: the first poll of a worker that is not known here changes nothing. A report that is older than 1 s, when its sender has given it up, or that is of another incarnation, is ignored (StaleMessage). After a hand-over the poll has the former owner's token, which the worker refuses if it has got another owner since. Reports are relayed with the clock in a new request; hosts of the former version refuse it and get the former one. A take-over costs one round trip more.

Weighed: the start of tasks only after a second report (1.5 s without service after each lost entry host); a list of draining workers in each registration (bytes grow with the workers, and a control host that is cut off does not get it).

--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -21,6 +21,7 @@
 use crate::resources::KnownCapacities;
 use crate::run_times::RunTimeEstimates;
 use crate::scheduling::OFFLOAD_AFTER;
+use crate::verification::Verification;
 use crate::wait_estimate::MeanRunTime;
 use crate::worker::{Worker, WorkerKey};
 
@@ -152,7 +153,10 @@
             FleetInput::Queues(queues) => self.on_queues(queues),
             FleetInput::Submitted(call, submission) => self.on_submitted(call, submission),
             FleetInput::CallerDisconnected(call, job) => self.on_caller_disconnected(call, job),
-            FleetInput::Reported(id, report) => self.on_reported(id, report),
+            FleetInput::Reported(id, report) => self.on_reported(id, report, None),
+            FleetInput::ReportedAt(id, report, clock_ms) => {
+                self.on_reported(id, report, Some(Verification::ReportClock(clock_ms)));
+            }
             FleetInput::Departed(worker_id) => self.on_departed(&worker_id),
             FleetInput::StartRequestEnded(worker_key, run, outcome) => {
                 self.on_start_request_ended(worker_key, run, outcome);
--- a/crates/fleet/src/io.rs
+++ b/crates/fleet/src/io.rs
@@ -33,9 +33,12 @@
     Submitted(CallId, Submission),
     /// The caller no longer waits for the answer.
     CallerDisconnected(CallId, JobKey),
-    /// A status report of a worker arrived, directly or relayed by another
-    /// host.
+    /// A status report of unknown age arrived, relayed by a host of a former
+    /// version.
     Reported(ReportId, WorkerReport),
+    /// A status report of a worker arrived, directly or relayed by another host,
+    /// with the worker's clock in ms when it was sent.
+    ReportedAt(ReportId, WorkerReport, u64),
     /// A worker announced that it has left.
     Departed(WorkerId),
     /// A start request was answered or failed.
@@ -254,8 +257,9 @@
 pub enum PollOutcome {
     /// The worker answered.
     Answered(PollResponse),
-    /// The worker has seen a higher fencing token.
-    Fenced,
+    /// The worker has seen a higher fencing token; holds the worker's clock if the
+    /// worker reports it.
+    Fenced(Option<u64>),
     /// Another incarnation runs at the address.
     OtherIncarnation,
     /// No usable answer arrived.
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -34,6 +34,7 @@
 mod starts;
 mod stragglers;
 mod suspects;
+mod verification;
 mod wait_estimate;
 mod worker;
 
--- a/crates/fleet/src/ownership.rs
+++ b/crates/fleet/src/ownership.rs
@@ -12,6 +12,7 @@
 use crate::loss_log::LossEvidence;
 use crate::report::WorkerReport;
 use crate::resources::Resources;
+use crate::verification::Verification;
 use crate::worker::{Phase, Worker, WorkerKey};
 
 /// Time without a report or an answer after which a worker is removed.
@@ -27,17 +28,22 @@
 const MAX_CLOCK_LEAD_MS: u64 = 24 * 60 * 60 * 1000;
 
 impl Fleet {
-    pub(crate) fn on_reported(&mut self, id: ReportId, report: WorkerReport) {
-        let answer = self.record_report(report, None);
+    pub(crate) fn on_reported(
+        &mut self,
+        id: ReportId,
+        report: WorkerReport,
+        verification: Option<Verification>,
+    ) {
+        let answer = self.record_report(report, verification);
         self.emit(FleetOutput::AnswerReport(id, answer));
     }
 
-    /// Records a report. An unknown worker is taken over, with a fencing token
-    /// above that of its former owner if that is known.
+    /// Records a report. An unknown worker is taken over, after the report is
+    /// verified if that is possible.
     pub(crate) fn record_report(
         &mut self,
         report: WorkerReport,
-        above: Option<FencingToken>,
+        verification: Option<Verification>,
     ) -> ReportAnswer {
         // Such an incarnation would hide all sound reports of the worker.
         if report.born_unix_ms > self.unix_ms.saturating_add(MAX_CLOCK_LEAD_MS) {
@@ -50,7 +56,7 @@
             return ReportAnswer::Declined;
         }
         let Some(worker_key) = self.worker_keys_by_id.get(&report.worker_id).copied() else {
-            return self.add_worker(report, above);
+            return self.add_worker(report, verification);
         };
         let now = self.now;
         let Some(worker) = self.workers.get_mut(&worker_key) else {
@@ -58,7 +64,7 @@
         };
         if report.born_unix_ms > worker.report.born_unix_ms {
             self.worker_restarted(worker_key);
-            return self.add_worker(report, above);
+            return self.add_worker(report, verification);
         }
         // A late report of a previous incarnation, or one that a later report
         // overtook.
@@ -71,6 +77,9 @@
         let former_capacity = worker.report.capacity;
         worker.reported_at = now;
         worker.report = report;
+        if let (Phase::Verifying(current), Some(newer)) = (&mut worker.phase, verification) {
+            *current = newer;
+        }
         let worker_id = worker.report.worker_id.clone();
         if starts_to_drain {
             let message = format!(
@@ -109,7 +118,11 @@
         self.log(Event::WorkerResized, Subject::Worker(worker_id), message);
     }
 
-    fn add_worker(&mut self, report: WorkerReport, above: Option<FencingToken>) -> ReportAnswer {
+    fn add_worker(
+        &mut self,
+        report: WorkerReport,
+        verification: Option<Verification>,
+    ) -> ReportAnswer {
         if self.drain_started.is_some() {
             return self
                 .forward_report(&report)
@@ -118,10 +131,16 @@
         self.known_capacities.add(&report.service, report.capacity);
         self.last_worker_key += 1;
         let worker_key = self.last_worker_key;
-        let fencing_token = self.fencing_tokens.next(self.unix_ms, above);
+        let ownership = match verification {
+            Some(verification) => (verification.fencing_token(), Phase::Verifying(verification)),
+            None => {
+                let fencing_token = self.fencing_tokens.next(self.unix_ms, None);
+                (fencing_token, Phase::TakingOver)
+            }
+        };
         self.worker_keys_by_id
             .insert(report.worker_id.clone(), worker_key);
-        let worker = Worker::new(worker_key, report, fencing_token, self.now);
+        let worker = Worker::new(worker_key, report, ownership, self.now);
         self.workers.insert(worker_key, worker);
         ReportAnswer::Taken
     }
@@ -157,13 +176,23 @@
         self.remove_worker(worker_key, self.now, "it restarted");
     }
 
-    /// Handles a worker that has seen a higher fencing token. During take-over the
+    /// Handles a worker that has seen a higher fencing token. While a report is
+    /// verified, the worker has or had an owner. During take-over the
     /// worker reports to this host, so the clock of a former owner was ahead, and
     /// the token is raised. Otherwise another host has taken the worker over.
-    pub(crate) fn on_fenced(&mut self, worker_key: WorkerKey) {
+    pub(crate) fn on_fenced(&mut self, worker_key: WorkerKey, clock_ms: Option<u64>) {
         let Some(worker) = self.workers.get_mut(&worker_key) else {
             return;
         };
+        if let Phase::Verifying(verification) = worker.phase {
+            return match (verification, clock_ms) {
+                (Verification::ReportClock(sent_clock_ms), Some(clock_ms)) => {
+                    self.verify_report(worker_key, sent_clock_ms, clock_ms);
+                }
+                (Verification::ReportClock(_), None) => self.begin_take_over(worker_key),
+                (Verification::FormerToken(_), _) => self.drop_late_handover(worker_key),
+            };
+        }
         if worker.phase == Phase::TakingOver && worker.token_raises < MAX_TOKEN_RAISES {
             let seconds = worker.fencing_token.seconds() + 2_u64.pow(worker.token_raises);
             worker.token_raises += 1;
--- a/crates/fleet/src/peering.rs
+++ b/crates/fleet/src/peering.rs
@@ -12,6 +12,7 @@
 use crate::job::{RunId, TaskState};
 use crate::neighbours::ListedHost;
 use crate::peer::{Peer, PeerBatch, PeerMessage, PeerStatus, SenderIncarnation};
+use crate::verification::Verification;
 
 impl Fleet {
     pub(crate) fn on_peers(&mut self, peers: Vec<PeerInfo>) {
@@ -103,7 +104,8 @@
             }
             PeerMessage::Stop(runs) => self.on_stop_peer_tasks(&runs),
             PeerMessage::HandOver(report, fencing_token) => {
-                self.record_report(report, Some(fencing_token));
+                let verification = Verification::FormerToken(fencing_token);
+                self.record_report(report, Some(verification));
             }
         }
     }
--- a/crates/fleet/src/polls.rs
+++ b/crates/fleet/src/polls.rs
@@ -11,6 +11,7 @@
 use crate::job::RunId;
 use crate::loss_log::LossEvidence;
 use crate::run_losses::list_runs;
+use crate::verification::Verification;
 use crate::worker::{Phase, RunState, Worker, WorkerKey};
 
 /// Delay before an unanswered poll is repeated; it doubles up to
@@ -68,7 +69,7 @@
         };
         let sent_at = worker.poll_sent_at.take().unwrap_or(self.now);
         match outcome {
-            PollOutcome::Fenced => self.on_fenced(worker_key),
+            PollOutcome::Fenced(clock_ms) => self.on_fenced(worker_key, clock_ms),
             PollOutcome::OtherIncarnation => self.worker_restarted(worker_key),
             PollOutcome::Unanswered => {
                 self.on_poll_unanswered(worker_key, sent_at, "did not answer");
@@ -144,6 +145,12 @@
             self.log(Event::WorkerRestored, subject, message);
         }
         match self.workers.get(&worker_key).map(|worker| worker.phase) {
+            Some(Phase::Verifying(Verification::ReportClock(sent_clock_ms))) => {
+                self.verify_report(worker_key, sent_clock_ms, response.clock_ms);
+            }
+            Some(Phase::Verifying(Verification::FormerToken(_))) => {
+                self.begin_take_over(worker_key);
+            }
             Some(Phase::TakingOver) => self.take_over(worker_key, response),
             Some(Phase::Ready) => {
                 self.record_ended_runs(worker_key, response);
--- a/crates/fleet/src/probes.rs
+++ b/crates/fleet/src/probes.rs
@@ -80,7 +80,7 @@
         let sent_at = worker.probe_sent_at.take().unwrap_or(now);
         worker.next_probe_at = now + MIN_PROBE_INTERVAL;
         match outcome {
-            PollOutcome::Fenced => self.on_fenced(worker_key),
+            PollOutcome::Fenced(clock_ms) => self.on_fenced(worker_key, clock_ms),
             PollOutcome::OtherIncarnation => self.worker_restarted(worker_key),
             // The poll in flight, not the probe, counts towards `unanswered_polls`.
             PollOutcome::Unanswered | PollOutcome::ConnectionRefused => self.record_lost_poll(),
--- a/crates/fleet/src/starts.rs
+++ b/crates/fleet/src/starts.rs
@@ -47,7 +47,7 @@
         let is_first = tries == 1;
         match outcome {
             StartOutcome::Accepted(_) => run.state = RunState::Running(now),
-            StartOutcome::Refused(StartRefusal::Fenced) => self.on_fenced(worker_key),
+            StartOutcome::Refused(StartRefusal::Fenced) => self.on_fenced(worker_key, None),
             StartOutcome::Refused(StartRefusal::OtherIncarnation) => {
                 self.worker_restarted(worker_key)
             }
@@ -139,7 +139,7 @@
             return;
         };
         match outcome {
-            StopOutcome::Fenced => return self.on_fenced(worker_key),
+            StopOutcome::Fenced => return self.on_fenced(worker_key, None),
             StopOutcome::OtherIncarnation => return self.worker_restarted(worker_key),
             StopOutcome::Accepted => worker.last_answer_at = now,
             StopOutcome::Unanswered => {}
--- a/crates/fleet/src/worker.rs
+++ b/crates/fleet/src/worker.rs
@@ -12,6 +12,7 @@
 use crate::lease::Lease;
 use crate::report::WorkerReport;
 use crate::resources::Resources;
+use crate::verification::Verification;
 
 /// Timeout of a stop request. A round trip takes a few milliseconds.
 pub(crate) const STOP_TIMEOUT: Duration = Duration::from_millis(150);
@@ -75,6 +76,9 @@
 /// `Phase` is the progress of taking ownership of a worker.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum Phase {
+    /// Polls without a new fencing token until the message that made the worker
+    /// known is verified.
+    Verifying(Verification),
     /// Polls without extending the lease until no run of a former owner is
     /// left.
     TakingOver,
@@ -126,7 +130,7 @@
     pub(crate) fn new(
         worker_key: WorkerKey,
         report: WorkerReport,
-        fencing_token: FencingToken,
+        (fencing_token, phase): (FencingToken, Phase),
         now: Duration,
     ) -> Self {
         Self {
@@ -134,7 +138,7 @@
             report,
             reported_at: now,
             fencing_token,
-            phase: Phase::TakingOver,
+            phase,
             lease: Lease::default(),
             runs: IndexMap::new(),
             used: Resources::default(),
--- a/crates/fleet/tests/ownership.rs
+++ b/crates/fleet/tests/ownership.rs
@@ -7,8 +7,8 @@
 use common::{Harness, report, run};
 use googletest::prelude::*;
 use hornbeam_fleet::{
-    FleetInput, FleetOutput, PeerMessage, PollOutcome, ReportAnswer, RunEnd, StartOutcome,
-    StartRefusal,
+    FencingToken, FleetInput, FleetOutput, PeerMessage, PollOutcome, PollRequest, PollResponse,
+    ReportAnswer, RunEnd, StartOutcome, StartRefusal,
 };
 
 fn report_answer(harness: &Harness) -> Option<ReportAnswer> {
@@ -81,7 +81,7 @@
     let refused = harness.poll();
     harness.step(FleetInput::PollEnded(
         refused.target.worker_key,
-        PollOutcome::Fenced,
+        PollOutcome::Fenced(None),
     ));
     let raised = harness.poll();
     expect_that!(
@@ -106,7 +106,7 @@
         harness.accept_start(request);
     }
     expect_that!(worker_key, eq(lost));
-    harness.step(FleetInput::PollEnded(worker_key, PollOutcome::Fenced));
+    harness.step(FleetInput::PollEnded(worker_key, PollOutcome::Fenced(None)));
     harness.polls();
     while harness.starts().is_empty() {
         harness.advance(1);
@@ -378,3 +378,95 @@
     harness.step(FleetInput::Reported(3, sound));
     expect_that!(report_answer(&harness), some(eq(ReportAnswer::Taken)));
 }
+
+/// Reports a worker that sent the report at `sent_ms` on its clock, and gets the
+/// poll that verifies the report.
+fn verify(harness: &mut Harness, sent_ms: u64) -> PollRequest {
+    harness.step(FleetInput::ReportedAt(1, report("w1", 1), sent_ms));
+    let poll = harness.poll();
+    expect_that!(poll.target.fencing_token, eq(FencingToken(0)));
+    expect_that!(poll.lease_end_ms, none());
+    poll
+}
+
+/// Guards against a report, held up by a partition, by which a host takes a worker
+/// from its owner. The worker may drain by now, which only its owner knows.
+#[gtest]
+fn late_report_takes_no_worker_from_its_owner() {
+    for clock_ms in [1_500, 10_000, 100] {
+        let mut harness = Harness::new(1);
+        let poll = verify(&mut harness, 400);
+        let fenced = PollOutcome::Fenced(Some(clock_ms));
+        harness.step(FleetInput::PollEnded(poll.target.worker_key, fenced));
+        harness.submit(1, 1);
+        harness.advance(100);
+        expect_that!(harness.polls(), is_empty(), "worker clock {clock_ms} ms");
+        expect_that!(harness.starts(), is_empty());
+    }
+}
+
+/// Guards against a late report by which a host takes over a worker that has no
+/// owner but drains by now.
+#[gtest]
+fn late_report_of_a_worker_without_an_owner_is_ignored() {
+    let mut harness = Harness::new(1);
+    let poll = verify(&mut harness, 400);
+    harness.advance(1500);
+    harness.answer_poll(poll.target.worker_key, &[], &[]);
+    harness.submit(1, 1);
+    expect_that!(harness.polls(), is_empty());
+    expect_that!(harness.starts(), is_empty());
+}
+
+/// Guards against a worker that nobody takes over after its owner has died.
+#[gtest]
+fn recent_report_takes_a_worker_over() {
+    let mut harness = Harness::new(1);
+    let poll = verify(&mut harness, 400);
+    let worker_key = poll.target.worker_key;
+    harness.step(FleetInput::PollEnded(
+        worker_key,
+        PollOutcome::Fenced(Some(420)),
+    ));
+    let take_over = harness.poll();
+    expect_that!(take_over.target.fencing_token, gt(FencingToken(0)));
+    harness.answer_poll(worker_key, &[], &[]);
+    harness.submit(1, 1);
+    expect_that!(harness.starts().len(), eq(1));
+}
+
+/// Guards against a worker that is not taken over because its first report got
+/// old while the worker could not be reached.
+#[gtest]
+fn newer_report_is_verified_in_place_of_an_older_one() {
+    let mut harness = Harness::new(1);
+    let poll = verify(&mut harness, 400);
+    let worker_key = poll.target.worker_key;
+    harness.step(FleetInput::ReportedAt(2, report("w1", 2), 1_900));
+    let fenced = PollOutcome::Fenced(Some(1_950));
+    harness.step(FleetInput::PollEnded(worker_key, fenced));
+    expect_that!(harness.poll().target.fencing_token, gt(FencingToken(0)));
+}
+
+/// Guards against a hand-over, held up by a partition, that takes a worker from
+/// the owner that it got meanwhile.
+#[gtest]
+fn late_hand_over_takes_no_worker_from_its_owner() {
+    let former = FencingToken(50 << 24);
+    let outcomes = [
+        (PollOutcome::Fenced(Some(9_000)), 0),
+        (PollOutcome::Answered(PollResponse::default()), 1),
+    ];
+    for (outcome, take_overs) in outcomes {
+        let mut harness = Harness::new(1);
+        let hand_over = PeerMessage::HandOver(report("w1", 1), former);
+        harness.receive_batch(2, 1, vec![hand_over]);
+        let poll = harness.poll();
+        expect_that!(poll.target.fencing_token, eq(former));
+        harness.step(FleetInput::PollEnded(poll.target.worker_key, outcome));
+        let polls = harness.polls();
+        let is_higher = |poll: &&PollRequest| poll.target.fencing_token > former;
+        expect_that!(polls.iter().filter(is_higher).count(), eq(take_overs));
+        expect_that!(polls.len(), eq(take_overs));
+    }
+}
--- a/crates/node/src/control/fleet/routes.rs
+++ b/crates/node/src/control/fleet/routes.rs
@@ -6,10 +6,13 @@
 use hornbeam_control::{PublishCommand, PublishResult, PublishedDocument};
 use hornbeam_core::event::Event;
 use hornbeam_core::ids::{HostId, WorkerId};
-use hornbeam_core::{Findings, log_event};
-use hornbeam_fleet::{ReportAnswer, WorkerReport};
-use hornbeam_platform::{ControlCall, control_call, read_document, read_report, report_answer};
+use hornbeam_core::{Error, Findings, log_event};
+use hornbeam_fleet::ReportAnswer;
+use hornbeam_platform::{
+    ControlCall, ReceivedReport, control_call, read_document, read_report, report_answer,
+};
 use hornbeam_timer::TimerService;
+use hornbeam_transport::Link;
 use tokio::sync::watch;
 use volo_http::request::Request as HttpRequest;
 use volo_http::response::Response;
@@ -141,8 +144,8 @@
     }
 
     async fn report(&self, worker_id: WorkerId, body: &[u8]) -> Response {
-        let report = match read_report(worker_id.clone(), body) {
-            Ok(report) => report,
+        let received = match read_report(worker_id.clone(), body) {
+            Ok(received) => received,
             Err(cause) => {
                 log_event!(
                     Event::MessageRejected, host = self.host_id, worker = worker_id;
@@ -152,17 +155,17 @@
                 return reply::invalid(cause.findings);
             }
         };
-        self.relay(report).await
+        self.relay(received).await
     }
 
     /// Relays a report to an entry host, which owns the worker from then on.
-    async fn relay(&self, report: WorkerReport) -> Response {
+    async fn relay(&self, received: ReceivedReport) -> Response {
+        let report = &received.report;
         let now = self.timer.now();
-        let candidates = self.registry.candidates(&report, MAX_RELAYS, now);
+        let candidates = self.registry.candidates(report, MAX_RELAYS, now);
         let asked = candidates.len();
         for candidate in candidates {
-            let request = Request::Announce(Box::new(report.clone()));
-            match candidate.link.call(&request, RELAY_TIMEOUT).await {
+            match announce(&candidate.link, &received).await {
                 Ok(RequestAnswer::Announced(ReportAnswer::Taken)) => {
                     let worker_id = &report.worker_id;
                     self.registry
@@ -196,3 +199,17 @@
         reply::json(OK, &serde_json::json!({}))
     }
 }
+
+/// Relays a report to an entry host.
+async fn announce(link: &Link, received: &ReceivedReport) -> hornbeam_core::Result<RequestAnswer> {
+    let report = Box::new(received.report.clone());
+    if let Some(clock_ms) = received.clock_ms {
+        let request = Request::AnnounceAt(report.clone(), clock_ms);
+        let answer = link.call(&request, RELAY_TIMEOUT).await;
+        // A host of a former version does not know the request.
+        if !matches!(answer, Err(Error::Refused(_))) {
+            return answer;
+        }
+    }
+    link.call(&Request::Announce(report), RELAY_TIMEOUT).await
+}
--- a/crates/node/src/fleet_entry/event_loop.rs
+++ b/crates/node/src/fleet_entry/event_loop.rs
@@ -134,11 +134,14 @@
                 self.metrics.job_submitted(&submission.queue);
                 self.step(FleetInput::Submitted(call, submission));
             }
-            FleetLoopInput::Report(report, sender) => {
+            FleetLoopInput::Report(report, clock_ms, sender) => {
                 self.waiters.last_report += 1;
                 let id = self.waiters.last_report;
                 self.waiters.reports.insert(id, sender);
-                self.step(FleetInput::Reported(id, *report));
+                self.step(match clock_ms {
+                    Some(clock_ms) => FleetInput::ReportedAt(id, *report, clock_ms),
+                    None => FleetInput::Reported(id, *report),
+                });
             }
             FleetLoopInput::Document(text, queues) => self.apply(&text, queues),
             FleetLoopInput::PendingJobs(queue, sender) => {
--- a/crates/node/src/fleet_entry/input.rs
+++ b/crates/node/src/fleet_entry/input.rs
@@ -17,8 +17,13 @@
     Fleet(FleetInput),
     /// A job; its outcome goes to the sender.
     Submit(CallId, Submission, oneshot::Sender<JobOutcome>),
-    /// A status report; its answer goes to the sender.
-    Report(Box<WorkerReport>, oneshot::Sender<ReportAnswer>),
+    /// A status report, with the worker's clock when it was sent, if that is known;
+    /// its answer goes to the sender.
+    Report(
+        Box<WorkerReport>,
+        Option<u64>,
+        oneshot::Sender<ReportAnswer>,
+    ),
     /// A newer document: its text and the queues that it defines.
     Document(Arc<str>, Arc<QueueTable>),
     /// Counts the jobs of a queue that have not started.
--- a/crates/node/src/fleet_entry/links.rs
+++ b/crates/node/src/fleet_entry/links.rs
@@ -2,7 +2,7 @@
 
 use hornbeam_control::PublishedDocument;
 use hornbeam_core::{Error, Result};
-use hornbeam_fleet::FleetInput;
+use hornbeam_fleet::{FleetInput, WorkerReport};
 use hornbeam_transport::Service;
 use tokio::sync::watch;
 
@@ -39,12 +39,8 @@
                 self.event_loop.send(FleetLoopInput::Fleet(reported))?;
                 Ok(RequestAnswer::Done)
             }
-            Request::Announce(report) => {
-                let answer = self
-                    .event_loop
-                    .ask(|sender| FleetLoopInput::Report(report, sender));
-                Ok(RequestAnswer::Announced(answer.await?))
-            }
+            Request::Announce(report) => self.announce(report, None).await,
+            Request::AnnounceAt(report, clock_ms) => self.announce(report, Some(clock_ms)).await,
             Request::Departed(worker_id) => {
                 let departed = FleetInput::Departed(worker_id);
                 self.event_loop.send(FleetLoopInput::Fleet(departed))?;
@@ -63,6 +59,17 @@
 }
 
 impl FleetLinkService {
+    async fn announce(
+        &self,
+        report: Box<WorkerReport>,
+        clock_ms: Option<u64>,
+    ) -> Result<RequestAnswer> {
+        let asking = self
+            .event_loop
+            .ask(|sender| FleetLoopInput::Report(report, clock_ms, sender));
+        Ok(RequestAnswer::Announced(asking.await?))
+    }
+
     fn newer_document(&self, have_version: u64) -> Option<PublishedDocument> {
         let state = self.state.borrow();
         let queues = state.queues.as_ref()?;
--- a/crates/node/src/fleet_entry/metrics.rs
+++ b/crates/node/src/fleet_entry/metrics.rs
@@ -298,7 +298,7 @@
 const fn poll_outcome_name(answer: &PollOutcome) -> &'static str {
     match answer {
         PollOutcome::Answered(_) => "seen",
-        PollOutcome::Fenced => "generation",
+        PollOutcome::Fenced(_) => "generation",
         PollOutcome::OtherIncarnation => "other_incarnation",
         PollOutcome::Unanswered => "unanswered",
         PollOutcome::ConnectionRefused => "connection_refused",
--- a/crates/node/src/fleet_entry/reports.rs
+++ b/crates/node/src/fleet_entry/reports.rs
@@ -88,8 +88,8 @@
     }
 
     async fn report(&self, worker_id: WorkerId, body: &[u8]) -> Response {
-        let report = match read_report(worker_id.clone(), body) {
-            Ok(report) => Box::new(report),
+        let received = match read_report(worker_id.clone(), body) {
+            Ok(received) => received,
             Err(cause) => {
                 log_event!(
                     Event::MessageRejected, host = self.host_id, worker = worker_id;
@@ -99,9 +99,10 @@
                 return reply::invalid(cause.findings);
             }
         };
+        let report = Box::new(received.report);
         let asking = self
             .event_loop
-            .ask(|sender| FleetLoopInput::Report(report, sender));
+            .ask(|sender| FleetLoopInput::Report(report, received.clock_ms, sender));
         match asking.await {
             Ok(ReportAnswer::Taken) => reply::json(OK, &report_answer(None)),
             Ok(ReportAnswer::Moved(owner)) => {
--- a/crates/node/src/wire.rs
+++ b/crates/node/src/wire.rs
@@ -70,8 +70,8 @@
     /// To a control host or an entry host: get the published document if it is
     /// newer than this version.
     Document(ConfigVersion),
-    /// Control host to entry host: the status report of a worker without an
-    /// owner.
+    /// Control host to entry host of a former version: the status report of a
+    /// worker without an owner.
     Announce(Box<WorkerReport>),
     /// Control host to entry host: a worker has deregistered.
     Departed(WorkerId),
@@ -85,6 +85,9 @@
     /// Entry host to entry host: runs of a job that were lost with their
     /// workers.
     Losses(Box<LossReport>),
+    /// Control host to entry host: the status report of a worker without an
+    /// owner, with the worker's clock in ms when it was sent.
+    AnnounceAt(Box<WorkerReport>, u64),
 }
 
 /// `EntryRegistration` is the registration of an entry host at the control hosts.
