--- a/crates/fleet/src/ownership.rs
+++ b/crates/fleet/src/ownership.rs
@@ -77,9 +77,6 @@
         let former_capacity = worker.report.capacity;
         worker.reported_at = now;
         worker.report = report;
-        if worker.refused_cpu_milli.take().is_some() {
-            self.resources_changed = true;
-        }
         if let (Phase::Verifying(current), Some(newer)) = (&mut worker.phase, verification) {
             *current = newer;
         }
--- a/crates/fleet/src/starts.rs
+++ b/crates/fleet/src/starts.rs
@@ -96,10 +96,7 @@
         };
         match refusal {
             StartRefusal::Fenced | StartRefusal::OtherIncarnation => {}
-            StartRefusal::InsufficientResources => {
-                worker.record_refusal(id);
-                worker.block(now + NO_RESOURCES_PAUSE);
-            }
+            StartRefusal::InsufficientResources => worker.block(now + NO_RESOURCES_PAUSE),
             StartRefusal::Unhealthy => self.record_failure(worker_key),
             StartRefusal::LeaseExpired => worker.next_poll_at = now,
             StartRefusal::StaleAttempt => self.skip_attempts(id),
--- a/crates/fleet/src/worker.rs
+++ b/crates/fleet/src/worker.rs
@@ -32,9 +32,6 @@
     pub(crate) runs: IndexMap<RunId, Run>,
     /// Resources occupied by the runs.
     pub(crate) used: Resources,
-    /// Bound on the worker's CPU until its next report, after it has refused a run
-    /// that fits its reported capacity.
-    pub(crate) refused_cpu_milli: Option<u32>,
     /// Ended runs up to this sequence number have been processed.
     pub(crate) acknowledged: u64,
     /// Time at which the poll in flight was sent.
@@ -145,7 +142,6 @@
             lease: Lease::default(),
             runs: IndexMap::new(),
             used: Resources::default(),
-            refused_cpu_milli: None,
             acknowledged: 0,
             poll_sent_at: None,
             probe_sent_at: None,
@@ -212,9 +208,6 @@
     /// Gets the free resources.
     pub(crate) fn free(&self) -> Resources {
         let mut free = self.report.capacity;
-        if let Some(refused_cpu_milli) = self.refused_cpu_milli {
-            free.cpu_milli = free.cpu_milli.min(refused_cpu_milli.saturating_sub(1));
-        }
         free.subtract(&self.used);
         free
     }
@@ -232,18 +225,6 @@
         Some(run)
     }
 
-    /// Records that the worker refused a run for lack of resources. Its capacity has
-    /// shrunk since its last report, or a run that is not known here occupies it.
-    pub(crate) fn record_refusal(&mut self, id: RunId) {
-        if self.runs.contains_key(&id) {
-            let refused = self.used.cpu_milli;
-            let bound = self
-                .refused_cpu_milli
-                .map_or(refused, |bound| bound.min(refused));
-            self.refused_cpu_milli = Some(bound);
-        }
-    }
-
     /// Assigns no new runs to the worker until the given time.
     pub(crate) fn block(&mut self, until: Duration) {
         self.blocked_until = self.blocked_until.max(until);
