Drop a job whose caller has gone before it is submitted

Callers would see two runs of a task at the same time: an entry host that stood still for seconds read the request of a caller that had given it up and sent the job to another host, and started it beside the run there.

Cause: the server reads on for the end of the connection only after the handler has submitted the job, so the disconnect arrives after the first starts.

Fix: the handler yields to the server before it submits the job, so the server sees the closed connection and drops the call.

--- a/crates/daemon/tests/fleet_processes.rs
+++ b/crates/daemon/tests/fleet_processes.rs
@@ -218,6 +218,39 @@
     }
 }
 
+/// Guards against a run for a caller that has closed its connection before its
+/// request is read, for example while the host stood still. It may have sent the
+/// job to another host since.
+#[tokio::test(flavor = "multi_thread")]
+async fn job_whose_caller_has_gone_is_not_started() {
+    let size = FleetSize {
+        controls: 1,
+        entries: 1,
+        workers: 1,
+    };
+    let fleet = Fleet::start(size, network(8)).await;
+    publish(&fleet, 1).await;
+    wait_until_served(&fleet).await;
+    let runs_before = fleet.log.runs().len();
+    let body = standin::job(1, 200);
+    fleet.signal(1, "STOP");
+    for job in 0..20 {
+        let to = fleet.caller_addresses()[0];
+        let mut stream = TcpStream::connect(to).await.expect("a connection");
+        let request = format!(
+            "POST /orders/{job:016x} HTTP/1.1\r\nhost: orders.example\r\n\
+             content-type: application/json\r\ncontent-length: {}\r\n\r\n{body}",
+            body.len()
+        );
+        stream.write_all(request.as_bytes()).await.expect("sent");
+        drop(stream);
+    }
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    fleet.signal(1, "CONT");
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    assert_eq!(fleet.log.runs().len(), runs_before);
+}
+
 fn run_hornbeamd(settings: &str) -> Output {
     let folder = tempfile::TempDir::new().expect("a folder");
     let path = folder.path().join("host.toml");
--- a/crates/daemon/tests/harness/fleet.rs
+++ b/crates/daemon/tests/harness/fleet.rs
@@ -407,8 +407,8 @@
 
 /// Gets a network number for a test that differs from those of other processes.
 pub fn network(test: u16) -> u16 {
-    let process = u16::try_from(std::process::id() % 0x1fff).unwrap_or(0);
-    process << 3 | test
+    let process = u16::try_from(std::process::id() % 0x0fff).unwrap_or(0);
+    process << 4 | test
 }
 
 fn domain(index: usize) -> &'static str {
--- a/crates/node/src/fleet_entry/caller.rs
+++ b/crates/node/src/fleet_entry/caller.rs
@@ -136,6 +136,7 @@
             }
         };
         drop(body);
+        notice_disconnect().await;
         match self.event_loop.submit(submission).await {
             Ok(outcome) => job_answer(outcome),
             Err(Error::Refused(_)) => job_answer(JobOutcome::NotRun(NotRun::Draining)),
@@ -163,6 +164,16 @@
     }
 }
 
+/// Lets the server read on, so that it drops this call if the caller has closed its
+/// connection. While this host stood still, the caller may have sent its job to
+/// another host.
+async fn notice_disconnect() {
+    // The first turn may end within the poll in which the server read the body.
+    for _ in 0..2 {
+        tokio::task::yield_now().await;
+    }
+}
+
 /// Gets the host name of a request without its port.
 fn host_name(request: &Request) -> &str {
     let header = request.headers().get(HOST);
