--- /dev/null
+++ b/crates/fleet/tests/ownership_model.rs
@@ -0,0 +1,82 @@
+//! Model check of the ownership of workers: seeded schedules of late, lost and
+//! repeated messages, and of workers and hosts that come and go.
+//!
+//! `MODEL_SCHEDULES` and `MODEL_SEED` set how many schedules are played and from
+//! which seed they are generated.
+
+mod common;
+mod model;
+
+use std::cell::Cell;
+
+use model::schedule::{Schedule, schedules};
+use model::site::Site;
+use proptest::test_runner::{Config, RngAlgorithm, TestCaseError, TestRng, TestRunner};
+
+/// Schedules that are played without a setting.
+const DEFAULT_SCHEDULES: u32 = 300;
+
+fn setting(name: &str, default: u64) -> u64 {
+    let value = std::env::var(name).ok();
+    value.map_or(default, |value| value.parse().expect("a number"))
+}
+
+fn play(schedule: &Schedule) -> Result<u64, Vec<String>> {
+    let mut site = Site::new(schedule);
+    site.play();
+    if site.broken.is_empty() {
+        return Ok(site.starts);
+    }
+    Err(site.broken)
+}
+
+/// Plays a schedule again and gets its broken rules and its events.
+fn trace(schedule: &Schedule) -> String {
+    let mut site = Site::new(schedule);
+    site.trace = Some(Vec::new());
+    site.play();
+    let lines = site.trace.unwrap_or_default();
+    format!(
+        "{schedule:#?}\n{}\n{}",
+        lines.join("\n"),
+        site.broken.join("\n")
+    )
+}
+
+/// Guards against two runs of a task at the same time, starts on a worker whose
+/// drain was acknowledged, false refusals, partial results and callers without an
+/// answer, whichever messages are late, lost or repeated.
+#[test]
+fn rules_hold_whichever_messages_are_late_lost_or_repeated() {
+    let cases = u32::try_from(setting("MODEL_SCHEDULES", DEFAULT_SCHEDULES.into()));
+    let cases = cases.expect("a small number");
+    let seed = setting("MODEL_SEED", 1);
+    let mut bytes = [0; 32];
+    bytes[..8].copy_from_slice(&seed.to_le_bytes());
+    let config = Config {
+        cases,
+        failure_persistence: None,
+        max_shrink_iters: 4000,
+        ..Config::default()
+    };
+    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &bytes);
+    let mut runner = TestRunner::new_with_rng(config, rng);
+    let played = Cell::new(0);
+    let starts = Cell::new(0);
+    let result = runner.run(&schedules(), |schedule| {
+        played.set(played.get() + 1);
+        match play(&schedule) {
+            Ok(count) => {
+                starts.set(starts.get() + count);
+                Ok(())
+            }
+            Err(broken) => Err(TestCaseError::fail(broken.join("\n"))),
+        }
+    });
+    println!("{} schedules, {} starts", played.get(), starts.get());
+    if let Err(proptest::test_runner::TestError::Fail(reason, schedule)) = &result {
+        panic!("{reason}\n{}", trace(schedule));
+    }
+    result.expect("schedules can be generated");
+    assert!(starts.get() > u64::from(cases) * 20, "the load is too low");
+}
