--- a/crates/fleet/tests/model/network.rs
+++ b/crates/fleet/tests/model/network.rs
@@ -201,6 +201,10 @@
         });
         match fate {
             None => self.at(now + delay, event),
+            // A connection delivers a call once.
+            Some(Fate::Repeated(_)) if kind == MessageKind::Submission => {
+                self.at(now + delay, event);
+            }
             Some(Fate::Lost) => {}
             Some(Fate::Held(extra)) => self.at(now + delay + extra, event),
             Some(Fate::Repeated(extra)) => {
