Stop tasks of a peer that accepts batches but is not heard

Cause: a host went on with the tasks of a peer as long as the peer accepted its batches. That shows that the peer gets the ends of its tasks, not that it still wants them: its requests to stop go the other way. A new process at the peer's address counted as well, since it accepts batches too.

Fix: the peer must also have sent a batch within 600 ms that was not long in transit (its echo shows it). So that such batches come, a host sends heartbeats to each host with which tasks were exchanged in the last 5 s, not to neighbours and to origins only.

--- a/crates/fleet/src/peer.rs
+++ b/crates/fleet/src/peer.rs
@@ -160,6 +160,8 @@
     pub(crate) heard_at: Option<Duration>,
     /// Send time of the last batch that the peer accepted.
     pub(crate) acked_at: Option<Duration>,
+    /// Arrival time of the last batch from the peer that was not long in transit.
+    confirmed_at: Option<Duration>,
     /// Sequence number of the last batch from the peer.
     pub(crate) last_sequence: u64,
     /// Last status from the peer, less the tasks sent there since.
@@ -249,6 +251,7 @@
             past_incarnations: VecDeque::new(),
             heard_at: None,
             acked_at: None,
+            confirmed_at: None,
             last_sequence: 0,
             status: PeerStatus::default(),
             exchanges_until: Duration::ZERO,
@@ -270,7 +273,7 @@
     }
 
     fn heartbeat_interval(&self, now: Duration) -> Duration {
-        if now < self.exchanges_until {
+        if self.exchanges_tasks(now) {
             HEARTBEAT_INTERVAL
         } else {
             IDLE_HEARTBEAT_INTERVAL
@@ -291,16 +294,34 @@
         }
     }
 
+    /// Records that a batch arrived which was not long in transit.
+    pub(crate) fn confirm(&mut self, now: Duration) {
+        self.confirmed_at = Some(now);
+    }
+
     /// Whether the peer accepted a batch recently, so that it does not yet count
     /// the tasks that this host runs for it as lost.
     pub(crate) fn has_recent_ack(&self, now: Duration) -> bool {
         is_within(self.acked_at, now, STOP_PEER_TASKS_AFTER)
     }
 
+    /// Whether the peer may still want the tasks that this host runs for it. It
+    /// must have accepted a batch and have sent one recently: if only its batches
+    /// are lost, so are its requests to stop tasks.
+    pub(crate) fn has_recent_contact(&self, now: Duration) -> bool {
+        self.has_recent_ack(now) && is_within(self.confirmed_at, now, STOP_PEER_TASKS_AFTER)
+    }
+
+    /// Whether tasks were exchanged with the peer recently, and may still run.
+    pub(crate) fn exchanges_tasks(&self, now: Duration) -> bool {
+        now < self.exchanges_until
+    }
+
     /// Gets the time at which the tasks that this host runs for the peer are to be
     /// stopped, unless the peer accepts another batch.
     pub(crate) fn stop_tasks_at(&self) -> Option<Duration> {
-        Some(self.acked_at? + STOP_PEER_TASKS_AFTER + Duration::from_millis(1))
+        let contact_at = self.acked_at?.min(self.confirmed_at?);
+        Some(contact_at + STOP_PEER_TASKS_AFTER + Duration::from_millis(1))
     }
 
     /// Whether the peer has been silent for so long that the tasks sent there
@@ -371,7 +392,7 @@
 
     /// Gets the time at which the next batch may be due.
     pub(crate) fn next_wakeup(&self, now: Duration) -> Duration {
-        let next_heartbeat_at = if self.is_neighbour {
+        let next_heartbeat_at = if self.is_neighbour || self.exchanges_tasks(now) {
             self.next_batch_at
         } else {
             Duration::MAX
--- a/crates/fleet/src/peering.rs
+++ b/crates/fleet/src/peering.rs
@@ -72,6 +72,10 @@
         peer.record_arrival(&batch.messages, now);
         let was_lost = std::mem::take(&mut peer.is_lost);
         let is_new = batch.sequence > peer.last_sequence;
+        let is_recent = self.sender.is_recent(batch.echo, now);
+        if is_new && is_recent {
+            peer.confirm(now);
+        }
         peer.last_sequence = peer.last_sequence.max(batch.sequence);
         if was_lost {
             self.log(
@@ -81,7 +85,6 @@
             );
         }
         if is_new {
-            let is_recent = self.sender.is_recent(batch.echo, now);
             for message in batch.messages {
                 self.on_message(&host, message, is_recent);
             }
@@ -155,12 +158,12 @@
         }
     }
 
-    /// Stops the runs of origins that have not accepted a batch recently, and
+    /// Stops the runs of origins without recent contact, and
     /// queues the tasks sent to lost peers again.
     pub(crate) fn check_peers(&mut self) {
         self.end_orphaned_peer_tasks();
         self.select_neighbours();
-        self.stop_unacknowledged_peer_tasks();
+        self.stop_unconfirmed_peer_tasks();
         let now = self.now;
         let is_newly_lost =
             |peer: &Peer| peer.heard_at.is_some() && !peer.is_lost && peer.has_timed_out(now);
@@ -175,20 +178,20 @@
         }
     }
 
-    /// Stops the runs of origins that have not accepted a batch recently.
-    fn stop_unacknowledged_peer_tasks(&mut self) {
+    /// Stops the runs of origins without recent contact in both directions.
+    fn stop_unconfirmed_peer_tasks(&mut self) {
         let now = self.now;
-        let has_recent_ack = |origin: &HostId| {
+        let has_recent_contact = |origin: &HostId| {
             let peer = self.peers.get(origin);
-            peer.is_some_and(|peer| peer.has_recent_ack(now))
+            peer.is_some_and(|peer| peer.has_recent_contact(now))
         };
-        let unacknowledged: Vec<RunId> = self
+        let unconfirmed: Vec<RunId> = self
             .peer_tasks
             .iter()
-            .filter(|(_, peer_task)| !has_recent_ack(&peer_task.origin))
+            .filter(|(_, peer_task)| !has_recent_contact(&peer_task.origin))
             .map(|(run, _)| *run)
             .collect();
-        self.on_stop_peer_tasks(&unacknowledged);
+        self.on_stop_peer_tasks(&unconfirmed);
     }
 
     fn handle_lost_peer(&mut self, host: &HostId) {
@@ -250,7 +253,9 @@
                     .values()
                     .any(|peer_task| peer_task.origin == *host)
             };
-            let sends_heartbeats = peer.is_neighbour || (peer.is_heartbeat_due(now) && is_origin());
+            let sends_heartbeats = peer.is_neighbour
+                || peer.exchanges_tasks(now)
+                || (peer.is_heartbeat_due(now) && is_origin());
             if sends_heartbeats && starts_to_wait || (resources_changed && peer.status.waiting > 0)
             {
                 peer.schedule_status();
--- a/crates/fleet/tests/peers.rs
+++ b/crates/fleet/tests/peers.rs
@@ -161,6 +161,50 @@
     expect_that!(harness.now - acked_at, ge(Duration::from_millis(600)));
 }
 
+/// Guards against runs that go on after their job has ended, because the origin
+/// accepts batches but its own batches, with the requests to stop, are lost.
+#[gtest]
+fn runs_of_an_origin_that_is_not_heard_are_stopped() {
+    let mut harness = Harness::new(1);
+    harness.add_worker("w1");
+    harness.receive_batch(2, 1, Vec::new());
+    harness.batches();
+    acknowledge_batch(&mut harness, 2);
+    harness.receive_batch(2, 2, vec![chunk(5, 1)]);
+    let heard_at = harness.now;
+    let request = harness.starts().remove(0);
+    harness.accept_start(&request);
+    while harness.stops().is_empty() {
+        harness.advance(1);
+        if !harness.batches().is_empty() {
+            acknowledge_batch(&mut harness, 2);
+        }
+        assert_that!(harness.now - heard_at, lt(Duration::from_millis(700)));
+    }
+    expect_that!(harness.now - heard_at, ge(Duration::from_millis(600)));
+}
+
+/// Guards against tasks at a peer that are stopped there because it gets no
+/// heartbeats from a host that is not its neighbour.
+#[gtest]
+fn peer_with_tasks_of_this_host_gets_heartbeats() {
+    let mut harness = Harness::new(1);
+    harness.receive_batch(2, 1, vec![status(&[8000], 0)]);
+    harness.batches();
+    acknowledge_batch(&mut harness, 2);
+    harness.submit(1, 1);
+    expect_that!(take_forwarded_runs(&mut harness).len(), eq(1));
+    acknowledge_batch(&mut harness, 2);
+    let mut heartbeats = 0;
+    for sequence in 2..12 {
+        harness.advance(100);
+        harness.receive_batch(2, sequence, Vec::new());
+        heartbeats += harness.batches().len();
+        acknowledge_batch(&mut harness, 2);
+    }
+    expect_that!(heartbeats, ge(4));
+}
+
 /// Guards against a second run of a task while the first is still active at a
 /// peer that has fallen silent. It starts elsewhere only after 600 ms, a stop
 /// without an answer and a lease.
