Keep verifying a report when a hand-over of its worker arrives

A hand-over that arrives within the few ms in which a report of the same worker is verified changed what the poll in flight was taken for: the worker refuses its token because it has its former owner, which then counted as another owner since the hand-over. The worker was dropped, and unused until its next report, up to 1.5 s later.

Fix: only a newer report replaces the report that is verified.

fleet::ownership hand_over_does_not_change_how_a_report_is_verified failed before (no poll that takes the worker over).

--- a/crates/fleet/src/ownership.rs
+++ b/crates/fleet/src/ownership.rs
@@ -77,8 +77,11 @@
         let former_capacity = worker.report.capacity;
         worker.reported_at = now;
         worker.report = report;
-        if let (Phase::Verifying(current), Some(newer)) = (&mut worker.phase, verification) {
-            *current = newer;
+        // The poll in flight verifies a report, whichever message comes next.
+        if let Phase::Verifying(Verification::ReportClock(sent_clock_ms)) = &mut worker.phase
+            && let Some(Verification::ReportClock(newer_clock_ms)) = verification
+        {
+            *sent_clock_ms = newer_clock_ms;
         }
         let worker_id = worker.report.worker_id.clone();
         if starts_to_drain {
@@ -176,9 +179,9 @@
         self.remove_worker(worker_key, self.now, "it restarted");
     }
 
-    /// Handles a worker that has seen a higher fencing token. While a report is
-    /// verified, the worker has or had an owner. During take-over the
-    /// worker reports to this host, so the clock of a former owner was ahead, and
+    /// Handles a worker that has seen a higher fencing token. While a message about
+    /// it is verified, the worker has or had an owner. During take-over the worker
+    /// reports to this host, so the clock of a former owner was ahead, and
     /// the token is raised. Otherwise another host has taken the worker over.
     pub(crate) fn on_fenced(&mut self, worker_key: WorkerKey, clock_ms: Option<u64>) {
         let Some(worker) = self.workers.get_mut(&worker_key) else {
--- a/crates/fleet/tests/ownership.rs
+++ b/crates/fleet/tests/ownership.rs
@@ -470,3 +470,16 @@
         expect_that!(polls.len(), eq(take_overs));
     }
 }
+
+/// Guards against a worker that is dropped because the hand-over of its former
+/// owner arrives while a report of the worker is verified.
+#[gtest]
+fn hand_over_does_not_change_how_a_report_is_verified() {
+    let mut harness = Harness::new(1);
+    let poll = verify(&mut harness, 400);
+    let hand_over = PeerMessage::HandOver(report("w1", 2), FencingToken(50 << 24));
+    harness.receive_batch(2, 1, vec![hand_over]);
+    let fenced = PollOutcome::Fenced(Some(420));
+    harness.step(FleetInput::PollEnded(poll.target.worker_key, fenced));
+    expect_that!(harness.poll().target.fencing_token, gt(FencingToken(0)));
+}
