--- a/crates/fleet/tests/model/callers.rs
+++ b/crates/fleet/tests/model/callers.rs
@@ -1,8 +1,13 @@
 //! Callers that send a job again if they get no result.
 
-use hornbeam_fleet::{CallId, JobOutcome};
+use std::sync::Arc;
+use std::time::Duration;
+
+use hornbeam_fleet::{CallId, FleetInput, JobOutcome, Resources, Submission};
 
 use super::Millis;
+use super::network::{Event, MessageKind};
+use super::site::{HOSTS, NEED_CPU_MILLI, Site, job_key};
 
 /// Time for which a caller waits.
 pub const CALLER_TIMEOUT_MS: Millis = 1500;
@@ -29,3 +34,143 @@
     /// Whether a run has started.
     pub has_started: bool,
 }
+
+impl ModelJob {
+    pub(super) fn new(tasks: u32, work_ms: Millis) -> Self {
+        Self {
+            tasks,
+            work_ms,
+            sends: 0,
+            call: None,
+            outcome: None,
+            all_refused: true,
+            done: vec![false; tasks as usize],
+            has_started: false,
+        }
+    }
+}
+
+impl Site {
+    pub(super) fn caller_sends(&mut self, index: usize) {
+        self.last_call += 1;
+        let call = self.last_call;
+        let first = usize::try_from(self.network.draw(HOSTS as u64)).expect("a small number");
+        let sends = self.jobs[index].sends as usize;
+        let is_up = |host: &usize| self.hosts[*host].fleet.is_some();
+        let order = (0..HOSTS).map(|step| (first + sends + step) % HOSTS);
+        let Some(host) = order.into_iter().find(is_up) else {
+            return self.network.at(self.now + 200, Event::CallerSends(index));
+        };
+        let job = &mut self.jobs[index];
+        job.sends += 1;
+        job.call = Some(call);
+        self.calls.insert(call, (index, host));
+        self.note(|| format!("caller sends job {:x} to host {host}", job_key(index)));
+        let arrives = Event::JobArrives(host, call);
+        self.network
+            .send(self.now, MessageKind::Submission, host, arrives);
+        let timeout = Event::CallerTimeout(call);
+        self.network.at(self.now + CALLER_TIMEOUT_MS + 50, timeout);
+    }
+
+    pub(super) fn job_arrives(&mut self, host: usize, call: CallId) {
+        let Some((index, _)) = self.calls.get(&call).copied() else {
+            return;
+        };
+        if self.is_frozen(host) {
+            let at = self.hosts[host].frozen_until;
+            return self.network.at(at, Event::JobArrives(host, call));
+        }
+        let job = &self.jobs[index];
+        if job.call != Some(call) {
+            // The caller has closed its connection, which the host sees before it
+            // submits the job.
+            return;
+        }
+        let submission = Submission {
+            job: job_key(index),
+            queue: "orders".into(),
+            spec: Arc::from("work"),
+            tasks: job.tasks,
+            need: Resources {
+                cpu_milli: NEED_CPU_MILLI,
+                memory_mb: 64,
+                accelerators: 0,
+            },
+            estimate: Duration::from_millis(job.work_ms),
+            timeout: Duration::from_millis(CALLER_TIMEOUT_MS),
+        };
+        self.step(host, FleetInput::Submitted(call, submission));
+    }
+
+    pub(super) fn job_answered(&mut self, call: CallId, outcome: JobOutcome) {
+        let Some((index, _)) = self.calls.get(&call).copied() else {
+            return;
+        };
+        self.note(|| format!("job {:x} is answered {outcome:?}", job_key(index)));
+        let job = &mut self.jobs[index];
+        if outcome == JobOutcome::Completed && job.done.iter().any(|done| !done) {
+            self.broken.push(format!(
+                "MIXED: job {:x} is completed, its tasks are done: {:?}",
+                job_key(index),
+                job.done
+            ));
+        }
+        if job.call != Some(call) {
+            return;
+        }
+        job.call = None;
+        if outcome == JobOutcome::TimedOut {
+            job.all_refused = false;
+            self.caller_retries(index);
+        } else {
+            job.all_refused &= matches!(outcome, JobOutcome::NotRun(_));
+            job.outcome = Some(outcome);
+        }
+    }
+
+    pub(super) fn caller_timeout(&mut self, call: CallId) {
+        let Some((index, host)) = self.calls.get(&call).copied() else {
+            return;
+        };
+        if self.jobs[index].call != Some(call) {
+            return;
+        }
+        self.jobs[index].call = None;
+        self.jobs[index].all_refused = false;
+        if self.hosts[host].fleet.is_some() {
+            let gone = FleetInput::CallerDisconnected(call, job_key(index));
+            if self.is_frozen(host) {
+                let at = self.hosts[host].frozen_until;
+                self.network.at(at, Event::CallerGone(host, call));
+            } else {
+                self.step(host, gone);
+            }
+        }
+        self.caller_retries(index);
+    }
+
+    pub(super) fn caller_retries(&mut self, index: usize) {
+        if self.jobs[index].sends < MAX_SENDS {
+            let again = Event::CallerSends(index);
+            self.network.at(self.now + RETRY_DELAY_MS, again);
+        }
+    }
+
+    pub(super) fn check_jobs(&mut self) {
+        for (index, job) in self.jobs.iter().enumerate() {
+            if job.sends > 0 && job.call.is_some() {
+                self.broken.push(format!(
+                    "LOST: job {:x} got no answer and its caller still waits",
+                    job_key(index)
+                ));
+            }
+            if job.all_refused && job.outcome.is_some() && job.has_started {
+                self.broken.push(format!(
+                    "REFUSED: job {:x} was refused as not run, and has run",
+                    job_key(index)
+                ));
+            }
+        }
+    }
+}
--- a/crates/fleet/tests/model/mod.rs
+++ b/crates/fleet/tests/model/mod.rs
@@ -5,11 +5,14 @@
 // Justification: not every test file that includes the model uses all of it.
 #![allow(dead_code)]
 
-pub mod callers;
-pub mod network;
+mod callers;
+mod hosts;
+mod network;
+mod reports;
 pub mod schedule;
 pub mod site;
-pub mod worker;
+mod worker;
+mod workers;
 
 /// `Millis` is a time or a duration of the model.
 pub type Millis = u64;
--- a/crates/fleet/tests/model/network.rs
+++ b/crates/fleet/tests/model/network.rs
@@ -3,8 +3,8 @@
 use std::collections::BTreeMap;
 
 use hornbeam_fleet::{
-    CallId, FencingToken, JobOutcome, PeerBatch, PollOutcome, PollRequest, ReportAnswer, RunId,
-    StartOutcome, StartRequest, StopOutcome, StopRequest, WorkerKey, WorkerReport,
+    CallId, JobOutcome, PeerBatch, PollOutcome, PollRequest, ReportAnswer, RunId, StartOutcome,
+    StartRequest, StopOutcome, StopRequest, WorkerKey, WorkerReport,
 };
 
 use super::Millis;
@@ -224,6 +224,3 @@
         (mixed ^ (mixed >> 31)) % limit
     }
 }
-
-/// `Fence` is a token as a worker compares it.
-pub type Fence = FencingToken;
