Say what contact with a peer means in a comment

Cause: found by reading the diff; the comment named the acceptance of a batch only. Change: the wording of one comment. Measured: formatter and compiler pass.

--- a/crates/fleet/src/peer.rs
+++ b/crates/fleet/src/peer.rs
@@ -318,7 +318,7 @@
     }
 
     /// Gets the time at which the tasks that this host runs for the peer are to be
-    /// stopped, unless the peer accepts another batch.
+    /// stopped, unless the peer accepts and sends another batch before.
     pub(crate) fn stop_tasks_at(&self) -> Option<Duration> {
         let contact_at = self.acked_at?.min(self.confirmed_at?);
         Some(contact_at + STOP_PEER_TASKS_AFTER + Duration::from_millis(1))
