--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod api;
 pub mod config;
 pub mod error;
+pub mod evacuation;
 pub mod event;
 pub mod finding;
 pub mod ids;
--- a/crates/daemon/src/settings_file.rs
+++ b/crates/daemon/src/settings_file.rs
@@ -8,7 +8,7 @@
 
 use hornbeam_control::{RepairOptions, ReplicaOptions};
 use hornbeam_core::{Finding, Findings, Place};
-use hornbeam_fleet::FleetOptions;
+use hornbeam_fleet::{FleetOptions, SchedulingOptions};
 use hornbeam_http::HttpServerOptions;
 use hornbeam_node::{ControlOptions, FleetControlOptions, FleetEntryOptions};
 use toml_edit::{Document, Item};
@@ -79,12 +79,18 @@
         let domain = self.text("host", "failure_domain");
         let max_lease_ms = self.integer("terms", "max_lease_ms");
         let stop_ms = self.integer("terms", "stop_ms");
+        let scheduling = SchedulingOptions {
+            pace: self.switch("scheduling", "pace"),
+            fair_admission: self.switch("scheduling", "fair_admission"),
+            interference: self.switch("scheduling", "interference"),
+        };
         let options = || {
             let common = common?;
             let mut fleet = FleetOptions::new(&common.id, domain?, common.address_at(0));
             fleet.incarnation = rand::random_range(1..=u64::MAX);
             fleet.max_lease = Duration::from_millis(max_lease_ms?);
             fleet.max_stop_time = Duration::from_millis(stop_ms?);
+            fleet.scheduling = scheduling;
             Some(FleetEntryOptions {
                 fleet,
                 caller_listen: callers?,
@@ -228,6 +234,13 @@
         self.value(table, key, "a boolean", Item::as_bool)
     }
 
+    /// Gets a switch, which is off if the file does not name it.
+    fn switch(&mut self, table: &str, key: &str) -> bool {
+        let table_item = self.document.get(table);
+        let is_named = table_item.is_some_and(|item| item.get(key).is_some());
+        is_named && self.boolean(table, key).unwrap_or(false)
+    }
+
     fn integer(&mut self, table: &str, key: &str) -> Option<u64> {
         self.value(table, key, "a non-negative integer", |item| {
             u64::try_from(item.as_integer()?).ok()
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -48,7 +48,7 @@
 pub use job::{JobKey, JobOutcome, NotRun, RunId, Submission};
 pub use loss_log::{LossEvidence, RunLoss};
 pub use loss_reports::LossReport;
-pub use options::FleetOptions;
+pub use options::{FleetOptions, SchedulingOptions};
 pub use peer::{BatchTime, ChunkTask, PeerBatch, PeerMessage, PeerStatus, TaskChunk};
 pub use queues::{Limits, Queue, QueueTable, ServiceSettings};
 pub use report::WorkerReport;
--- a/crates/fleet/src/options.rs
+++ b/crates/fleet/src/options.rs
@@ -37,6 +37,20 @@
     /// Longest duration of a drain, after which remaining jobs are given up;
     /// default 5.2 s, below the 6 s after which the host process is killed.
     pub max_drain: Duration,
+    /// Optional scheduling decisions; default all off.
+    pub scheduling: SchedulingOptions,
+}
+
+/// `SchedulingOptions` switches scheduling decisions that a deployment must ask
+/// for. With all of them off, decisions are those of builds without them.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct SchedulingOptions {
+    /// Whether tasks are placed by the pace of the workers; default off.
+    pub pace: bool,
+    /// Whether admission counts work and tells priorities apart; default off.
+    pub fair_admission: bool,
+    /// Whether tasks that slow each other down are kept apart; default off.
+    pub interference: bool,
 }
 
 impl FleetOptions {
@@ -58,6 +72,7 @@
             drain_accept_for: Duration::from_millis(4400),
             min_drain: Duration::from_millis(3500),
             max_drain: Duration::from_millis(5200),
+            scheduling: SchedulingOptions::default(),
         }
     }
 }
