Accept lists of evacuated failure domains in the fleet

Cause: control hosts and the fleet's decisions on evacuation are built side by side. Change: FleetInput::Evacuations and the list with the highest revision; nothing reads it yet. Result: builds; decisions are unchanged.

--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use hornbeam_core::evacuation::EvacuationList;
 use hornbeam_core::event::Event;
 use hornbeam_core::ids::{FailureDomainId, HostId, TaskIndex, WorkerId};
 use indexmap::IndexMap;
@@ -41,6 +42,7 @@
     pub(crate) now: Duration,
     pub(crate) unix_ms: u64,
     pub(crate) queues: Option<Arc<QueueTable>>,
+    pub(crate) evacuations: EvacuationList,
     pub(crate) jobs: IndexMap<JobKey, Job>,
     /// Jobs with queued tasks by effective start time, the earliest first.
     pub(crate) queued_jobs: BTreeSet<(Duration, JobKey)>,
@@ -100,6 +102,7 @@
             now: Duration::ZERO,
             unix_ms: 0,
             queues: None,
+            evacuations: EvacuationList::default(),
             jobs: IndexMap::new(),
             queued_jobs: BTreeSet::new(),
             awaiting_expiry: BTreeSet::new(),
@@ -151,6 +154,7 @@
         match input {
             FleetInput::Tick => {}
             FleetInput::Queues(queues) => self.on_queues(queues),
+            FleetInput::Evacuations(list) => self.on_evacuations(list),
             FleetInput::Submitted(call, submission) => self.on_submitted(call, submission),
             FleetInput::CallerDisconnected(call, job) => self.on_caller_disconnected(call, job),
             FleetInput::Reported(id, report) => self.on_reported(id, report, None),
--- a/crates/fleet/src/io.rs
+++ b/crates/fleet/src/io.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use hornbeam_core::evacuation::EvacuationList;
 use hornbeam_core::event::Event;
 use hornbeam_core::ids::{HostId, WorkerId};
 use serde::{Deserialize, Serialize};
@@ -29,6 +30,8 @@
     Tick,
     /// A newer configuration is in force.
     Queues(Arc<QueueTable>),
+    /// A list of evacuated failure domains from a control host.
+    Evacuations(EvacuationList),
     /// A caller submitted a job and waits for its end.
     Submitted(CallId, Submission),
     /// The caller no longer waits for the answer.
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -8,6 +8,7 @@
 
 mod admission;
 mod draining;
+mod evacuation;
 mod fencing;
 mod fleet;
 mod io;
