Expire the lease of a model worker that a repeated start extended

The model's worker scheduled no lease check when a repeated start extended the lease of a run that was already there, so its runs ended only with the next poll. Ruled out: an extension that the host forgot; every request to w3 was traced. Change: the model schedules the check; the schedule is kept as a regression test, which failed before.

--- a/crates/fleet/tests/model/mod.rs
+++ b/crates/fleet/tests/model/mod.rs
@@ -7,7 +7,7 @@
 
 mod callers;
 mod hosts;
-mod network;
+pub mod network;
 mod reports;
 pub mod schedule;
 pub mod site;
--- a/crates/fleet/tests/model/workers.rs
+++ b/crates/fleet/tests/model/workers.rs
@@ -134,6 +134,9 @@
             Ok(is_new) => {
                 if is_new {
                     self.run_started(index, run);
+                } else {
+                    // A repeated start extends the lease as well.
+                    self.schedule_lease_check(index);
                 }
                 StartOutcome::Accepted(self.workers[index].clock_ms(now))
             }
--- a/crates/fleet/tests/ownership_model.rs
+++ b/crates/fleet/tests/ownership_model.rs
@@ -9,7 +9,8 @@
 
 use std::cell::Cell;
 
-use model::schedule::{Schedule, schedules};
+use model::network::MessageKind;
+use model::schedule::{Fate, MessageFault, Schedule, schedules};
 use model::site::Site;
 use proptest::test_runner::{Config, RngAlgorithm, TestCaseError, TestRng, TestRunner};
 
@@ -80,3 +81,27 @@
     result.expect("schedules can be generated");
     assert!(starts.get() > u64::from(cases) * 20, "the load is too low");
 }
+
+/// Guards against a model worker whose runs outlive its lease: a repeated start
+/// extends the lease, and the runs must end when the extended lease expires.
+#[test]
+fn runs_end_with_a_lease_that_a_repeated_start_extended() {
+    let held = |kind, from_ms, count, ms| MessageFault {
+        kind,
+        node: 3,
+        from_ms,
+        count,
+        fate: Fate::Held(ms),
+    };
+    let schedule = Schedule {
+        seed: 15_252_230_444_059_538_849,
+        messages: vec![
+            held(MessageKind::Start, 0, 5, 120),
+            held(MessageKind::Poll, 2713, 7, 2300),
+        ],
+        nodes: vec![],
+    };
+    if let Err(broken) = play(&schedule) {
+        panic!("{}\n{}", broken.join("\n"), trace(&schedule));
+    }
+}
