Give no two runs on a host the same id

A caller sent a job again to another host, which numbered the attempt 1 as the first host had done and sent the task to it. There the former run still counted as active, because its worker was silent. When its lease expired, its end was reported for the new run of the same id, which went on while the task started elsewhere. Change: a host returns a task of a peer whose run id is still in use, and skips attempt numbers in use for its own jobs. Result: peers::the_end_of_a_former_run_is_not_taken_for_that_of_a_peers_run failed before and passes; all tests of hornbeam-fleet pass.

--- a/crates/fleet/src/peer_tasks.rs
+++ b/crates/fleet/src/peer_tasks.rs
@@ -54,13 +54,12 @@
         if !is_recent || !has_recent_ack || self.drain_started.is_some() {
             return self.return_tasks(origin, runs);
         }
+        let (taken, runs) = runs.into_iter().partition(|run| self.has_run(*run));
+        self.return_taken_runs(origin, taken);
         let start_by = self.now + Duration::from_millis(chunk.start_within_ms);
         let effective_start_by = start_by.saturating_sub(Duration::from_millis(chunk.lead_ms));
         let chunk = Arc::new(chunk);
         for run in runs {
-            if self.peer_tasks.contains_key(&run) {
-                continue;
-            }
             let peer_task = PeerTask {
                 origin: origin.clone(),
                 worker: None,
@@ -74,6 +73,35 @@
         }
     }
 
+    /// Whether a run with this id is known here. Hosts number the attempts of a
+    /// task by themselves, so a run of an earlier call for the job can have the id
+    /// of a new one.
+    pub(crate) fn has_run(&self, run: RunId) -> bool {
+        let mut workers = self.workers.values();
+        self.peer_tasks.contains_key(&run) || workers.any(|worker| worker.runs.contains_key(&run))
+    }
+
+    /// Returns runs whose ids runs of earlier calls still have here. The end of
+    /// one would be taken for the end of the other.
+    fn return_taken_runs(&mut self, origin: &HostId, runs: Vec<RunId>) {
+        let is_repeated = |run: &RunId| {
+            let known = self.peer_tasks.get(run);
+            known.is_some_and(|peer_task| peer_task.origin == *origin)
+        };
+        let others: Vec<RunId> = runs.into_iter().filter(|run| !is_repeated(run)).collect();
+        if others.is_empty() {
+            return;
+        }
+        for run in &others {
+            self.log(
+                Event::RunNotStarted,
+                Subject::Run(*run),
+                format!("run {run} is returned to peer {origin}: a former run has its id"),
+            );
+        }
+        self.return_tasks(origin, others);
+    }
+
     /// Starts a waiting task of a peer; false if no worker has free resources for
     /// it.
     pub(crate) fn start_peer_task(&mut self, run: RunId) -> bool {
--- a/crates/fleet/src/scheduling.rs
+++ b/crates/fleet/src/scheduling.rs
@@ -207,6 +207,15 @@
             task.state = state;
             run.attempt = task.attempt;
         }
+        // A run that a peer started under the same id must not be mistaken for
+        // this one.
+        while self.has_run(run) {
+            run.attempt += 1;
+        }
+        let job = self.jobs.get_mut(&key);
+        if let Some(task) = job.and_then(|job| job.task_mut(index)) {
+            task.attempt = run.attempt;
+        }
         run
     }
 
--- a/crates/fleet/tests/peers.rs
+++ b/crates/fleet/tests/peers.rs
@@ -7,7 +7,8 @@
 use common::{Harness, SERVICE, acknowledge_batch, chunk, run};
 use googletest::prelude::*;
 use hornbeam_fleet::{
-    FleetInput, PeerBatch, PeerMessage, PeerStatus, Resources, RunEnd, RunId, ServiceResources,
+    FleetInput, PeerBatch, PeerMessage, PeerStatus, PollOutcome, Resources, RunEnd, RunId,
+    ServiceResources,
 };
 
 fn status(free: &[u32], waiting: u32) -> PeerMessage {
@@ -415,3 +416,37 @@
     let is_refused = matches!(answers[0].1, hornbeam_fleet::JobOutcome::NotRun(_));
     expect_that!(is_refused, eq(true));
 }
+
+/// Guards against a run of a peer that is reported as lost when the lease of a
+/// former run with the same id expires: the peer would start the task again
+/// while it runs. The former run belongs to an earlier call for the job, and its
+/// worker has become silent.
+#[gtest]
+fn the_end_of_a_former_run_is_not_taken_for_that_of_a_peers_run() {
+    let mut harness = Harness::new(1);
+    let silent = harness.add_worker("w1");
+    let former = harness.start_job(7);
+    harness.receive_batch(2, 1, vec![status(&[], 0)]);
+    acknowledge_batch(&mut harness, 2);
+    harness.step(FleetInput::CallerDisconnected(1, 7));
+    harness.step(FleetInput::PollEnded(silent, PollOutcome::Unanswered));
+    harness.add_worker("w2");
+    harness.batches();
+
+    harness.receive_batch(2, 2, vec![chunk(7, 1)]);
+    let started = harness.starts();
+    expect_that!(
+        started.iter().any(|start| start.run == former.run),
+        eq(false)
+    );
+    for ms in 0..1500 {
+        if ms % 100 == 0 {
+            harness.receive_batch(2, 3 + ms / 100, vec![]);
+            acknowledge_batch(&mut harness, 2);
+        }
+        harness.advance(1);
+    }
+    let told = messages(harness.batches());
+    let is_lost = |message: &PeerMessage| matches!(message, PeerMessage::Ended(_, RunEnd::Lost, _));
+    expect_that!(told.iter().any(is_lost), eq(false));
+}
