Place tasks by the pace of the workers

Placement is the tightest fit and knows no pace. Ruled out: waiting (95 of 100 jobs start within 18 ms), callers that leave. Change: paces are learned by machine type; where types differ by more than the stretch of the queues, long tasks get fast workers and short ones leave these free when they run short; runs whose callers gain by it are restarted on faster workers. Run times in estimates refer to the mean pace. Result: tests of hornbeam-placement pass (paces within 15 % after 200 runs a type with declared times off by 40 %).

--- a/crates/fleet/src/admission.rs
+++ b/crates/fleet/src/admission.rs
@@ -7,14 +7,13 @@
 
 use crate::fleet::Fleet;
 use crate::io::{CallId, FleetOutput, JobTimes, Subject};
-use crate::job::{Job, JobKey, JobOutcome, NotRun, RunId, Submission, Task, TaskState};
+use crate::job::{
+    DISPATCH_OVERHEAD, Job, JobKey, JobOutcome, NotRun, RunId, Submission, Task, TaskState,
+};
 use crate::peer::PeerMessage;
 use crate::queues::Queue;
 use crate::run_times::scaled;
 
-/// Time within an objective that requests, answers and polls take.
-const DISPATCH_OVERHEAD: Duration = Duration::from_millis(12);
-
 /// Share of a job's slack that it may wait for resources, in percent.
 const MAX_WAIT_PERCENT: u32 = 60;
 
--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -16,6 +16,7 @@
 use crate::loss_log::LossLog;
 use crate::neighbours::ListedHost;
 use crate::options::FleetOptions;
+use crate::pace::ServicePaces;
 use crate::peer::{BatchSender, Peer};
 use crate::peer_tasks::PeerTask;
 use crate::queues::QueueTable;
@@ -56,6 +57,7 @@
     pub(crate) known_capacities: KnownCapacities,
     pub(crate) estimates: RunTimeEstimates,
     pub(crate) mean_run_time: MeanRunTime,
+    pub(crate) paces: ServicePaces,
     pub(crate) workers: BTreeMap<WorkerKey, Worker>,
     pub(crate) worker_keys_by_id: IndexMap<WorkerId, WorkerKey>,
     pub(crate) last_worker_key: WorkerKey,
@@ -112,6 +114,7 @@
             known_capacities: KnownCapacities::default(),
             estimates: RunTimeEstimates::default(),
             mean_run_time: MeanRunTime::default(),
+            paces: ServicePaces::default(),
             workers: BTreeMap::new(),
             worker_keys_by_id: IndexMap::new(),
             last_worker_key: 0,
@@ -333,6 +336,7 @@
                 queues.queues.len()
             ),
         );
+        self.paces.set_queues(&queues);
         self.queues = Some(queues);
     }
 
--- a/crates/fleet/src/job.rs
+++ b/crates/fleet/src/job.rs
@@ -80,6 +80,9 @@
     Draining,
 }
 
+/// Time within an objective that requests, answers and polls take.
+pub(crate) const DISPATCH_OVERHEAD: Duration = Duration::from_millis(12);
+
 /// `Job` is a submission in progress.
 #[derive(Debug)]
 pub(crate) struct Job {
@@ -163,6 +166,14 @@
         self.possibly_started > 0 || self.may_have_run_before
     }
 
+    /// Gets the time within which a task that starts now must end to meet the
+    /// objective.
+    pub(crate) fn time_left(&self, now: Duration) -> Duration {
+        self.objective_at
+            .saturating_sub(now)
+            .saturating_sub(DISPATCH_OVERHEAD)
+    }
+
     /// Gets a task by its index.
     pub(crate) fn task_mut(&mut self, index: TaskIndex) -> Option<&mut Task> {
         self.tasks.get_mut(index as usize)
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -19,6 +19,7 @@
 mod neighbours;
 mod options;
 mod ownership;
+mod pace;
 mod peer;
 mod peer_tasks;
 mod peering;
--- a/crates/fleet/src/peer_tasks.rs
+++ b/crates/fleet/src/peer_tasks.rs
@@ -109,7 +109,12 @@
             return true;
         };
         let chunk = Arc::clone(&peer_task.chunk);
-        let Some(worker) = self.choose_worker(&chunk.service, &chunk.need, None) else {
+        let expected = Duration::from_millis(chunk.expected_ms);
+        // The objective of a peer's job is not known here; the fastest worker comes
+        // first.
+        let order = self.pace_order(&chunk.service, expected, Duration::ZERO);
+        let worker = self.choose_worker(&chunk.service, &chunk.need, None, order);
+        let Some(worker) = worker else {
             return false;
         };
         self.waiting_peer_tasks
@@ -117,7 +122,6 @@
         if let Some(peer_task) = self.peer_tasks.get_mut(&run) {
             peer_task.worker = Some(worker);
         }
-        let expected = Duration::from_millis(chunk.expected_ms);
         self.start_run(worker, run, chunk.spec.clone(), chunk.need, expected);
         true
     }
--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -3,6 +3,7 @@
 use hornbeam_core::ids::{HostId, ServiceId};
 
 use crate::fleet::Fleet;
+use crate::pace::PaceOrder;
 use crate::peer::Peer;
 use crate::resources::{Resources, ServiceResources};
 use crate::worker::{Worker, WorkerKey};
@@ -14,12 +15,14 @@
 
 impl Fleet {
     /// Chooses the worker of this host with the tightest fit, which leaves room
-    /// for large tasks. The worker `avoid` comes last.
+    /// for large tasks, among those that come first by pace. The worker `avoid`
+    /// comes last.
     pub(crate) fn choose_worker(
         &self,
         service: &ServiceId,
         need: &Resources,
         avoid: Option<WorkerKey>,
+        order: Option<PaceOrder>,
     ) -> Option<WorkerKey> {
         let fits = |worker: &&Worker| {
             worker.report.service == *service
@@ -28,7 +31,12 @@
         };
         let rank = |worker: &&Worker| {
             let left = worker.free().cpu_milli - need.cpu_milli;
-            (avoid == Some(worker.worker_key), worker.failures, left)
+            (
+                avoid == Some(worker.worker_key),
+                worker.failures,
+                self.pace_rank(order, worker),
+                left,
+            )
         };
         let fitting = self.workers.values().filter(fits);
         fitting.min_by_key(rank).map(|worker| worker.worker_key)
@@ -88,7 +96,7 @@
         need: &Resources,
         except: WorkerKey,
     ) -> bool {
-        let own = self.choose_worker(service, need, Some(except));
+        let own = self.choose_worker(service, need, Some(except), None);
         let has_peer = self.peers.values().any(|peer| {
             peer.is_responsive(self.now)
                 && !peer.status.draining
--- a/crates/fleet/src/polls.rs
+++ b/crates/fleet/src/polls.rs
@@ -156,6 +156,7 @@
                 self.record_ended_runs(worker_key, response);
                 self.reconcile_runs(worker_key, sent_at, response);
                 self.check_progress(worker_key, response);
+                self.move_late_runs(worker_key, response);
             }
             None => {}
         }
@@ -207,6 +208,11 @@
                     RunState::Running(since) => Some(now.saturating_sub(since)),
                     _ => None,
                 };
+                if ended.end == RunEnd::Done
+                    && let Some(took) = took
+                {
+                    self.record_pace(worker_key, run.mean_expected, took);
+                }
                 self.run_ended(worker_key, id, ended.end, took);
             }
         }
--- a/crates/fleet/src/runs.rs
+++ b/crates/fleet/src/runs.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use hornbeam_core::event::Event;
+use hornbeam_placement::Pace;
 
 use crate::fleet::Fleet;
 use crate::io::{RunEnd, Subject};
@@ -33,6 +34,10 @@
             RunEnd::Failed => self.record_failure(worker_key),
             RunEnd::Lost => {}
         }
+        // Estimates hold the time on a worker of mean pace.
+        let worker = self.workers.get(&worker_key);
+        let pace = worker.map_or(Pace::MEAN, |worker| self.worker_pace(worker));
+        let took = took.map(|took| pace.mean_time_of(took));
         if let Some(peer_task) = self.peer_tasks.swap_remove(&id) {
             let took_ms = took.map_or(0, |took| took.as_millis() as u64);
             if let Some(peer) = self.peers.get_mut(&peer_task.origin) {
--- a/crates/fleet/src/scheduling.rs
+++ b/crates/fleet/src/scheduling.rs
@@ -158,7 +158,8 @@
         let (service, need, expected) = (job.service.clone(), job.need, job.expected);
         let spec = job.spec.clone();
         let avoid = job.tasks[index as usize].avoid;
-        let own = self.choose_worker(&service, &need, avoid);
+        let order = self.pace_order(&service, expected, job.time_left(self.now));
+        let own = self.choose_worker(&service, &need, avoid, order);
         let own = own.filter(|worker_key| avoid != Some(*worker_key));
         if let Some(worker_key) = own {
             let run = self.begin_attempt(key, index, TaskState::Local(worker_key));
@@ -174,7 +175,7 @@
             return true;
         }
         // The worker of the last unsuccessful run is better than none.
-        let Some(worker_key) = self.choose_worker(&service, &need, None) else {
+        let Some(worker_key) = self.choose_worker(&service, &need, None, order) else {
             return false;
         };
         let run = self.begin_attempt(key, index, TaskState::Local(worker_key));
@@ -261,6 +262,10 @@
         expected: Duration,
     ) {
         let is_exclusive = self.is_suspect(run.job, run.task);
+        let Some(worker) = self.workers.get(&worker_key) else {
+            return;
+        };
+        let pace = self.worker_pace(worker);
         let Some(worker) = self.workers.get_mut(&worker_key) else {
             return;
         };
@@ -269,7 +274,8 @@
             Run {
                 is_exclusive,
                 need,
-                expected,
+                expected: pace.time_for(expected),
+                mean_expected: expected,
                 spec,
                 progress: (0, self.now),
                 state: RunState::Starting(0),
--- a/crates/fleet/src/stragglers.rs
+++ b/crates/fleet/src/stragglers.rs
@@ -35,13 +35,13 @@
 /// Last attempt of a task that counts as slow. A task that was slow on several
 /// workers is slow by itself, so it stays where it is and says nothing about the
 /// worker.
-const MAX_SLOW_ATTEMPT: u32 = 4;
+pub(crate) const MAX_SLOW_ATTEMPT: u32 = 4;
 
 /// Shortest wait of a poll of a worker with an overdue run.
 const MIN_POLL_WAIT: Duration = Duration::from_millis(100);
 
 /// Time that stopping a run and starting it elsewhere takes.
-const MOVE_COST: Duration = Duration::from_millis(80);
+pub(crate) const MOVE_COST: Duration = Duration::from_millis(80);
 
 impl Worker {
     /// Gets the longest wait of a poll that still detects overdue runs in time.
@@ -116,7 +116,7 @@
         self.log(Event::WorkerEjected, subject, message);
     }
 
-    fn move_run(&mut self, worker_key: WorkerKey, id: RunId, remaining: Duration) {
+    pub(crate) fn move_run(&mut self, worker_key: WorkerKey, id: RunId, remaining: Duration) {
         self.log(
             Event::RunRetried,
             Subject::Run(id),
--- a/crates/fleet/src/worker.rs
+++ b/crates/fleet/src/worker.rs
@@ -94,8 +94,10 @@
     pub(crate) is_exclusive: bool,
     /// Resources that the run occupies.
     pub(crate) need: Resources,
-    /// Expected run time.
+    /// Expected run time on this worker.
     pub(crate) expected: Duration,
+    /// Expected run time on a worker of mean pace.
+    pub(crate) mean_expected: Duration,
     /// Description of the work.
     pub(crate) spec: Arc<str>,
     /// Time by which the run has ended if none of its start requests was
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -9,6 +9,8 @@
 
 mod choice;
 mod pace;
+mod relocation;
 
 pub use choice::{FastCapacity, PaceNeed, PaceRank};
 pub use pace::{MachineType, Pace, PaceTable};
+pub use relocation::RunOutlook;
