Add an extension to the batches between entry hosts

Cause: peers need values that PeerStatus has no field for (pace, queued work, interference), and a status with more fields cannot be read by the previous build.

Change: Request::ExtendedBatch carries a BatchExtension, a list of tagged values of at most 2 KB, beside a batch with a status. The fleet keeps the newest one of a peer beside its status and drops it when the peer is lost or restarts. BatchLink sends Request::Batch to a host that refuses the request, and remembers the refusal until the link has another connection or ten seconds have passed. Unknown tags and undecodable values are logged as ExtensionIgnored, one line per peer and minute. No part contributes yet, so all batches go out as before.

Not tested: the expiry of a refusal after ten seconds, and the sending side of the fleet, since own_extension() is None.

--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -79,6 +79,9 @@
     PeerLost = 400, Warn;
     /// A peer entry host is heard from again.
     PeerFound = 401, Info;
+    /// An entry of a peer's batch extension was ignored: this build does not know
+    /// its tag, or its value could not be decoded.
+    ExtensionIgnored = 402, Info;
     /// A newer configuration is in force on this host.
     ConfigInForce = 500, Info;
     /// A configuration change was accepted.
--- a/crates/fleet/benches/step.rs
+++ b/crates/fleet/benches/step.rs
@@ -64,7 +64,7 @@
     fn answer_outputs(&mut self) {
         for output in std::mem::take(&mut self.harness.outputs) {
             match output {
-                FleetOutput::SendBatch(host, _, _) => {
+                FleetOutput::SendBatch(host, _, _, _) => {
                     self.harness.step(FleetInput::BatchEnded(host, true));
                 }
                 FleetOutput::Start(request) => self.harness.accept_start(&request),
--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -170,7 +170,7 @@
             }
             FleetInput::PollEnded(worker_key, outcome) => self.on_poll_ended(worker_key, outcome),
             FleetInput::ProbeEnded(worker_key, outcome) => self.on_probe_ended(worker_key, outcome),
-            FleetInput::Batch(batch) => self.on_batch(batch),
+            FleetInput::Batch(batch, extension) => self.on_batch(batch, extension),
             FleetInput::BatchEnded(host, accepted) => {
                 if let Some(peer) = self.peers.get_mut(&host) {
                     peer.batch_ended(accepted, self.now);
--- a/crates/fleet/src/io.rs
+++ b/crates/fleet/src/io.rs
@@ -9,6 +9,7 @@
 use hornbeam_core::ids::{HostId, WorkerId};
 use serde::{Deserialize, Serialize};
 
+use crate::extension::BatchExtension;
 use crate::fencing::FencingToken;
 use crate::job::{JobKey, JobOutcome, RunId, Submission};
 use crate::loss_reports::LossReport;
@@ -52,8 +53,9 @@
     PollEnded(WorkerKey, PollOutcome),
     /// A probe was answered or failed.
     ProbeEnded(WorkerKey, PollOutcome),
-    /// A batch of messages from a peer arrived.
-    Batch(PeerBatch),
+    /// A batch of messages from a peer arrived, with the extension of the status
+    /// in it.
+    Batch(PeerBatch, Option<BatchExtension>),
     /// The batch in flight to a peer ended; true if the peer accepted it.
     BatchEnded(HostId, bool),
     /// Another host reported runs that were lost with their workers.
@@ -85,9 +87,9 @@
     /// Poll a worker without waiting, while another poll may be in flight; the
     /// outcome comes back as [`FleetInput::ProbeEnded`].
     Probe(PollRequest),
-    /// Send a batch to a peer at an address; its end comes back as
-    /// [`FleetInput::BatchEnded`].
-    SendBatch(HostId, SocketAddr, PeerBatch),
+    /// Send a batch to a peer at an address, with the extension of the status in
+    /// it; its end comes back as [`FleetInput::BatchEnded`].
+    SendBatch(HostId, SocketAddr, PeerBatch, Option<BatchExtension>),
     /// Report losses to another host at an address; the end comes back as
     /// [`FleetInput::LossReportEnded`].
     ReportLosses(HostId, SocketAddr, LossReport),
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -9,6 +9,7 @@
 mod admission;
 mod draining;
 mod evacuation;
+mod extension;
 mod fencing;
 mod fleet;
 mod io;
@@ -39,6 +40,10 @@
 mod wait_estimate;
 mod worker;
 
+pub use extension::{
+    BatchExtension, ExtensionEntry, MAX_EXTENSION_BYTES, TAG_INTERFERENCE, TAG_PACE,
+    TAG_QUEUED_WORK, decode_entry, encode_entry,
+};
 pub use fencing::FencingToken;
 pub use fleet::Fleet;
 pub use io::{
--- a/crates/fleet/src/peer.rs
+++ b/crates/fleet/src/peer.rs
@@ -8,6 +8,7 @@
 use hornbeam_core::ids::{ConfigVersion, FailureDomainId, HostId, ServiceId, TaskIndex};
 use serde::{Deserialize, Serialize};
 
+use crate::extension::BatchExtension;
 use crate::fencing::FencingToken;
 use crate::io::RunEnd;
 use crate::job::{JobKey, RunId};
@@ -166,6 +167,10 @@
     pub(crate) last_sequence: u64,
     /// Last status from the peer, less the tasks sent there since.
     pub(crate) status: PeerStatus,
+    /// Extension that came with the last status, if there was one.
+    pub(crate) extension: Option<BatchExtension>,
+    /// Time of the last log line about an ignored entry of an extension.
+    pub(crate) ignored_entry_logged_at: Option<Duration>,
     /// Time until which the peer counts as one with which tasks are exchanged.
     exchanges_until: Duration,
     /// Whether the last batch to the peer failed, and nothing has arrived from
@@ -185,6 +190,7 @@
 #[derive(Debug)]
 struct InFlightBatch {
     batch: PeerBatch,
+    extension: Option<BatchExtension>,
     sent_at: Duration,
     is_sending: bool,
 }
@@ -254,6 +260,8 @@
             confirmed_at: None,
             last_sequence: 0,
             status: PeerStatus::default(),
+            extension: None,
+            ignored_entry_logged_at: None,
             exchanges_until: Duration::ZERO,
             is_unreachable: false,
             is_lost: false,
@@ -367,6 +375,7 @@
         self.outbox.clear();
         if let Some(in_flight) = &mut self.in_flight {
             in_flight.batch.messages.clear();
+            in_flight.extension = None;
         }
     }
 
@@ -426,14 +435,15 @@
         is_heartbeat || (self.status_due && now >= self.next_status_at())
     }
 
-    /// Gets the batch to send now, if one is due and none is in flight.
+    /// Gets the batch to send now, if one is due and none is in flight. The
+    /// extension accompanies the status.
     pub(crate) fn next_batch(
         &mut self,
         now: Duration,
         from: &BatchSender,
-        status: &PeerStatus,
+        (status, extension): (&PeerStatus, Option<&BatchExtension>),
         sends_heartbeats: bool,
-    ) -> Option<PeerBatch> {
+    ) -> Option<(PeerBatch, Option<BatchExtension>)> {
         if let Some(in_flight) = &mut self.in_flight {
             if in_flight.is_sending || now < self.next_batch_at {
                 return None;
@@ -442,13 +452,14 @@
             in_flight.sent_at = now;
             in_flight.batch.time = from.time(now);
             in_flight.batch.echo = self.newest_batch;
-            return Some(in_flight.batch.clone());
+            return Some((in_flight.batch.clone(), in_flight.extension.clone()));
         }
         let has_status = self.is_status_due(now, sends_heartbeats);
         if self.outbox.is_empty() && !has_status {
             return None;
         }
         let batch = self.fill_batch(now, from, has_status.then_some(status));
+        let extension = extension.filter(|_| has_status).cloned();
         if has_tasks(&batch.messages) {
             self.exchanges_until = now + EXCHANGE_RETENTION;
         }
@@ -459,10 +470,11 @@
         self.next_batch_at = now + self.heartbeat_interval(now);
         self.in_flight = Some(InFlightBatch {
             batch: batch.clone(),
+            extension: extension.clone(),
             sent_at: now,
             is_sending: true,
         });
-        Some(batch)
+        Some((batch, extension))
     }
 
     fn fill_batch(
@@ -489,10 +501,18 @@
 
 /// Whether a batch has messages about tasks.
 fn has_tasks(messages: &[PeerMessage]) -> bool {
-    let is_status = |message: &PeerMessage| matches!(message, PeerMessage::Status(_));
     !messages.iter().all(is_status)
 }
 
+/// Whether a batch has a status.
+pub(crate) fn has_status(messages: &[PeerMessage]) -> bool {
+    messages.iter().any(is_status)
+}
+
+fn is_status(message: &PeerMessage) -> bool {
+    matches!(message, PeerMessage::Status(_))
+}
+
 fn is_within(at: Option<Duration>, now: Duration, limit: Duration) -> bool {
     at.is_some_and(|at| now.saturating_sub(at) <= limit)
 }
--- a/crates/fleet/src/peering.rs
+++ b/crates/fleet/src/peering.rs
@@ -7,11 +7,12 @@
 use hornbeam_core::event::Event;
 use hornbeam_core::ids::{FailureDomainId, HostId};
 
+use crate::extension::BatchExtension;
 use crate::fleet::Fleet;
 use crate::io::{FleetOutput, PeerInfo, Subject};
 use crate::job::{RunId, TaskState};
 use crate::neighbours::ListedHost;
-use crate::peer::{Peer, PeerBatch, PeerMessage, PeerStatus, SenderIncarnation};
+use crate::peer::{Peer, PeerBatch, PeerMessage, PeerStatus, SenderIncarnation, has_status};
 use crate::verification::Verification;
 
 impl Fleet {
@@ -49,7 +50,7 @@
             .or_insert_with(|| Peer::new(address, failure_domain))
     }
 
-    pub(crate) fn on_batch(&mut self, batch: PeerBatch) {
+    pub(crate) fn on_batch(&mut self, batch: PeerBatch, extension: Option<BatchExtension>) {
         let now = self.now;
         let host = batch.from.clone();
         if !self.listed_hosts.contains_key(&host) && !self.peers.contains_key(&host) {
@@ -85,6 +86,9 @@
             );
         }
         if is_new {
+            if has_status(&batch.messages) {
+                self.record_extension(&host, extension);
+            }
             for message in batch.messages {
                 self.on_message(&host, message, is_recent);
             }
@@ -154,6 +158,7 @@
         }
         self.drop_peer_tasks_of(host);
         if let Some(peer) = self.peers.get_mut(host) {
+            peer.extension = None;
             peer.drop_unsent();
         }
     }
@@ -199,6 +204,7 @@
             return;
         };
         peer.is_lost = true;
+        peer.extension = None;
         peer.drop_unsent();
         let was_neighbour = peer.is_neighbour;
         let runs = self.runs_at(host);
@@ -268,12 +274,15 @@
             return;
         }
         let status = self.own_status();
+        let extension = self.own_extension();
+        let own = (&status, extension.as_ref());
         let sender = self.sender.clone();
         for (host, sends_heartbeats) in due {
             if let Some(peer) = self.peers.get_mut(&host)
-                && let Some(batch) = peer.next_batch(now, &sender, &status, sends_heartbeats)
+                && let Some((batch, extension)) =
+                    peer.next_batch(now, &sender, own, sends_heartbeats)
             {
-                let send = FleetOutput::SendBatch(host, peer.address, batch);
+                let send = FleetOutput::SendBatch(host, peer.address, batch, extension);
                 self.outputs.push(send);
             }
         }
--- a/crates/fleet/tests/common/mod.rs
+++ b/crates/fleet/tests/common/mod.rs
@@ -227,7 +227,7 @@
 
     pub fn batches(&mut self) -> Vec<PeerBatch> {
         self.take(|output| match output {
-            FleetOutput::SendBatch(_, _, batch) => Some(batch.clone()),
+            FleetOutput::SendBatch(_, _, batch, _) => Some(batch.clone()),
             _ => None,
         })
     }
@@ -262,7 +262,7 @@
     /// just received a batch from this host.
     pub fn receive_batch(&mut self, host: u8, sequence: u64, messages: Vec<PeerMessage>) {
         let batch = self.batch(host, sequence, messages);
-        self.step(FleetInput::Batch(batch));
+        self.step(FleetInput::Batch(batch, None));
     }
 
     /// Builds a batch as the peer at `10.1.0.HOST` would send it now.
--- a/crates/fleet/tests/events.rs
+++ b/crates/fleet/tests/events.rs
@@ -9,7 +9,10 @@
 use common::{Harness, acknowledge_batch, chunk, report, run};
 use googletest::prelude::*;
 use hornbeam_core::event::Event;
-use hornbeam_fleet::{FleetInput, PollOutcome, RunEnd, StartOutcome, StartRefusal, Subject};
+use hornbeam_fleet::{
+    BatchExtension, FleetInput, PeerMessage, PeerStatus, PollOutcome, RunEnd, StartOutcome,
+    StartRefusal, Subject,
+};
 
 type Logged = Vec<(Event, Subject)>;
 
@@ -124,8 +127,8 @@
     harness.logged_events()
 }
 
-/// Gets the events of a peer that times out, becomes reachable again and
-/// restarts.
+/// Gets the events of a peer that times out, becomes reachable again, restarts
+/// and sends an extension with an unknown tag.
 fn peer_events() -> Logged {
     let mut harness = Harness::new(1);
     harness.add_worker("w1");
@@ -138,7 +141,12 @@
     harness.receive_batch(2, 3, vec![chunk(9, 1)]);
     let mut restarted = harness.batch(2, 1, vec![]);
     restarted.time.incarnation += 1;
-    harness.step(FleetInput::Batch(restarted));
+    harness.step(FleetInput::Batch(restarted, None));
+    let mut extended = harness.batch(2, 2, vec![PeerMessage::Status(PeerStatus::default())]);
+    extended.time.incarnation += 1;
+    let mut extension = BatchExtension::default();
+    extension.push(u16::MAX, Vec::new());
+    harness.step(FleetInput::Batch(extended, Some(extension)));
     harness.logged_events()
 }
 
@@ -185,7 +193,12 @@
     expect_that!(crashes, contains(eq(&(Event::WorkerCrashed, worker("w1")))));
     expect_that!(crashes, contains(eq(&(Event::TaskGivenUp, second))));
     let peers = peer_events();
-    for expected in [Event::PeerLost, Event::PeerFound, Event::RunLost] {
+    for expected in [
+        Event::PeerLost,
+        Event::PeerFound,
+        Event::RunLost,
+        Event::ExtensionIgnored,
+    ] {
         expect_that!(peers, contains(eq(&(expected, peer(2)))));
     }
 }
--- a/crates/fleet/tests/extremes.rs
+++ b/crates/fleet/tests/extremes.rs
@@ -232,7 +232,7 @@
             let mut batch = harness.batch(2, sequence, messages);
             batch.time = time;
             batch.echo = echo;
-            harness.step(FleetInput::Batch(batch));
+            harness.step(FleetInput::Batch(batch, None));
             harness.step(FleetInput::BatchEnded("entry-2".into(), true));
         }
         Step::Poll(response) => {
--- a/crates/fleet/tests/model/hosts.rs
+++ b/crates/fleet/tests/model/hosts.rs
@@ -109,7 +109,7 @@
             }
             FleetOutput::Poll(request) => self.poll(host, request, false),
             FleetOutput::Probe(request) => self.poll(host, request, true),
-            FleetOutput::SendBatch(_, to, batch) => {
+            FleetOutput::SendBatch(_, to, batch, extension) => {
                 let peer = host_at(to);
                 let to = HostLife {
                     host: peer,
@@ -118,7 +118,7 @@
                 self.last_request += 1;
                 let id = self.last_request;
                 self.hosts[host.host].open_batches.insert(id, ());
-                let arrives = Event::BatchArrives(to, host.host, batch, id);
+                let arrives = Event::BatchArrives(to, host.host, (batch, extension), id);
                 self.network
                     .send(self.now, MessageKind::Batch, host.host, arrives);
                 let lost = Event::BatchEnded(host, peer, id, false);
--- a/crates/fleet/tests/model/network.rs
+++ b/crates/fleet/tests/model/network.rs
@@ -3,8 +3,8 @@
 use std::collections::BTreeMap;
 
 use hornbeam_fleet::{
-    CallId, JobOutcome, PeerBatch, PollOutcome, PollRequest, ReportAnswer, RunId, StartOutcome,
-    StartRequest, StopOutcome, StopRequest, WorkerKey, WorkerReport,
+    BatchExtension, CallId, JobOutcome, PeerBatch, PollOutcome, PollRequest, ReportAnswer, RunId,
+    StartOutcome, StartRequest, StopOutcome, StopRequest, WorkerKey, WorkerReport,
 };
 
 use super::Millis;
@@ -135,8 +135,8 @@
     RunStopped(WorkerLife, RunId),
     /// The lease of a worker may have expired.
     LeaseCheck(WorkerLife),
-    /// A batch arrives at a host.
-    BatchArrives(HostLife, usize, PeerBatch, u64),
+    /// A batch arrives at a host, with its extension.
+    BatchArrives(HostLife, usize, (PeerBatch, Option<BatchExtension>), u64),
     /// The answer to a batch arrives at its sender, or its timeout passes.
     BatchEnded(HostLife, usize, u64, bool),
     /// A host starts after it has ended.
--- a/crates/fleet/tests/model/site.rs
+++ b/crates/fleet/tests/model/site.rs
@@ -179,7 +179,7 @@
                 let ended = Event::BatchEnded(answer_to, to.host, id, is_up);
                 self.network.at(self.now + 1, ended);
                 if is_up {
-                    self.step(to.host, FleetInput::Batch(batch));
+                    self.step(to.host, FleetInput::Batch(batch.0, batch.1));
                 }
             }
             Event::BatchEnded(to, peer, id, accepted) => {
--- a/crates/fleet/tests/neighbours.rs
+++ b/crates/fleet/tests/neighbours.rs
@@ -44,7 +44,7 @@
     for _ in 0..4 {
         harness.advance_at_once(200);
         for output in std::mem::take(&mut harness.outputs) {
-            if let FleetOutput::SendBatch(host, _, _) = output {
+            if let FleetOutput::SendBatch(host, _, _, _) = output {
                 harness.step(FleetInput::BatchEnded(host.clone(), true));
                 notified.insert(host);
             }
@@ -118,7 +118,7 @@
     for _ in 0..seconds * 100 {
         harness.advance_at_once(10);
         for output in std::mem::take(&mut harness.outputs) {
-            if let FleetOutput::SendBatch(host, _, _) = output {
+            if let FleetOutput::SendBatch(host, _, _, _) = output {
                 harness.step(FleetInput::BatchEnded(host.clone(), true));
                 *batches.entry(host).or_default() += 1;
             }
@@ -190,14 +190,14 @@
     harness.receive_batch(origin, 1, vec![]);
     harness.step(FleetInput::BatchEnded(format!("entry-{origin}"), true));
     let status = harness.batch(origin, 2, vec![common::waiting_status()]);
-    harness.step(FleetInput::Batch(status));
+    harness.step(FleetInput::Batch(status, None));
     acknowledge_batch(&mut harness, origin);
     harness.receive_batch(origin, 3, vec![chunk(5, 1)]);
     let request = harness.starts().remove(0);
     harness.accept_start(&request);
     // A heartbeat goes out as soon as the task arrives.
     let is_to_origin = |output: &FleetOutput| match output {
-        FleetOutput::SendBatch(host, _, _) => *host == format!("entry-{origin}"),
+        FleetOutput::SendBatch(host, _, _, _) => *host == format!("entry-{origin}"),
         _ => false,
     };
     expect_that!(harness.outputs.iter().any(is_to_origin), eq(true));
@@ -207,7 +207,7 @@
     for _ in 0..600 {
         harness.advance_at_once(1);
         for output in std::mem::take(&mut harness.outputs) {
-            if let FleetOutput::SendBatch(host, _, _) = output {
+            if let FleetOutput::SendBatch(host, _, _, _) = output {
                 if host == format!("entry-{origin}") {
                     last = harness.now;
                 }
--- a/crates/fleet/tests/peers.rs
+++ b/crates/fleet/tests/peers.rs
@@ -83,14 +83,14 @@
     let mut harness = Harness::new(1);
     let mut far = harness.batch(3, 1, vec![status(&[16000, 16000, 16000], 0)]);
     far.failure_domain = "b".into();
-    harness.step(FleetInput::Batch(far));
+    harness.step(FleetInput::Batch(far, None));
     harness.receive_batch(2, 1, vec![status(&[8000], 0)]);
     harness.outputs.clear();
     acknowledge_batch(&mut harness, 2);
     acknowledge_batch(&mut harness, 3);
     harness.submit(1, 1);
     let sent = harness.outputs.iter().find_map(|output| match output {
-        hornbeam_fleet::FleetOutput::SendBatch(host, _, batch)
+        hornbeam_fleet::FleetOutput::SendBatch(host, _, batch, _)
             if batch
                 .messages
                 .iter()
@@ -252,7 +252,7 @@
     acknowledge_batch(&mut harness, 2);
     let mut late = late;
     late.sequence = 4;
-    harness.step(FleetInput::Batch(late));
+    harness.step(FleetInput::Batch(late, None));
     expect_that!(harness.starts(), is_empty());
     harness.receive_batch(2, 5, vec![chunk(6, 1)]);
     expect_that!(harness.starts().len(), eq(1));
@@ -269,14 +269,14 @@
     acknowledge_batch(&mut harness, 2);
     let mut restarted = harness.batch(2, 1, vec![status(&[16000], 0)]);
     restarted.time.incarnation += 1;
-    harness.step(FleetInput::Batch(restarted.clone()));
-    harness.step(FleetInput::Batch(late));
+    harness.step(FleetInput::Batch(restarted.clone(), None));
+    harness.step(FleetInput::Batch(late, None));
     expect_that!(harness.starts(), is_empty());
     restarted.sequence = 2;
     restarted.messages = vec![chunk(6, 1)];
-    harness.step(FleetInput::Batch(restarted.clone()));
+    harness.step(FleetInput::Batch(restarted.clone(), None));
     expect_that!(harness.starts().len(), eq(1));
-    harness.step(FleetInput::Batch(restarted));
+    harness.step(FleetInput::Batch(restarted, None));
     expect_that!(harness.starts(), is_empty());
 }
 
@@ -293,7 +293,7 @@
     acknowledge_batch(&mut harness, 2);
     let mut restarted = harness.batch(2, 1, vec![status(&[16000], 0)]);
     restarted.time.incarnation += 1;
-    harness.step(FleetInput::Batch(restarted));
+    harness.step(FleetInput::Batch(restarted, None));
     expect_that!(take_forwarded_runs(&mut harness), is_empty());
     harness.add_worker("w1");
     harness.advance(900);
--- a/crates/node/src/fleet_entry.rs
+++ b/crates/node/src/fleet_entry.rs
@@ -1,6 +1,7 @@
 //! The fleet entry host: HTTP for callers and workers, requests to workers, and
 //! links to other processes around `hornbeam-fleet`.
 
+mod batch_link;
 mod caller;
 mod discovery;
 mod document_download;
@@ -29,6 +30,7 @@
 use tokio::sync::watch;
 use tokio::task::JoinSet;
 
+pub use self::batch_link::BatchLink;
 use self::caller::CallerRoutes;
 use self::discovery::Discovery;
 use self::document_download::DocumentDownload;
--- a/crates/node/src/fleet_entry/event_loop.rs
+++ b/crates/node/src/fleet_entry/event_loop.rs
@@ -196,8 +196,8 @@
             FleetOutput::Stop(request) => self.requests.stop(request),
             FleetOutput::Poll(request) => self.requests.poll(request),
             FleetOutput::Probe(request) => self.requests.probe(request),
-            FleetOutput::SendBatch(host, address, batch) => {
-                self.requests.send_batch((host, address), batch);
+            FleetOutput::SendBatch(host, address, batch, extension) => {
+                self.requests.send_batch((host, address), batch, extension);
             }
             FleetOutput::ReportLosses(host, address, report) => {
                 self.requests.report_losses((host, address), report);
--- a/crates/node/src/fleet_entry/links.rs
+++ b/crates/node/src/fleet_entry/links.rs
@@ -2,7 +2,7 @@
 
 use hornbeam_control::PublishedDocument;
 use hornbeam_core::{Error, Result};
-use hornbeam_fleet::{FleetInput, WorkerReport};
+use hornbeam_fleet::{BatchExtension, FleetInput, PeerBatch, WorkerReport};
 use hornbeam_transport::Service;
 use tokio::sync::watch;
 
@@ -29,11 +29,8 @@
     async fn handle(&self, request: Request) -> Result<RequestAnswer> {
         match request {
             Request::Ping => Ok(RequestAnswer::Done),
-            Request::Batch(batch) => {
-                self.event_loop
-                    .send(FleetLoopInput::Fleet(FleetInput::Batch(*batch)))?;
-                Ok(RequestAnswer::Done)
-            }
+            Request::Batch(batch) => self.accept_batch(*batch, None),
+            Request::ExtendedBatch(batch, extension) => self.accept_batch(*batch, Some(extension)),
             Request::Losses(report) => {
                 let reported = FleetInput::LossesReported(*report);
                 self.event_loop.send(FleetLoopInput::Fleet(reported))?;
@@ -59,6 +56,16 @@
 }
 
 impl FleetLinkService {
+    fn accept_batch(
+        &self,
+        batch: PeerBatch,
+        extension: Option<BatchExtension>,
+    ) -> Result<RequestAnswer> {
+        let batch = FleetInput::Batch(batch, extension);
+        self.event_loop.send(FleetLoopInput::Fleet(batch))?;
+        Ok(RequestAnswer::Done)
+    }
+
     async fn announce(
         &self,
         report: Box<WorkerReport>,
--- a/crates/node/src/fleet_entry/outbound_requests.rs
+++ b/crates/node/src/fleet_entry/outbound_requests.rs
@@ -5,11 +5,14 @@
 use std::time::Duration;
 
 use hornbeam_core::Error;
-use hornbeam_fleet::{FleetInput, LossReport, PeerBatch, PollRequest, StartRequest, StopRequest};
+use hornbeam_fleet::{
+    BatchExtension, FleetInput, LossReport, PeerBatch, PollRequest, StartRequest, StopRequest,
+};
 use hornbeam_platform::WorkerClient;
 use hornbeam_transport::Link;
 use tokio::task::JoinSet;
 
+use super::batch_link::BatchLink;
 use crate::fleet_links::link_options;
 use crate::wire::{Request, RequestAnswer};
 
@@ -27,7 +30,7 @@
 #[derive(Debug)]
 pub(crate) struct OutboundRequests {
     worker_client: WorkerClient,
-    links: HashMap<SocketAddr, Link>,
+    links: HashMap<SocketAddr, BatchLink>,
     tasks: JoinSet<FleetInput>,
 }
 
@@ -85,14 +88,18 @@
         });
     }
 
-    /// Sends a batch to the peer at an address.
-    pub(crate) fn send_batch(&mut self, to: (String, SocketAddr), batch: PeerBatch) {
+    /// Sends a batch to the peer at an address, with its extension if the peer
+    /// accepts one.
+    pub(crate) fn send_batch(
+        &mut self,
+        to: (String, SocketAddr),
+        batch: PeerBatch,
+        extension: Option<BatchExtension>,
+    ) {
         let (host, address) = to;
         let link = self.link(address);
         self.tasks.spawn(async move {
-            let request = Request::Batch(Box::new(batch));
-            let answer = link.call(&request, BATCH_TIMEOUT).await;
-            let acknowledged = matches!(answer, Ok(RequestAnswer::Done));
+            let acknowledged = link.send(batch, extension, BATCH_TIMEOUT).await;
             FleetInput::BatchEnded(host, acknowledged)
         });
     }
@@ -101,7 +108,7 @@
     /// harm, so one without an answer is sent again.
     pub(crate) fn report_losses(&mut self, to: (String, SocketAddr), report: LossReport) {
         let (host, address) = to;
-        let link = self.link(address);
+        let link = self.link(address).link().clone();
         let job = report.losses.first().map_or(0, |loss| loss.run.job);
         self.tasks.spawn(async move {
             let request = Request::Losses(Box::new(report));
@@ -117,12 +124,12 @@
         });
     }
 
-    fn link(&mut self, address: SocketAddr) -> Link {
+    fn link(&mut self, address: SocketAddr) -> BatchLink {
         if self.links.len() >= MAX_LINKS && !self.links.contains_key(&address) {
             self.links.clear();
         }
         let link = self.links.entry(address);
-        let link = link.or_insert_with(|| Link::new(address, link_options()));
+        let link = link.or_insert_with(|| BatchLink::new(Link::new(address, link_options())));
         link.clone()
     }
 
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -22,7 +22,7 @@
 
 pub use control::{ControlHost, ControlOptions, FleetControlOptions};
 pub use entry::{EntryHost, EntryOptions};
-pub use fleet_entry::{FleetEntryHost, FleetEntryOptions};
+pub use fleet_entry::{BatchLink, FleetEntryHost, FleetEntryOptions};
 pub use host::Host;
 pub use lifecycle::Lifecycle;
 pub use wire::{
--- a/crates/node/src/wire.rs
+++ b/crates/node/src/wire.rs
@@ -10,7 +10,7 @@
 use hornbeam_core::ids::{ChunkId, ConfigVersion, HostId, ReplicaId, WorkerId};
 use hornbeam_dispatch::{Chunk, ChunkAnswer, ChunkTaskCancelStatus, ClaimOutcome, PeerStatus};
 use hornbeam_document::{Part, PartRequest};
-use hornbeam_fleet::{LossReport, PeerBatch, PeerInfo, ReportAnswer, WorkerReport};
+use hornbeam_fleet::{BatchExtension, LossReport, PeerBatch, PeerInfo, ReportAnswer, WorkerReport};
 use serde::{Deserialize, Serialize};
 
 /// `Request` is a request from one process to another.
@@ -88,6 +88,9 @@
     /// Control host to entry host: the status report of a worker without an
     /// owner, with the worker's clock in ms when it was sent.
     AnnounceAt(Box<WorkerReport>, u64),
+    /// Entry host to entry host: a batch with a status, and the extension of that
+    /// status. A host of a former version refuses it, and gets [`Request::Batch`].
+    ExtendedBatch(Box<PeerBatch>, BatchExtension),
 }
 
 /// `EntryRegistration` is the registration of an entry host at the control hosts.
--- a/crates/transport/src/link.rs
+++ b/crates/transport/src/link.rs
@@ -3,6 +3,7 @@
 use std::fmt;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -70,6 +71,8 @@
     options: LinkOptions,
     permits: Semaphore,
     current: Mutex<Option<Arc<Connection>>>,
+    /// Number of connections that were established for `current`.
+    connections: AtomicU64,
 }
 
 impl Link {
@@ -80,6 +83,7 @@
             options,
             permits: Semaphore::new(MAX_CONCURRENT_CALLS),
             current: Mutex::new(None),
+            connections: AtomicU64::new(0),
         });
         Self { shared }
     }
@@ -89,6 +93,12 @@
         self.shared.address
     }
 
+    /// Gets the number of connections that calls have established so far. It
+    /// changes when the peer may have been replaced by another process.
+    pub fn connections(&self) -> u64 {
+        self.shared.connections.load(Ordering::Acquire)
+    }
+
     /// Sends a request and waits for the response.
     ///
     /// # Errors
@@ -181,6 +191,7 @@
         }
         *current = None;
         let connection = Arc::new(self.open_connection().await?);
+        self.connections.fetch_add(1, Ordering::AcqRel);
         *current = Some(connection.clone());
         Ok(connection)
     }
