Tell peers the pace of workers with free resources

Cause: a host owns some 10 workers, 3 of them fast, so its fast workers are often taken while those of peers are free. Change: tag 1 of the batch extension lists the paces of the workers with free resources; a task that no own free worker is fast enough for goes to a peer that has one. Nothing is sent where paces are even or the switch is off.

--- a/crates/fleet/src/extension.rs
+++ b/crates/fleet/src/extension.rs
@@ -153,7 +153,14 @@
     /// no enabled part contributes to it; the batch then goes out in the format
     /// of the previous build.
     pub(crate) fn own_extension(&self) -> Option<BatchExtension> {
-        None
+        let mut extension = BatchExtension::default();
+        if let Some(paces) = self.own_free_paces() {
+            // The value is left out if it exceeds the limit.
+            if let Ok(bytes) = encode_entry(&paces) {
+                extension.push(TAG_PACE, bytes);
+            }
+        }
+        (!extension.entries.is_empty()).then_some(extension)
     }
 
     /// Gets the newest extension of a peer.
@@ -183,6 +190,13 @@
         };
         let (known, unknown_tag) = extension.map(BatchExtension::into_known).unzip();
         peer.extension = known;
+        peer.free_paces = Vec::new();
+        if self.options.scheduling.pace {
+            let paces = self.decode_peer_entry(host, TAG_PACE).unwrap_or_default();
+            if let Some(peer) = self.peers.get_mut(host) {
+                peer.free_paces = paces;
+            }
+        }
         if let Some(tag) = unknown_tag.flatten() {
             self.log_ignored_entry(host, tag, "this build does not know the tag");
         }
--- a/crates/fleet/src/pace.rs
+++ b/crates/fleet/src/pace.rs
@@ -6,6 +6,7 @@
 use hornbeam_core::ids::ServiceId;
 use hornbeam_placement::{FastCapacity, Pace, PaceNeed, PaceRank, PaceTable, RunOutlook};
 use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
 
 use crate::fleet::Fleet;
 use crate::io::{PollResponse, RunProgress};
@@ -37,6 +38,35 @@
     }
 }
 
+/// Percent of the mean pace for each unit of an encoded pace, so that a byte holds
+/// up to five times the mean.
+const PERCENT_PER_UNIT: f64 = 2.0;
+
+/// `FreePaces` lists the paces of the workers of one service that have free
+/// resources, in the order in which the status lists these.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields, rename_all = "snake_case")]
+pub(crate) struct FreePaces {
+    /// Service of the workers.
+    pub(crate) service: ServiceId,
+    /// Paces in units of 2 percent of the mean.
+    units: Vec<u8>,
+}
+
+impl FreePaces {
+    /// Gets the paces of the workers.
+    pub(crate) fn paces(&self) -> impl Iterator<Item = Pace> {
+        let relative = |unit: &u8| f64::from(*unit) * PERCENT_PER_UNIT / 100.0;
+        self.units.iter().map(move |unit| Pace::new(relative(unit)))
+    }
+
+    fn push(&mut self, pace: Pace) {
+        let unit = pace.relative() * 100.0 / PERCENT_PER_UNIT;
+        self.units
+            .push(unit.round().clamp(1.0, f64::from(u8::MAX)) as u8);
+    }
+}
+
 /// `PaceOrder` ranks the workers of one service for a task.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct PaceOrder {
@@ -44,7 +74,59 @@
     fast: FastCapacity,
 }
 
+impl PaceOrder {
+    /// Whether a worker of this pace is fast enough for the task.
+    pub(crate) fn is_met_by(&self, pace: Pace) -> bool {
+        self.need.is_met_by(pace)
+    }
+}
+
 impl Fleet {
+    /// Whether a worker is fast enough for a task.
+    pub(crate) fn is_fast_enough(&self, worker_key: WorkerKey, order: PaceOrder) -> bool {
+        let worker = self.workers.get(&worker_key);
+        worker.is_some_and(|worker| order.is_met_by(self.worker_pace(worker)))
+    }
+
+    /// Gets the paces of the workers with free resources, for peers; `None` where
+    /// pace does not count.
+    pub(crate) fn own_free_paces(&self) -> Option<Vec<FreePaces>> {
+        if !self.options.scheduling.pace {
+            return None;
+        }
+        let mut services: Vec<FreePaces> = Vec::new();
+        for worker in self.workers.values() {
+            let service = &worker.report.service;
+            if !self.has_uneven_paces(service) || !self.reports_as_free(worker) {
+                continue;
+            }
+            let known = services.iter().position(|paces| paces.service == *service);
+            let index = known.unwrap_or_else(|| {
+                services.push(FreePaces {
+                    service: service.clone(),
+                    units: Vec::new(),
+                });
+                services.len() - 1
+            });
+            services[index].push(self.worker_pace(worker));
+        }
+        (!services.is_empty()).then_some(services)
+    }
+
+    /// Whether workers of a service differ so much in pace that some miss the
+    /// objectives that others meet.
+    fn has_uneven_paces(&self, service: &ServiceId) -> bool {
+        let table = self.paces.tables.get(service);
+        let extremes = table.and_then(PaceTable::extremes);
+        let stretch = self.paces.stretches.get(service);
+        match (extremes, stretch) {
+            (Some((slowest, fastest)), Some(stretch)) => {
+                fastest.relative() > slowest.relative() * stretch
+            }
+            _ => false,
+        }
+    }
+
     /// Gets the pace of a worker; the mean pace where pace does not count.
     pub(crate) fn worker_pace(&self, worker: &Worker) -> Pace {
         if !self.options.scheduling.pace {
@@ -91,11 +173,10 @@
         if !self.options.scheduling.pace {
             return None;
         }
-        let (slowest, fastest) = self.paces.tables.get(service)?.extremes()?;
-        let stretch = self.paces.stretches.get(service)?;
-        if fastest.relative() <= slowest.relative() * stretch {
+        if !self.has_uneven_paces(service) {
             return None;
         }
+        let (slowest, fastest) = self.paces.tables.get(service)?.extremes()?;
         let least_fast = Pace::new((slowest.relative() * fastest.relative()).sqrt());
         let mut fast = FastCapacity::default();
         for worker in self.workers.values() {
--- a/crates/fleet/src/peer.rs
+++ b/crates/fleet/src/peer.rs
@@ -12,6 +12,7 @@
 use crate::fencing::FencingToken;
 use crate::io::RunEnd;
 use crate::job::{JobKey, RunId};
+use crate::pace::FreePaces;
 use crate::report::WorkerReport;
 use crate::resources::{Resources, ServiceResources};
 
@@ -169,6 +170,9 @@
     pub(crate) status: PeerStatus,
     /// Extension that came with the last status, if there was one.
     pub(crate) extension: Option<BatchExtension>,
+    /// Paces of the workers with free resources, in the order of the status;
+    /// empty if the peer does not report them.
+    pub(crate) free_paces: Vec<FreePaces>,
     /// Time of the last log line about an ignored entry of an extension.
     pub(crate) ignored_entry_logged_at: Option<Duration>,
     /// Time until which the peer counts as one with which tasks are exchanged.
@@ -261,6 +265,7 @@
             last_sequence: 0,
             status: PeerStatus::default(),
             extension: None,
+            free_paces: Vec::new(),
             ignored_entry_logged_at: None,
             exchanges_until: Duration::ZERO,
             is_unreachable: false,
--- a/crates/fleet/src/peering.rs
+++ b/crates/fleet/src/peering.rs
@@ -159,6 +159,7 @@
         self.drop_peer_tasks_of(host);
         if let Some(peer) = self.peers.get_mut(host) {
             peer.extension = None;
+            peer.free_paces.clear();
             peer.drop_unsent();
         }
     }
@@ -205,6 +206,7 @@
         };
         peer.is_lost = true;
         peer.extension = None;
+        peer.free_paces.clear();
         peer.drop_unsent();
         let was_neighbour = peer.is_neighbour;
         let runs = self.runs_at(host);
--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -65,6 +65,34 @@
         Some(host)
     }
 
+    /// Chooses a peer with a free worker that is fast enough for a task, and deducts
+    /// the resources from its known status. The order of peers is that of
+    /// [`Self::choose_peer`].
+    pub(crate) fn choose_fast_peer(
+        &mut self,
+        service: &ServiceId,
+        need: &Resources,
+        order: PaceOrder,
+    ) -> Option<HostId> {
+        let own_domain = &self.options.failure_domain;
+        let now = self.now;
+        let fits = |peer: &&Peer| {
+            peer.is_responsive(now)
+                && !peer.status.draining
+                && fast_fit(peer, service, need, order).is_some()
+        };
+        let rank = |peer: &&Peer| (peer.failure_domain == *own_domain, free_cpu(peer, service));
+        let candidates = self.peers.iter().filter(|(_, peer)| fits(peer));
+        let (host, _) = candidates.max_by_key(|(_, peer)| rank(peer))?;
+        let host = host.clone();
+        let peer = self.peers.get_mut(&host)?;
+        let index = fast_fit(peer, service, need, order)?;
+        if let Some(resources) = service_resources_mut(peer, service) {
+            resources.free[index].subtract(need);
+        }
+        Some(host)
+    }
+
     /// Chooses the peer with the fewest waiting tasks per serving worker, if
     /// that is fewer than here, and counts one more waiting task there.
     pub(crate) fn choose_least_loaded_peer(&mut self, service: &ServiceId) -> Option<HostId> {
@@ -128,6 +156,11 @@
         u32::try_from(serving.count()).unwrap_or(u32::MAX)
     }
 
+    /// Whether the free resources of a worker are reported to peers.
+    pub(crate) fn reports_as_free(&self, worker: &Worker) -> bool {
+        worker.accepts_runs(self.now) && worker.free().cpu_milli > 0
+    }
+
     /// Gets the free resources of the workers of this host by service.
     pub(crate) fn free_resources(&self) -> Vec<ServiceResources> {
         let mut resources: Vec<ServiceResources> = Vec::new();
@@ -148,9 +181,8 @@
             if worker.report.capacity.cpu_milli > resources.largest.cpu_milli {
                 resources.largest = worker.report.capacity;
             }
-            let free = worker.free();
-            if worker.accepts_runs(self.now) && free.cpu_milli > 0 {
-                resources.free.push(free);
+            if self.reports_as_free(worker) {
+                resources.free.push(worker.free());
             }
         }
         resources
@@ -192,6 +224,19 @@
         .map(|(index, _)| index)
 }
 
+/// Gets the index of the smallest free resources of a peer that fit a task and are
+/// those of a worker that is fast enough.
+fn fast_fit(peer: &Peer, service: &ServiceId, need: &Resources, order: PaceOrder) -> Option<usize> {
+    let resources = service_resources(peer, service)?;
+    let paces = peer.free_paces.iter();
+    let paces = paces.into_iter().find(|paces| paces.service == *service)?;
+    let free = resources.free.iter().zip(paces.paces()).enumerate();
+    let fitting = free.filter(|(_, (free, pace))| free.can_fit(need) && order.is_met_by(*pace));
+    fitting
+        .min_by_key(|(_, (free, _))| free.cpu_milli)
+        .map(|(index, _)| index)
+}
+
 fn free_cpu(peer: &Peer, service: &ServiceId) -> u64 {
     let resources = service_resources(peer, service);
     let free = resources.into_iter().flat_map(|resources| &resources.free);
--- a/crates/fleet/src/scheduling.rs
+++ b/crates/fleet/src/scheduling.rs
@@ -161,12 +161,20 @@
         let order = self.pace_order(&service, expected, job.time_left(self.now));
         let own = self.choose_worker(&service, &need, avoid, order);
         let own = own.filter(|worker_key| avoid != Some(*worker_key));
-        if let Some(worker_key) = own {
+        let host = match (own, order) {
+            (Some(worker_key), Some(order)) if !self.is_fast_enough(worker_key, order) => {
+                self.choose_fast_peer(&service, &need, order)
+            }
+            _ => None,
+        };
+        if let Some(worker_key) = own
+            && host.is_none()
+        {
             let run = self.begin_attempt(key, index, TaskState::Local(worker_key));
             self.start_run(worker_key, run, spec, need, expected);
             return true;
         }
-        if let Some(host) = self.choose_peer(&service, &need) {
+        if let Some(host) = host.or_else(|| self.choose_peer(&service, &need)) {
             let run = self.begin_attempt(key, index, TaskState::Remote(host.clone()));
             chunks.entry(host).or_default().push(ChunkTask {
                 task: run.task,
--- a/crates/fleet/tests/common/mod.rs
+++ b/crates/fleet/tests/common/mod.rs
@@ -54,6 +54,11 @@
         Self::with(options)
     }
 
+    /// Creates a fleet with a configuration and these options.
+    pub fn with_options(options: FleetOptions) -> Self {
+        Self::with(options)
+    }
+
     fn with(options: FleetOptions) -> Self {
         let mut harness = Self {
             fleet: Fleet::new(options),
@@ -140,6 +145,18 @@
         self.step(FleetInput::PollEnded(worker_key, outcome));
     }
 
+    /// Answers the poll in flight at a worker, which lists one run with its
+    /// progress.
+    pub fn answer_poll_with_progress(&mut self, worker_key: u64, run: RunId, done_percent: u32) {
+        let outcome = PollOutcome::Answered(PollResponse {
+            clock_ms: u64::try_from(self.now.as_millis()).expect("a small time"),
+            born_unix_ms: None,
+            running: vec![RunProgress { run, done_percent }],
+            ended: Vec::new(),
+        });
+        self.step(FleetInput::PollEnded(worker_key, outcome));
+    }
+
     /// Answers the probe in flight at a worker.
     pub fn answer_probe(
         &mut self,
