Replicate the list of evacuated failure domains

Cause: an acknowledged evacuation order must survive restarts of all control hosts, lost disks and partitions, so it belongs in the replicated state.

Change: Command::Evacuate and CommandResult::Evacuated are appended to their enums.

--- a/crates/control/src/command.rs
+++ b/crates/control/src/command.rs
@@ -1,7 +1,9 @@
 //! Commands of the replicated log and their results.
 
 use hornbeam_core::config::Configuration;
-use hornbeam_core::ids::{ChangeId, ClaimKey, ConfigVersion, JobId, OperatorId, ReplicaId};
+use hornbeam_core::ids::{
+    ChangeId, ClaimKey, ConfigVersion, FailureDomainId, JobId, OperatorId, ReplicaId,
+};
 use serde::{Deserialize, Serialize};
 
 /// `Command` is the payload of a log entry. It is encoded with `bincode`, so
@@ -19,6 +21,10 @@
     Members(MembersCommand),
     /// Publishes a whole configuration document; the highest version wins.
     Publish(Box<PublishCommand>),
+    /// Evacuates a failure domain or returns it to service. Builds before this
+    /// command cannot decode it, so a leader proposes it only once all voters
+    /// that it can reach accept it.
+    Evacuate(EvacuateCommand),
 }
 
 /// `ChangeCommand` puts a configuration in force if `expected_version` matches.
@@ -71,6 +77,19 @@
     pub proposed_unix_ms: u64,
 }
 
+/// `EvacuateCommand` evacuates a failure domain or returns it to service. It
+/// states the wanted state, so a repeated command changes nothing.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields, rename_all = "snake_case")]
+pub struct EvacuateCommand {
+    /// The failure domain.
+    pub failure_domain: FailureDomainId,
+    /// Whether it is evacuated from now on; false returns it to service.
+    pub is_evacuated: bool,
+    /// Wall clock of the proposer, in ms since the Unix epoch.
+    pub proposed_unix_ms: u64,
+}
+
 /// `PublishResult` is the outcome of a [`PublishCommand`].
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "snake_case")]
@@ -140,4 +159,6 @@
     Members,
     /// Result of [`Command::Publish`].
     Publish(PublishResult),
+    /// Result of [`Command::Evacuate`]: the revision of the list after it.
+    Evacuated(u64),
 }
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -49,8 +49,8 @@
 
 pub use claims::CLAIM_CLOCK_SKEW_MARGIN_MS;
 pub use command::{
-    ChangeCommand, ChangeResult, ClaimCommand, ClaimResult, Command, CommandResult, MembersCommand,
-    PublishCommand, PublishResult,
+    ChangeCommand, ChangeResult, ClaimCommand, ClaimResult, Command, CommandResult,
+    EvacuateCommand, MembersCommand, PublishCommand, PublishResult,
 };
 pub use files::{Files, FolderFiles};
 pub use io::{
--- a/crates/control/src/replica.rs
+++ b/crates/control/src/replica.rs
@@ -82,7 +82,7 @@
     /// follow it.
     pub fn new(options: ReplicaOptions, recovered: RecoveredState, now: Duration) -> Result<Self> {
         let state = match &recovered.snapshot {
-            Some(snapshot) => codec::decode(&snapshot.state)?,
+            Some(snapshot) => ControlState::decode(&snapshot.state)?,
             None => ControlState::default(),
         };
         let initial = match &recovered.snapshot {
@@ -379,7 +379,7 @@
         index: 0,
         term: 0,
         voters: options.initial_voters.clone(),
-        state: codec::encode(state)?,
+        state: state.encode()?,
     })
 }
 
--- a/crates/control/src/snapshot.rs
+++ b/crates/control/src/snapshot.rs
@@ -2,7 +2,6 @@
 
 use hornbeam_core::event::Event;
 
-use crate::codec;
 use crate::io::SnapshotData;
 use crate::replica::Replica;
 use crate::state::ControlState;
@@ -30,7 +29,7 @@
         if !is_long && !is_large || !self.log_exceeds_snapshot() {
             return;
         }
-        let Ok(state) = codec::encode(&self.state) else {
+        let Ok(state) = self.state.encode() else {
             return;
         };
         let index = self.commit_index;
@@ -55,7 +54,7 @@
     /// Installs a snapshot that is newer than the applied state; false if its
     /// state cannot be decoded.
     pub(crate) fn install_snapshot(&mut self, snapshot: SnapshotData) -> bool {
-        let Ok(state) = codec::decode::<ControlState>(&snapshot.state) else {
+        let Ok(state) = ControlState::decode(&snapshot.state) else {
             return false;
         };
         let index = snapshot.index;
