Accept evacuation orders and hand the list to entry hosts

Before it proposes an order the leader asks the other voters whether they can decode it (CheckEvacuationSupport), because a voter of the previous build would get no log entry after it. Entry hosts register with RegisterWithEvacuations and hand newer lists to the event loop; they fall back to RegisterSince and Register and try the newest request again every 3 s, because a control host can be upgraded without a failed call. An entry host downloads no document before it has a list or an answer of a former build; a control host gives its list only once a leader has confirmed its recovered log. Three events and the gauges on control and entry hosts.

--- a/crates/core/src/api/operator.rs
+++ b/crates/core/src/api/operator.rs
@@ -4,7 +4,7 @@
 
 use crate::config::Configuration;
 use crate::finding::Findings;
-use crate::ids::{ChangeId, ConfigVersion, HostId, OperatorId, ReplicaId};
+use crate::ids::{ChangeId, ConfigVersion, FailureDomainId, HostId, OperatorId, ReplicaId};
 
 /// `SourceFile` is the text of one configuration file.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -151,11 +151,49 @@
     },
 }
 
+/// `EvacuationRequest` is the body of `POST /v1/evacuations`. It states the
+/// wanted state, so it can be sent again until it is acknowledged.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields, rename_all = "snake_case")]
+pub struct EvacuationRequest {
+    /// The failure domain.
+    pub failure_domain: FailureDomainId,
+    /// Whether it is evacuated from now on; false returns it to service.
+    pub is_evacuated: bool,
+}
+
+/// `EvacuationOutcome` is the answer to an [`EvacuationRequest`].
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case", tag = "outcome")]
+pub enum EvacuationOutcome {
+    /// The order is synced to disk on a quorum (200).
+    Acknowledged {
+        /// Revision of the list of evacuated failure domains after the order.
+        revision: u64,
+    },
+    /// The name is invalid; nothing was changed (400).
+    Invalid {
+        /// All problems of the request.
+        findings: Findings,
+    },
+    /// The order cannot be committed now; nothing was changed (503).
+    Unavailable {
+        /// Explanation.
+        message: String,
+    },
+    /// The order may or may not have been recorded; it can be sent again (504).
+    Unknown {
+        /// Explanation.
+        message: String,
+    },
+}
+
 /// `AuditEntry` is one entry of the audit trail.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(deny_unknown_fields, rename_all = "snake_case")]
 pub struct AuditEntry {
-    /// Version that the change created, or 0 for a change of members.
+    /// Version that the change created, or 0 for a change of members or an
+    /// evacuation order.
     pub version: ConfigVersion,
     /// Id of the change.
     pub change_id: ChangeId,
--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -149,6 +149,13 @@
     HostReachability = 743, Info;
     /// The leader changes the voting members to repair the control group.
     GroupRepair = 744, Info;
+    /// An operator ordered the evacuation of a failure domain or its return to
+    /// service.
+    EvacuationOrdered = 745, Info;
+    /// An evacuation order was not acknowledged.
+    EvacuationNotAcknowledged = 746, Warn;
+    /// A newer list of evacuated failure domains is in force on this host.
+    EvacuationsInForce = 747, Info;
 }
 
 /// Logs an [`Event`] with a message and key-value fields.
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -4,6 +4,7 @@
 mod audit_fields;
 mod changes;
 mod disk;
+mod evacuations;
 mod event_loop;
 mod fleet;
 mod input;
@@ -35,6 +36,7 @@
 use tokio::sync::{mpsc, watch};
 use tokio::task::JoinSet;
 
+use self::evacuations::Evacuations;
 use self::event_loop::{ControlLoop, Waiters};
 use self::fleet::registry::EntryRegistry;
 use self::fleet::routes::FleetRoutes;
@@ -136,10 +138,12 @@
             id: replica_id,
             ..options.replica.clone()
         };
+        let replica = Replica::new(replica_options, recovered, now)?;
         let control_loop = ControlLoop {
             host_id: options.host_id.clone(),
             replica_id,
-            replica: Replica::new(replica_options, recovered, now)?,
+            recovered_index: replica.last_index(),
+            replica,
             timer: context.timer.clone(),
             lifecycle: Arc::clone(&context.lifecycle),
             config: context.config.clone(),
@@ -149,6 +153,7 @@
             waiters: Waiters::default(),
             document: context.document.clone(),
             documents: context.documents.clone(),
+            evacuations: context.evacuations.clone(),
             repair: options.fleet.as_ref().map(|fleet| fleet.repair),
         };
         tasks.spawn_blocking(move || disk::run(disk, &disk_requests, &events));
@@ -249,6 +254,7 @@
     config: ConfigWatch,
     document: watch::Sender<PublishedDocument>,
     documents: SharedDocuments,
+    evacuations: Evacuations,
     registry: Arc<EntryRegistry>,
     replicas: Arc<ReplicaTable>,
 }
@@ -269,6 +275,7 @@
             config: ConfigWatch::new(),
             document: watch::Sender::new(PublishedDocument::default()),
             documents: SharedDocuments::new(HistoryOptions::default()),
+            evacuations: Evacuations::new(options.host_id.clone()),
             registry: Arc::new(EntryRegistry::new(link_options.clone())),
             replicas: Arc::new(ReplicaTable::new(
                 link_options,
@@ -291,6 +298,7 @@
             leader: leader.clone(),
             lifecycle: Arc::clone(&self.lifecycle),
             metrics: ControlMetrics::new(),
+            evacuations: self.evacuations.clone(),
             operator_credential: options.operator_credential.clone(),
         }
     }
@@ -309,6 +317,7 @@
             lifecycle: Arc::clone(&self.lifecycle),
             document: self.document.clone(),
             documents: self.documents.clone(),
+            evacuations: self.evacuations.clone(),
             registry: Arc::clone(&self.registry),
             link_port,
         }
@@ -324,6 +333,7 @@
             host_id: options.host_id.clone(),
             leader: self.leader_client(event_loop),
             document: self.document.clone(),
+            evacuations: self.evacuations.clone(),
             registry: Arc::clone(&self.registry),
             timer: self.timer.clone(),
             lifecycle: Arc::clone(&self.lifecycle),
--- a/crates/node/src/control/event_loop.rs
+++ b/crates/node/src/control/event_loop.rs
@@ -17,6 +17,7 @@
 use tokio::sync::{mpsc, oneshot, watch};
 
 use super::disk::DiskEvent;
+use super::evacuations::Evacuations;
 use super::input::ControlInput;
 use super::outboxes::Outboxes;
 use crate::config_watch::ConfigWatch;
@@ -53,6 +54,11 @@
     pub(crate) document: watch::Sender<PublishedDocument>,
     /// Documents to send to other hosts.
     pub(crate) documents: SharedDocuments,
+    /// The list of evacuated failure domains at this host.
+    pub(crate) evacuations: Evacuations,
+    /// Last index of the log when the process started. Its entries count as
+    /// applied only once a leader has confirmed them.
+    pub(crate) recovered_index: u64,
     /// Options of the automatic repair of the group's membership, if enabled.
     pub(crate) repair: Option<RepairOptions>,
 }
@@ -214,6 +220,7 @@
         for output in outputs {
             self.execute(output);
         }
+        self.evacuations.update(&self.replica, self.recovered_index);
     }
 
     fn execute(&mut self, output: ReplicaOutput) {
@@ -318,6 +325,7 @@
         Command::Claim(claim) => claim.now_unix_ms = unix_ms,
         Command::Members(members) => members.proposed_unix_ms = unix_ms,
         Command::Publish(publish) => publish.proposed_unix_ms = unix_ms,
+        Command::Evacuate(order) => order.proposed_unix_ms = unix_ms,
         Command::Noop => {}
     }
 }
--- a/crates/node/src/control/fleet/routes.rs
+++ b/crates/node/src/control/fleet/routes.rs
@@ -4,8 +4,9 @@
 use std::time::Duration;
 
 use hornbeam_control::{PublishCommand, PublishResult, PublishedDocument};
+use hornbeam_core::api::operator::{EvacuationOutcome, EvacuationRequest};
 use hornbeam_core::event::Event;
-use hornbeam_core::ids::{HostId, WorkerId};
+use hornbeam_core::ids::{FailureDomainId, HostId, WorkerId};
 use hornbeam_core::{Error, Findings, log_event};
 use hornbeam_fleet::ReportAnswer;
 use hornbeam_platform::{
@@ -18,6 +19,7 @@
 use volo_http::response::Response;
 use volo_http::server::Router;
 
+use super::super::evacuations::Evacuations;
 use super::super::leader::LeaderClient;
 use super::registry::EntryRegistry;
 use crate::lifecycle::{Lifecycle, LifecycleState};
@@ -51,6 +53,8 @@
     pub(crate) leader: LeaderClient,
     /// The document in force at this host.
     pub(crate) document: watch::Sender<PublishedDocument>,
+    /// The list of evacuated failure domains at this host.
+    pub(crate) evacuations: Evacuations,
     /// Registered entry hosts.
     pub(crate) registry: Arc<EntryRegistry>,
     /// Clock and timers.
@@ -75,9 +79,17 @@
         let Some(call) = call else {
             return reply::text(NOT_FOUND, "no such call\n");
         };
-        if call == ControlCall::ReadConfiguration {
-            return self.read().await;
-        }
+        // These calls have no body; one that is sent nevertheless is not read.
+        let call = match call {
+            ControlCall::ReadConfiguration => return self.read().await,
+            ControlCall::Evacuation(failure_domain) => {
+                return self.evacuate(failure_domain, true).await;
+            }
+            ControlCall::ReturnToService(failure_domain) => {
+                return self.evacuate(failure_domain, false).await;
+            }
+            call => call,
+        };
         let body = reply::read_body(&self.timer, request, MAX_DOCUMENT_BYTES, bodies).await;
         let body = match body {
             Ok(body) => body,
@@ -87,7 +99,24 @@
             ControlCall::Publish => self.publish(&body.bytes).await,
             ControlCall::Report(worker_id) => self.report(worker_id, &body.bytes).await,
             ControlCall::Deregistration(worker_id) => self.deregister(worker_id).await,
-            ControlCall::ReadConfiguration => reply::text(NOT_FOUND, "no such call\n"),
+            ControlCall::Evacuation(_)
+            | ControlCall::ReadConfiguration
+            | ControlCall::ReturnToService(_) => reply::text(NOT_FOUND, "no such call\n"),
+        }
+    }
+
+    async fn evacuate(&self, failure_domain: FailureDomainId, is_evacuated: bool) -> Response {
+        let order = EvacuationRequest {
+            failure_domain,
+            is_evacuated,
+        };
+        let outcome = self.evacuations.order(&self.leader, order).await;
+        match outcome {
+            EvacuationOutcome::Acknowledged { .. } => reply::json(OK, &serde_json::json!({})),
+            EvacuationOutcome::Invalid { findings } => reply::invalid(findings),
+            EvacuationOutcome::Unavailable { message } | EvacuationOutcome::Unknown { message } => {
+                reply::text(UNAVAILABLE, format!("{message}\n"))
+            }
         }
     }
 
--- a/crates/node/src/control/leader.rs
+++ b/crates/node/src/control/leader.rs
@@ -20,7 +20,7 @@
 /// second.
 const LEADER_WAIT: Duration = Duration::from_secs(2);
 /// Delay before the leader is looked up again.
-const LEADER_RETRY_DELAY: Duration = Duration::from_millis(50);
+pub(super) const LEADER_RETRY_DELAY: Duration = Duration::from_millis(50);
 /// Timeout of a proposal. A leader without a quorum steps down long before.
 const PROPOSAL_TIMEOUT: Duration = Duration::from_secs(5);
 /// Timeout of a request forwarded to the leader; longer than the leader's own
@@ -195,7 +195,7 @@
         status.leader
     }
 
-    async fn propose(&self, command: Command) -> ProposalOutcome {
+    pub(super) async fn propose(&self, command: Command) -> ProposalOutcome {
         let asking = self
             .event_loop
             .ask(|waiter| ControlInput::Propose(command, waiter));
@@ -215,7 +215,7 @@
         }
     }
 
-    async fn forward(
+    pub(super) async fn forward(
         &self,
         leader: ReplicaId,
         request: &Request,
--- a/crates/node/src/control/links.rs
+++ b/crates/node/src/control/links.rs
@@ -11,6 +11,7 @@
 use hornbeam_transport::Service;
 use tokio::sync::watch;
 
+use super::evacuations::Evacuations;
 use super::fleet::registry::EntryRegistry;
 use super::input::ControlInput;
 use super::leader::LeaderClient;
@@ -37,6 +38,8 @@
     pub(crate) document: watch::Sender<PublishedDocument>,
     /// Documents to send to other hosts.
     pub(crate) documents: SharedDocuments,
+    /// The list of evacuated failure domains at this host.
+    pub(crate) evacuations: Evacuations,
     /// Registered entry hosts.
     pub(crate) registry: Arc<EntryRegistry>,
     /// Port for links, the same on all control hosts.
@@ -87,6 +90,18 @@
                     ..update
                 }))
             }
+            Request::RegisterWithEvacuations(registration, known, known_revision) => {
+                let now = self.timer.now();
+                self.registry.register(registration, now);
+                let update = MembershipUpdate {
+                    control_hosts: self.control_hosts().await?,
+                    document_version: self.document.borrow().version,
+                    ..self.registry.changes_since(known, now)
+                };
+                let newer = self.evacuations.newer_than(known_revision);
+                Ok(RequestAnswer::RegisteredWithEvacuations(update, newer))
+            }
+            Request::CheckEvacuationSupport => Ok(RequestAnswer::Done),
             Request::Voters => {
                 let status = self.leader.event_loop.ask(ControlInput::Status).await?;
                 Ok(RequestAnswer::Voters(status.voters))
@@ -144,6 +159,10 @@
                 let answer = self.leader.publish_local(*command).await;
                 Ok(RequestAnswer::Published(answer))
             }
+            Request::Evacuate(command) => {
+                let answer = self.evacuations.order_local(&self.leader, command).await;
+                Ok(RequestAnswer::Evacuated(answer))
+            }
             Request::Members(command) => {
                 let answer = self.leader.change_members_local(command).await;
                 Ok(RequestAnswer::Members(answer))
--- a/crates/node/src/control/metrics.rs
+++ b/crates/node/src/control/metrics.rs
@@ -1,6 +1,7 @@
 //! Metrics of a control host.
 
 use hornbeam_core::api::operator::ControlStatus;
+use hornbeam_core::evacuation::EvacuationList;
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
@@ -26,6 +27,8 @@
     config_version: Gauge,
     claims: Gauge,
     disk_bytes: Gauge,
+    evacuated_failure_domains: Gauge,
+    evacuation_revision: Gauge,
 }
 
 impl ControlMetrics {
@@ -40,6 +43,8 @@
             config_version: Gauge::default(),
             claims: Gauge::default(),
             disk_bytes: Gauge::default(),
+            evacuated_failure_domains: Gauge::default(),
+            evacuation_revision: Gauge::default(),
         };
         metrics.register();
         metrics
@@ -50,8 +55,9 @@
         self.changes.get_or_create(&OutcomeLabel { outcome }).inc();
     }
 
-    /// Encodes all metrics with the gauges of a status.
-    pub(crate) fn encode(&self, status: &ControlStatus) -> String {
+    /// Encodes all metrics with the gauges of a status and of the list of
+    /// evacuated failure domains.
+    pub(crate) fn encode(&self, status: &ControlStatus, list: &EvacuationList) -> String {
         let leads = status.leader == Some(status.replica_id);
         self.leads.set(leads.into());
         set(&self.term, status.term);
@@ -59,6 +65,11 @@
         set(&self.config_version, status.config_version);
         set(&self.claims, status.claims);
         set(&self.disk_bytes, status.disk_bytes);
+        set(
+            &self.evacuated_failure_domains,
+            list.failure_domains.len() as u64,
+        );
+        set(&self.evacuation_revision, list.revision);
         metrics::encode(&self.registry)
     }
 
@@ -89,6 +100,16 @@
                 "Size of the data folder",
                 &self.disk_bytes,
             ),
+            (
+                "hornbeam_evacuated_failure_domains",
+                "Failure domains in which no task is started",
+                &self.evacuated_failure_domains,
+            ),
+            (
+                "hornbeam_evacuation_revision",
+                "Orders that changed the evacuated failure domains",
+                &self.evacuation_revision,
+            ),
         ];
         for (name, help, gauge) in gauges {
             self.registry.register(name, help, gauge.clone());
--- a/crates/node/src/control/routes.rs
+++ b/crates/node/src/control/routes.rs
@@ -2,7 +2,9 @@
 
 use std::sync::Arc;
 
-use hornbeam_core::api::operator::{ChangeRequest, CheckAnswer, CheckRequest, ControlStatus};
+use hornbeam_core::api::operator::{
+    ChangeRequest, CheckAnswer, CheckRequest, ControlStatus, EvacuationRequest,
+};
 use hornbeam_core::{Error, Findings};
 use volo_http::request::Request;
 use volo_http::response::Response;
@@ -10,6 +12,7 @@
 use volo_http::server::route::{get, post};
 
 use super::changes;
+use super::evacuations::{self, Evacuations};
 use super::input::{ControlInput, HistoryFilter};
 use super::leader::LeaderClient;
 use super::members;
@@ -30,6 +33,8 @@
     pub(crate) lifecycle: Arc<Lifecycle>,
     /// Metrics.
     pub(crate) metrics: ControlMetrics,
+    /// The list of evacuated failure domains at this host.
+    pub(crate) evacuations: Evacuations,
     /// Credential of operators.
     pub(crate) operator_credential: Option<String>,
 }
@@ -69,6 +74,11 @@
             get(operator_handler!(routes, history)),
         )
         .route("/v1/members", post(operator_handler!(routes, members)))
+        .route(
+            "/v1/evacuations",
+            get(operator_handler!(routes, evacuation_list))
+                .post(operator_handler!(routes, evacuate)),
+        )
         .route("/v1/status", get(operator_handler!(routes, status)))
         .route("/v1/drain", post(operator_handler!(routes, drain)))
         .route("/livez", get(open_handler!(routes, livez)))
@@ -122,6 +132,26 @@
         reply::json(members::http_status(&outcome), &outcome)
     }
 
+    async fn evacuate(&self, request: Request) -> Response {
+        let order: EvacuationRequest = match reply::read_json(request, MAX_BODY_BYTES).await {
+            Ok(order) => order,
+            Err(response) => return *response,
+        };
+        let outcome = if self.lifecycle.state() == LifecycleState::Ready {
+            self.evacuations.order(&self.leader, order).await
+        } else {
+            evacuations::unavailable("This control host is draining.")
+        };
+        reply::json(evacuations::http_status(&outcome), &outcome)
+    }
+
+    async fn evacuation_list(&self, _request: Request) -> Response {
+        if !self.leader.confirm_read().await {
+            return no_quorum();
+        }
+        reply::json(OK, &self.evacuations.list())
+    }
+
     async fn config(&self, request: Request) -> Response {
         let version = match number(&request, "version") {
             Ok(version) => version,
@@ -191,7 +221,7 @@
 
     async fn metrics(&self, _request: Request) -> Response {
         match self.own_status().await {
-            Ok(status) => reply::text(OK, self.metrics.encode(&status)),
+            Ok(status) => reply::text(OK, self.metrics.encode(&status, &self.evacuations.list())),
             Err(cause) => reply::text(503, cause.to_string()),
         }
     }
--- a/crates/node/src/fleet_entry.rs
+++ b/crates/node/src/fleet_entry.rs
@@ -142,6 +142,7 @@
             event_loop: event_loop.clone(),
             state: state.clone(),
             document_sources,
+            metrics: Arc::clone(&metrics),
             timer: timer.clone(),
             lifecycle: Arc::clone(&lifecycle),
         };
--- a/crates/node/src/fleet_entry/discovery.rs
+++ b/crates/node/src/fleet_entry/discovery.rs
@@ -7,6 +7,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use hornbeam_core::evacuation::EvacuationList;
 use hornbeam_core::event::Event;
 use hornbeam_core::ids::ConfigVersion;
 use hornbeam_core::{Error, log_event};
@@ -20,6 +21,7 @@
 use super::event_loop::FleetEntryState;
 use super::input::{FleetLoopHandle, FleetLoopInput};
 use super::member_lists::MemberLists;
+use super::metrics::FleetMetrics;
 use crate::lifecycle::{Lifecycle, LifecycleState};
 use crate::wire::{EntryRegistration, Request, RequestAnswer};
 
@@ -41,6 +43,12 @@
 /// Timeout of a registration.
 const REGISTRATION_TIMEOUT: Duration = Duration::from_millis(700);
 
+/// Interval at which a control host that refused the newest request gets it
+/// again. It may have been replaced by a newer build between two registrations,
+/// without a failed call, and an order that it acknowledges must be in force
+/// here within 5 s.
+const FORM_CHECK_INTERVAL: Duration = Duration::from_secs(3);
+
 /// Interval at which the scheduler is told of the hosts that are present.
 const PRESENCE_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -66,6 +74,8 @@
     pub(crate) state: watch::Sender<FleetEntryState>,
     /// Hosts that have documents.
     pub(crate) document_sources: watch::Sender<Vec<DocumentSource>>,
+    /// Metrics.
+    pub(crate) metrics: Arc<FleetMetrics>,
     /// Clock and timers.
     pub(crate) timer: TimerService,
     /// The life cycle of the process, which ends the task.
@@ -80,17 +90,48 @@
     next_call_at: Duration,
     is_reachable: bool,
     is_call_in_flight: bool,
-    /// Whether it is of a build that does not know
-    /// [`Request::RegisterSince`].
-    sends_whole_lists: bool,
+    /// The newest request that the build of the control host is known to accept.
+    form: RegistrationForm,
+    /// Time at which the newest request is tried again.
+    next_form_check_at: Duration,
     document_version: ConfigVersion,
 }
 
+/// `RegistrationForm` is a request of registration. Builds refuse those of later
+/// builds.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+enum RegistrationForm {
+    /// [`Request::RegisterWithEvacuations`].
+    #[default]
+    WithEvacuations,
+    /// [`Request::RegisterSince`].
+    Since,
+    /// [`Request::Register`].
+    Whole,
+}
+
+impl RegistrationForm {
+    /// Gets the form of the next earlier build.
+    const fn earlier(self) -> Option<Self> {
+        match self {
+            Self::WithEvacuations => Some(Self::Since),
+            Self::Since => Some(Self::Whole),
+            Self::Whole => None,
+        }
+    }
+}
+
 /// `Registrations` is the state of all registrations of this host.
 #[derive(Debug, Default)]
 struct Registrations {
     control_hosts: HashMap<SocketAddr, ControlHostState>,
     member_lists: MemberLists,
+    /// Revision of the newest list of evacuated failure domains, if there was
+    /// one.
+    evacuation_revision: Option<u64>,
+    /// Whether a control host of a former build, which has no such list, has
+    /// answered.
+    has_answer_without_evacuations: bool,
     next_presence_at: Duration,
     calls: JoinSet<RegistrationResult>,
 }
@@ -141,7 +182,8 @@
                 next_call_at: Duration::ZERO,
                 is_reachable: false,
                 is_call_in_flight: false,
-                sends_whole_lists: false,
+                form: RegistrationForm::default(),
+                next_form_check_at: Duration::ZERO,
                 document_version: 0,
             });
     }
@@ -179,11 +221,19 @@
                     Some(home) if home != *address => REGISTRATION_INTERVAL,
                     _ => HOME_INTERVAL,
                 };
-            let request = if host.sends_whole_lists {
-                Request::Register(registration.clone())
-            } else {
-                let known = registrations.member_lists.version(*address);
-                Request::RegisterSince(registration.clone(), known)
+            if now >= host.next_form_check_at {
+                host.form = RegistrationForm::default();
+                host.next_form_check_at = now + FORM_CHECK_INTERVAL;
+            }
+            let registration = registration.clone();
+            let known = registrations.member_lists.version(*address);
+            let request = match host.form {
+                RegistrationForm::WithEvacuations => {
+                    let known_revision = registrations.evacuation_revision;
+                    Request::RegisterWithEvacuations(registration, known, known_revision)
+                }
+                RegistrationForm::Since => Request::RegisterSince(registration, known),
+                RegistrationForm::Whole => Request::Register(registration),
             };
             let (address, link) = (*address, host.link.clone());
             registrations
@@ -223,24 +273,34 @@
             return;
         };
         host.is_call_in_flight = false;
-        if !host.sends_whole_lists && matches!(answer, Err(Error::Refused(_))) {
-            host.sends_whole_lists = true;
+        if matches!(answer, Err(Error::Refused(_)))
+            && let Some(earlier) = host.form.earlier()
+        {
+            host.form = earlier;
             host.next_call_at = now;
             return;
         }
         let lists = &mut registrations.member_lists;
+        let mut newer_evacuations = None;
         let (has_changed, control_hosts, document_version) = match answer {
+            Ok(RequestAnswer::RegisteredWithEvacuations(update, evacuations)) => {
+                newer_evacuations = evacuations;
+                let has_changed = lists.update(address, &update, now);
+                (has_changed, update.control_hosts, update.document_version)
+            }
             Ok(RequestAnswer::RegisteredSince(update)) => {
+                registrations.has_answer_without_evacuations = true;
                 let has_changed = lists.update(address, &update, now);
                 (has_changed, update.control_hosts, update.document_version)
             }
             Ok(RequestAnswer::Registered(membership)) => {
+                registrations.has_answer_without_evacuations = true;
                 lists.replace(address, &membership, now);
                 (false, membership.control_hosts, membership.document_version)
             }
             _ => {
                 // The process at this address may be replaced by a newer build.
-                host.sends_whole_lists = false;
+                host.form = RegistrationForm::default();
                 return self.set_reachable(host, address, false);
             }
         };
@@ -250,6 +310,9 @@
         for control_host in control_hosts {
             self.add_control_host(&mut registrations.control_hosts, control_host);
         }
+        if let Some(list) = newer_evacuations {
+            self.apply_evacuations(registrations, list);
+        }
         if has_changed || now >= registrations.next_presence_at {
             registrations.next_presence_at = now + PRESENCE_INTERVAL;
             let peers = FleetInput::Peers(registrations.member_lists.hosts());
@@ -258,6 +321,27 @@
         }
     }
 
+    /// Hands a list of evacuated failure domains to the scheduler, unless an equal
+    /// or newer one from another control host came first.
+    fn apply_evacuations(&self, registrations: &mut Registrations, list: EvacuationList) {
+        let known_revision = registrations.evacuation_revision;
+        if known_revision.is_some_and(|known_revision| list.revision <= known_revision) {
+            return;
+        }
+        registrations.evacuation_revision = Some(list.revision);
+        if list.revision > 0 {
+            log_event!(
+                Event::EvacuationsInForce, host = self.host.host_id;
+                "revision {}: evacuated failure domains {:?}", list.revision, list.failure_domains
+            );
+        }
+        self.metrics.evacuations_applied(&list);
+        // Fails only if the event loop has ended; this task then ends as well.
+        let _ = self
+            .event_loop
+            .send(FleetLoopInput::Fleet(FleetInput::Evacuations(list)));
+    }
+
     fn set_reachable(&self, host: &mut ControlHostState, address: SocketAddr, is_reachable: bool) {
         if is_reachable == host.is_reachable {
             return;
@@ -292,7 +376,12 @@
                 link: Link::new(address, self.link_options.clone()),
             });
         }
-        let has_newer = sources.iter().any(|source| source.version > self.version());
+        // Without the list, a host that has just started would start tasks in
+        // evacuated failure domains, with a document that a peer may have.
+        let may_download = registrations.evacuation_revision.is_some()
+            || registrations.has_answer_without_evacuations;
+        let has_newer =
+            may_download && sources.iter().any(|source| source.version > self.version());
         let sources = if has_newer { sources } else { Vec::new() };
         self.document_sources.send_if_modified(|current| {
             let is_changed = *current != sources;
--- a/crates/node/src/fleet_entry/metrics.rs
+++ b/crates/node/src/fleet_entry/metrics.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::sync::atomic::AtomicU64;
 
+use hornbeam_core::evacuation::EvacuationList;
 use hornbeam_core::event::Event;
 use hornbeam_fleet::{
     FleetInput, JobOutcome, JobTimes, PollOutcome, StartOutcome, StartRefusal, StopOutcome,
@@ -95,6 +96,8 @@
     waiting_tasks: Gauge,
     document_version: Gauge,
     document_lag: Gauge,
+    evacuated_failure_domains: Gauge,
+    evacuation_revision: Gauge,
 }
 
 impl FleetMetrics {
@@ -117,6 +120,8 @@
             waiting_tasks: Gauge::default(),
             document_version: Gauge::default(),
             document_lag: Gauge::default(),
+            evacuated_failure_domains: Gauge::default(),
+            evacuation_revision: Gauge::default(),
         };
         metrics.register_counters();
         metrics.register_histograms();
@@ -173,6 +178,13 @@
         self.worker_requests.get_or_create(&label).inc();
     }
 
+    /// Records the newest list of evacuated failure domains.
+    pub(crate) fn evacuations_applied(&self, list: &EvacuationList) {
+        let count = list.failure_domains.len() as u64;
+        self.evacuated_failure_domains.set(to_i64(count));
+        self.evacuation_revision.set(to_i64(list.revision));
+    }
+
     /// Counts a log event, whether or not its line is written.
     pub(crate) fn event_logged(&self, event: Event) {
         let event = event.name();
@@ -255,6 +267,12 @@
         let lag = self.document_lag.clone();
         let help = "Versions by which the newest document at a peer is ahead";
         self.register("document_lag", help, lag);
+        let domains = self.evacuated_failure_domains.clone();
+        let help = "Failure domains in which no task is started";
+        self.register("evacuated_failure_domains", help, domains);
+        let revision = self.evacuation_revision.clone();
+        let help = "Revision of the list of evacuated failure domains";
+        self.register("evacuation_revision", help, revision);
     }
 }
 
--- a/crates/node/src/wire.rs
+++ b/crates/node/src/wire.rs
@@ -3,10 +3,11 @@
 use std::net::SocketAddr;
 
 use hornbeam_control::{
-    ChangeCommand, ChangeResult, ClaimCommand, MembersCommand, Message, PublishCommand,
-    PublishResult, PublishedDocument,
+    ChangeCommand, ChangeResult, ClaimCommand, EvacuateCommand, MembersCommand, Message,
+    PublishCommand, PublishResult, PublishedDocument,
 };
 use hornbeam_core::config::Configuration;
+use hornbeam_core::evacuation::EvacuationList;
 use hornbeam_core::ids::{ChunkId, ConfigVersion, HostId, ReplicaId, WorkerId};
 use hornbeam_dispatch::{Chunk, ChunkAnswer, ChunkTaskCancelStatus, ClaimOutcome, PeerStatus};
 use hornbeam_document::{Part, PartRequest};
@@ -88,6 +89,16 @@
     /// Control host to entry host: the status report of a worker without an
     /// owner, with the worker's clock in ms when it was sent.
     AnnounceAt(Box<WorkerReport>, u64),
+    /// Control host to the leader: evacuate a failure domain or return it to
+    /// service.
+    Evacuate(EvacuateCommand),
+    /// The leader to a voter: check that it can decode the command of
+    /// [`Request::Evacuate`], answered by `Done`. A host of the previous build
+    /// refuses, and would receive nothing of the log after such a command.
+    CheckEvacuationSupport,
+    /// Entry host to control host: as [`Request::RegisterSince`], with the
+    /// revision of the evacuation list that the sender has.
+    RegisterWithEvacuations(EntryRegistration, Option<MembershipVersion>, Option<u64>),
 }
 
 /// `EntryRegistration` is the registration of an entry host at the control hosts.
@@ -181,6 +192,26 @@
     RegisteredSince(MembershipUpdate),
     /// Answers [`Request::DocumentPart`]; `None` if there is nothing newer.
     DocumentPart(Option<Part>),
+    /// Answers [`Request::Evacuate`].
+    Evacuated(EvacuateAnswer),
+    /// Answers [`Request::RegisterWithEvacuations`]; the list is present only if
+    /// it is newer than the one of the sender. It is absent, too, while the
+    /// control host does not know its own state, after its start.
+    RegisteredWithEvacuations(MembershipUpdate, Option<EvacuationList>),
+}
+
+/// `EvacuateAnswer` is the leader's answer to a forwarded evacuation order.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum EvacuateAnswer {
+    /// The order is committed; holds the revision of the list after it.
+    Decided(u64),
+    /// Not recorded: the receiving host does not lead.
+    NotLeader(Option<ReplicaId>),
+    /// Not recorded: the leader refused it for this reason.
+    Refused(String),
+    /// It may or may not be recorded.
+    Unknown,
 }
 
 /// `PublishAnswer` is the leader's answer to a forwarded document.
