--- a/crates/ctl/src/cli.rs
+++ b/crates/ctl/src/cli.rs
@@ -4,8 +4,8 @@
 use eyre::Result;
 
 use crate::commands::{
-    apply, check, demo, diff, drain, export, history, import, load, members, rollback, show,
-    standin, status, story, submit,
+    apply, check, demo, diff, drain, evacuate, evacuations, export, history, import, load, members,
+    rollback, show, standin, status, story, submit,
 };
 use crate::exit::{EXIT_CODES_HELP, Exit};
 use crate::globals::GlobalOptions;
@@ -35,6 +35,10 @@
     Status(status::Status),
     /// Drains hosts.
     Drain(drain::Drain),
+    /// Evacuates a failure domain or returns it to service.
+    Evacuate(evacuate::Evacuate),
+    /// Shows the evacuated failure domains.
+    Evacuations(evacuations::Evacuations),
     /// Shows the log lines about a job.
     Story(story::Story),
     /// Submits a job.
@@ -62,6 +66,8 @@
             Self::Members(command) => &command.globals,
             Self::Status(command) => &command.globals,
             Self::Drain(command) => &command.globals,
+            Self::Evacuate(command) => &command.globals,
+            Self::Evacuations(command) => &command.globals,
             Self::Story(command) => &command.globals,
             Self::Submit(command) => &command.globals,
             Self::Load(command) => command.globals(),
@@ -87,6 +93,8 @@
             Self::Members(command) => command.run().await,
             Self::Status(command) => command.run().await,
             Self::Drain(command) => command.run().await,
+            Self::Evacuate(command) => command.run().await,
+            Self::Evacuations(command) => command.run().await,
             Self::Story(command) => command.run(),
             Self::Submit(command) => command.run().await,
             Self::Load(command) => command.run().await,
@@ -109,14 +117,32 @@
     let members = members::parser().map(Command::Members);
     let status = status::parser().map(Command::Status);
     let drain = drain::parser().map(Command::Drain);
+    let evacuate = evacuate::parser().map(Command::Evacuate);
+    let evacuations = evacuations::parser().map(Command::Evacuations);
     let story = story::parser().map(Command::Story);
     let submit = submit::parser().map(|command| Command::Submit(Box::new(command)));
     let load = load::parser().map(|command| Command::Load(Box::new(command)));
     let standin = standin::parser().map(|command| Command::Standin(Box::new(command)));
     let demo = demo::parser().map(Command::Demo);
     construct!([
-        check, apply, show, diff, history, rollback, export, import, members, status, drain, story,
-        submit, load, standin, demo
+        check,
+        apply,
+        show,
+        diff,
+        history,
+        rollback,
+        export,
+        import,
+        members,
+        status,
+        drain,
+        evacuate,
+        evacuations,
+        story,
+        submit,
+        load,
+        standin,
+        demo
     ])
     .to_options()
     .version(env!("CARGO_PKG_VERSION"))
--- a/crates/ctl/src/commands.rs
+++ b/crates/ctl/src/commands.rs
@@ -5,6 +5,8 @@
 pub(crate) mod demo;
 pub mod diff;
 pub(crate) mod drain;
+pub(crate) mod evacuate;
+pub(crate) mod evacuations;
 pub(crate) mod export;
 pub(crate) mod history;
 pub(crate) mod import;
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -26,8 +26,24 @@
 
 /// Names of all commands, in the order of the help text.
 pub const COMMANDS: &[&str] = &[
-    "check", "apply", "show", "diff", "history", "rollback", "export", "import", "members",
-    "status", "drain", "story", "submit", "load", "standin", "demo",
+    "check",
+    "apply",
+    "show",
+    "diff",
+    "history",
+    "rollback",
+    "export",
+    "import",
+    "members",
+    "status",
+    "drain",
+    "evacuate",
+    "evacuations",
+    "story",
+    "submit",
+    "load",
+    "standin",
+    "demo",
 ];
 
 /// Line width of argument error messages, in characters.
--- a/crates/ctl/tests/operators.rs
+++ b/crates/ctl/tests/operators.rs
@@ -65,6 +65,31 @@
     group.stop();
 }
 
+/// Guards against evacuation commands that are incompatible with a control host,
+/// a `--finish` that evacuates, and an invalid name that is sent for 5 s.
+#[gtest]
+fn failure_domains_are_evacuated_and_returned_to_service() {
+    let group = ControlGroup::start();
+    let domain = ["evacuate", "--failure-domain", "almaty-a"];
+    let started = group.run("good.key", &domain);
+    expect_that!(started.exit, some(eq(Exit::Ok as i32)));
+    expect_that!(started.json["revision"], eq(&Value::from(1)));
+    let shown = group.run("good.key", &["evacuations"]).json;
+    expect_that!(shown["failure_domains"][0], eq(&Value::from("almaty-a")));
+    let finished = group.run("good.key", &[&domain[..], &["--finish"]].concat());
+    expect_that!(finished.json["revision"], eq(&Value::from(2)));
+    let shown = group.run("good.key", &["evacuations"]).json;
+    expect_that!(shown["failure_domains"], eq(&Value::Array(Vec::new())));
+    let invalid = ["evacuate", "--failure-domain", "almaty a"];
+    let invalid = group.run("good.key", &invalid);
+    expect_that!(invalid.exit, some(eq(Exit::Findings as i32)));
+    let refused = group.run("bad.key", &["evacuations"]);
+    expect_that!(refused.exit, some(eq(Exit::Refused as i32)));
+    let trail = group.run("good.key", &["history"]).json;
+    expect_that!(trail.as_array().unwrap(), len(eq(2)));
+    group.stop();
+}
+
 /// Guards against a rejected credential that is retried or reported as an
 /// unknown outcome, and against a change made with a rejected credential.
 #[gtest]
