Test orders in a group with a voter of the previous build

Cause: the check of the voters before an order had no test.

Change: a group of two control hosts and a stand-in of a former voter answers 503 until the stand-in is upgraded.

--- a/crates/node/tests/evacuation.rs
+++ b/crates/node/tests/evacuation.rs
@@ -215,6 +215,78 @@
     control.stop().await;
 }
 
+/// `FormerVoter` refuses the check of the leader, as a voter of the previous build
+/// does, until it is upgraded. It lets every other message get lost.
+#[derive(Clone, Default)]
+struct FormerVoter {
+    is_upgraded: Arc<AtomicBool>,
+}
+
+impl Service for FormerVoter {
+    type Request = Request;
+    type Answer = RequestAnswer;
+
+    async fn handle(&self, request: Request) -> hornbeam_core::Result<RequestAnswer> {
+        match request {
+            Request::CheckEvacuationSupport if !self.is_upgraded.load(Ordering::Relaxed) => {
+                Err(Error::refused("it cannot be decoded"))
+            }
+            _ => Ok(RequestAnswer::Done),
+        }
+    }
+}
+
+/// Guards against an order in the log that a voter of the previous build cannot
+/// decode, after which it would get no further entry, and against orders that are
+/// still refused after its upgrade.
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn orders_are_refused_while_a_voter_is_of_the_previous_build() {
+    let folders = [(); 2].map(|()| tempfile::tempdir().expect("a folder for data"));
+    let first = fleet_control_options(&folders[0]);
+    let port = first.link_listen.port();
+    let seeds = [1, 2, 3].map(|host| SocketAddr::from(([127, 0, 0, host], port)));
+    let listener = TcpListener::bind(seeds[2]).await.expect("a port");
+    let voter = FormerVoter::default();
+    let service = Arc::new(voter.clone());
+    let task = tokio::spawn(async move {
+        let options = ServerOptions::default();
+        serve(listener, service, options, std::future::pending()).await
+    });
+    let orders_at = first.fleet.as_ref().expect("fleet settings").listen;
+    let mut controls = Vec::new();
+    for (index, mut options) in [first, fleet_control_options(&folders[1])]
+        .into_iter()
+        .enumerate()
+    {
+        options.link_listen = seeds[index];
+        options.fleet.as_mut().expect("fleet settings").seeds = seeds.to_vec();
+        controls.push(ControlHost::start(options).await.expect("a control host"));
+    }
+    let client = client();
+    wait_until("a leader", async || {
+        let path = "/readyz";
+        let reply = client
+            .get_text(controls[0].http_address(), path, TIMEOUT)
+            .await;
+        reply.is_ok_and(|reply| reply.status == 200)
+    })
+    .await;
+    let start = "/evacuate/zone-a/start";
+    for _ in 0..3 {
+        expect_that!(order(&client, orders_at, start).await, eq(503));
+    }
+    voter.is_upgraded.store(true, Ordering::Relaxed);
+    wait_until("an order after the upgrade", async || {
+        order(&client, orders_at, start).await == 200
+    })
+    .await;
+    task.abort();
+    for control in controls {
+        control.stop().await;
+    }
+}
+
 /// Guards against an entry host that gets no document from control hosts of the
 /// previous build, and one that never asks a control host for the list that was
 /// upgraded at its address without a failed call.
