Start nothing in evacuated failure domains

Cause: an evacuated failure domain must get no new tasks, while its running tasks finish and the others go elsewhere; after its return its workers are cold. Change: evacuated workers accept no runs and report no resources; waiting tasks of peers that fit only such workers go back at once; peers in an evacuated domain come last; the wait estimate works without serving workers of the host's own. FleetInput::ReportedCold carries the remaining cold time of a direct report; once an evacuation has been ordered, a cold worker gets runs only if no other fits. Each applied list is event 733.

--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -139,6 +139,8 @@
     WorkerResized = 731, Info;
     /// A delayed or implausible message about a guarded worker was ignored.
     StaleMessage = 732, Info;
+    /// A newer list of evacuated failure domains is in force on this host.
+    EvacuationsApplied = 733, Info;
     /// A published configuration was accepted.
     PublishAccepted = 740, Info;
     /// A published configuration was rejected as invalid.
--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -161,6 +161,9 @@
             FleetInput::ReportedAt(id, report, clock_ms) => {
                 self.on_reported(id, report, Some(Verification::ReportClock(clock_ms)));
             }
+            FleetInput::ReportedCold(id, report, clock_ms, cold_ms) => {
+                self.on_reported_cold(id, report, clock_ms, Duration::from_millis(cold_ms));
+            }
             FleetInput::Departed(worker_id) => self.on_departed(&worker_id),
             FleetInput::StartRequestEnded(worker_key, run, outcome) => {
                 self.on_start_request_ended(worker_key, run, outcome);
--- a/crates/fleet/src/io.rs
+++ b/crates/fleet/src/io.rs
@@ -42,6 +42,10 @@
     /// A status report of a worker arrived, directly or relayed by another host,
     /// with the worker's clock in ms when it was sent.
     ReportedAt(ReportId, WorkerReport, u64),
+    /// As `ReportedAt`, with the time in ms for which the worker still expects to
+    /// be slow. Only a report that arrives directly has it: relayed ones come from
+    /// workers that are new to this host, which report directly from then on.
+    ReportedCold(ReportId, WorkerReport, u64, u64),
     /// A worker announced that it has left.
     Departed(WorkerId),
     /// A start request was answered or failed.
--- a/crates/fleet/src/ownership.rs
+++ b/crates/fleet/src/ownership.rs
@@ -76,6 +76,7 @@
         let starts_to_drain = report.draining && !worker.report.draining;
         let former_capacity = worker.report.capacity;
         worker.reported_at = now;
+        worker.is_evacuated = self.evacuations.contains(&report.failure_domain);
         worker.report = report;
         // The poll in flight verifies a report, whichever message comes next.
         if let Phase::Verifying(Verification::ReportClock(sent_clock_ms)) = &mut worker.phase
@@ -143,7 +144,9 @@
         };
         self.worker_keys_by_id
             .insert(report.worker_id.clone(), worker_key);
-        let worker = Worker::new(worker_key, report, ownership, self.now);
+        let is_evacuated = self.is_evacuated(&report.failure_domain);
+        let mut worker = Worker::new(worker_key, report, ownership, self.now);
+        worker.is_evacuated = is_evacuated;
         self.workers.insert(worker_key, worker);
         ReportAnswer::Taken
     }
--- a/crates/fleet/src/peer_tasks.rs
+++ b/crates/fleet/src/peer_tasks.rs
@@ -102,7 +102,12 @@
         };
         let waiting = self.waiting_peer_tasks.iter().copied();
         let late: Vec<(Duration, RunId)> = waiting.filter(|(_, run)| is_late(run)).collect();
-        for (effective_start_by, run) in late {
+        self.return_peer_tasks(late);
+    }
+
+    /// Sends some of the waiting tasks of peers back to their origins.
+    pub(crate) fn return_peer_tasks(&mut self, returned: Vec<(Duration, RunId)>) {
+        for (effective_start_by, run) in returned {
             self.waiting_peer_tasks.remove(&(effective_start_by, run));
             if let Some(peer_task) = self.peer_tasks.swap_remove(&run) {
                 self.return_tasks(&peer_task.origin, vec![run]);
--- a/crates/fleet/src/peering.rs
+++ b/crates/fleet/src/peering.rs
@@ -102,6 +102,11 @@
                 {
                     let took = Duration::from_millis(took_ms);
                     self.estimates.record(&job.queue, job.declared, took);
+                    // Without runs of its own, this host would estimate waits by
+                    // run times from before the evacuation, or have none.
+                    if self.serves_only_through_peers() {
+                        self.mean_run_time.record(took);
+                    }
                 }
                 self.task_ended(run, end, None);
             }
@@ -281,7 +286,7 @@
 
     fn own_status(&self) -> PeerStatus {
         PeerStatus {
-            resources: self.free_resources(),
+            resources: self.reported_resources(),
             waiting: self.waiting_tasks(),
             owned: u32::try_from(self.workers.len()).unwrap_or(u32::MAX),
             serving: self.serving_workers(),
--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -14,7 +14,8 @@
 
 impl Fleet {
     /// Chooses the worker of this host with the tightest fit, which leaves room
-    /// for large tasks. The worker `avoid` comes last.
+    /// for large tasks. Cold workers come after others, and the worker `avoid` comes
+    /// last.
     pub(crate) fn choose_worker(
         &self,
         service: &ServiceId,
@@ -28,15 +29,23 @@
         };
         let rank = |worker: &&Worker| {
             let left = worker.free().cpu_milli - need.cpu_milli;
-            (avoid == Some(worker.worker_key), worker.failures, left)
+            let is_avoided = avoid == Some(worker.worker_key);
+            (is_avoided, self.is_cold(worker), worker.failures, left)
         };
         let fitting = self.workers.values().filter(fits);
         fitting.min_by_key(rank).map(|worker| worker.worker_key)
     }
 
+    /// Whether a worker gets runs only if no other fits, here or at a peer.
+    pub(crate) fn is_cold_worker(&self, worker_key: WorkerKey) -> bool {
+        let worker = self.workers.get(&worker_key);
+        worker.is_some_and(|worker| self.is_cold(worker))
+    }
+
     /// Chooses a peer with free resources for a task and deducts them from its
-    /// known status. Peers in the failure domain of this host come first, then
-    /// those with the most free cores.
+    /// known status. Peers in an evacuated failure domain come last, because their
+    /// status may be older than the evacuation. Of the others, those in the failure
+    /// domain of this host come first, then those with the most free cores.
     pub(crate) fn choose_peer(&mut self, service: &ServiceId, need: &Resources) -> Option<HostId> {
         let own_domain = &self.options.failure_domain;
         let now = self.now;
@@ -45,7 +54,11 @@
                 && !peer.status.draining
                 && best_fit(peer, service, need).is_some()
         };
-        let rank = |peer: &&Peer| (peer.failure_domain == *own_domain, free_cpu(peer, service));
+        let rank = |peer: &&Peer| {
+            let is_remaining = !self.is_evacuated(&peer.failure_domain);
+            let is_near = peer.failure_domain == *own_domain;
+            (is_remaining, is_near, free_cpu(peer, service))
+        };
         let candidates = self.peers.iter().filter(|(_, peer)| fits(peer));
         let (host, _) = candidates.max_by_key(|(_, peer)| rank(peer))?;
         let host = host.clone();
@@ -94,16 +107,18 @@
                 && !peer.status.draining
                 && best_fit(peer, service, need).is_some()
         });
-        own.is_some_and(|worker_key| worker_key != except) || has_peer
+        // A run that moves to a cold worker would be slow there as well.
+        let is_other = |key: WorkerKey| key != except && !self.is_cold_worker(key);
+        own.is_some_and(is_other) || has_peer
     }
 
-    /// Whether a task fits no known worker of this host or its peers; false if
-    /// none is known.
+    /// Whether a task fits no known worker of this host or its peers outside the
+    /// evacuated failure domains; false if none is known.
     pub(crate) fn fits_nowhere(&self, service: &ServiceId, need: &Resources) -> bool {
         let own = self
             .workers
             .values()
-            .filter(|worker| worker.report.service == *service);
+            .filter(|worker| worker.report.service == *service && !worker.is_evacuated);
         let own = own.map(|worker| worker.report.capacity);
         let peers = self.peers.values().flat_map(|peer| &peer.status.resources);
         let theirs = peers.filter(|resources| resources.service == *service);
@@ -120,10 +135,23 @@
         u32::try_from(serving.count()).unwrap_or(u32::MAX)
     }
 
-    /// Gets the free resources of the workers of this host by service.
+    /// Gets the free resources of the workers of this host by service, without
+    /// workers in evacuated failure domains.
     pub(crate) fn free_resources(&self) -> Vec<ServiceResources> {
+        self.free_resources_of(|_| true)
+    }
+
+    /// Gets the free resources that peers are told of. Those of cold workers are
+    /// left out, because a peer cannot tell them from others and would use them
+    /// while others are free.
+    pub(crate) fn reported_resources(&self) -> Vec<ServiceResources> {
+        self.free_resources_of(|worker| !self.is_cold(worker))
+    }
+
+    fn free_resources_of(&self, offers_free: impl Fn(&Worker) -> bool) -> Vec<ServiceResources> {
         let mut resources: Vec<ServiceResources> = Vec::new();
-        for worker in self.workers.values() {
+        let remaining = self.workers.values().filter(|worker| !worker.is_evacuated);
+        for worker in remaining {
             let service = &worker.report.service;
             let index = resources
                 .iter()
@@ -141,7 +169,7 @@
                 resources.largest = worker.report.capacity;
             }
             let free = worker.free();
-            if worker.accepts_runs(self.now) && free.cpu_milli > 0 {
+            if worker.accepts_runs(self.now) && free.cpu_milli > 0 && offers_free(worker) {
                 resources.free.push(free);
             }
         }
--- a/crates/fleet/src/scheduling.rs
+++ b/crates/fleet/src/scheduling.rs
@@ -44,6 +44,7 @@
     /// ascending order of effective start time.
     pub(crate) fn schedule(&mut self) {
         self.return_late_peer_tasks();
+        self.return_evacuated_peer_tasks();
         let jobs = self
             .queued_jobs
             .iter()
@@ -159,7 +160,8 @@
         let spec = job.spec.clone();
         let avoid = job.tasks[index as usize].avoid;
         let own = self.choose_worker(&service, &need, avoid);
-        let own = own.filter(|worker_key| avoid != Some(*worker_key));
+        let own = own
+            .filter(|worker_key| avoid != Some(*worker_key) && !self.is_cold_worker(*worker_key));
         if let Some(worker_key) = own {
             let run = self.begin_attempt(key, index, TaskState::Local(worker_key));
             self.start_run(worker_key, run, spec, need, expected);
@@ -173,7 +175,7 @@
             });
             return true;
         }
-        // The worker of the last unsuccessful run is better than none.
+        // A cold worker, or that of the last unsuccessful run, is better than none.
         let Some(worker_key) = self.choose_worker(&service, &need, None) else {
             return false;
         };
--- a/crates/fleet/src/starts.rs
+++ b/crates/fleet/src/starts.rs
@@ -58,6 +58,10 @@
                 worker.block(now + UNANSWERED_PAUSE);
                 self.remove_unstarted(worker_key, id, "its worker could not be reached");
             }
+            // The request may have been carried out, so it is sent again even if the
+            // worker was evacuated meanwhile: the run must be known to have started
+            // before it may finish there, or to have ended before its task starts
+            // elsewhere. The last retry is sent within 120 ms of the first request.
             StartOutcome::Unanswered if (tries as usize) < START_TIMEOUTS.len() => {
                 self.replace_connections(worker_key);
                 self.send_start(worker_key, id);
--- a/crates/fleet/src/suspects.rs
+++ b/crates/fleet/src/suspects.rs
@@ -71,12 +71,13 @@
         job.queued - queued.count()
     }
 
-    /// Whether a task fits a worker of this host that answers, when that runs
-    /// nothing else.
+    /// Whether a task fits a worker of this host that answers and is not evacuated,
+    /// when that runs nothing else.
     fn fits_own_worker(&self, service: &ServiceId, need: &Resources) -> bool {
         self.workers.values().any(|worker| {
             worker.report.service == *service
                 && worker.unanswered_polls == 0
+                && !worker.is_evacuated
                 && worker.report.capacity.can_fit(need)
         })
     }
@@ -89,7 +90,10 @@
                 && worker.runs.is_empty()
                 && worker.free().can_fit(need)
         };
-        let rank = |worker: &&Worker| (worker.failures, worker.report.capacity.cpu_milli);
+        let rank = |worker: &&Worker| {
+            let capacity = worker.report.capacity.cpu_milli;
+            (self.is_cold(worker), worker.failures, capacity)
+        };
         let fitting = self.workers.values().filter(fits);
         fitting.min_by_key(rank).map(|worker| worker.worker_key)
     }
--- a/crates/fleet/src/wait_estimate.rs
+++ b/crates/fleet/src/wait_estimate.rs
@@ -58,14 +58,20 @@
         let tasks = u32::try_from(job.tasks.len()).unwrap_or(u32::MAX);
         let free_now = self.free_slots(job);
         let to_wait = ahead.saturating_add(tasks).saturating_sub(free_now);
+        if waiting == 0 || to_wait == 0 {
+            return None;
+        }
         let own_workers = self.serving_workers();
         let peer_workers = saturating_sum(responsive().map(|peer| peer.status.serving));
-        let own_slots = f64::from(self.own_slots(job));
-        if waiting == 0 || to_wait == 0 || own_slots == 0.0 {
+        let slots = if self.serves_only_through_peers() {
+            self.evacuated_slots_per_worker(job)? * f64::from(peer_workers)
+        } else {
+            let own_slots = f64::from(self.own_slots(job));
+            own_slots * (f64::from(own_workers) + f64::from(peer_workers)) / f64::from(own_workers)
+        };
+        if slots.is_nan() || slots == 0.0 {
             return None;
         }
-        let slots =
-            own_slots * (f64::from(own_workers) + f64::from(peer_workers)) / f64::from(own_workers);
         let wait = scaled(mean, f64::from(to_wait) / slots);
         let time_left = job.start_by.saturating_sub(self.now);
         (wait > time_left).then(|| {
@@ -104,6 +110,18 @@
         saturating_sum(serving.map(|worker| slots_in(&worker.report.capacity, &job.need)))
     }
 
+    /// Gets the mean number of tasks of a job that fit a worker, from the evacuated
+    /// workers of this host. Peers report how many workers serve, but not how large
+    /// they are, and the evacuated ones are the best sample of them.
+    fn evacuated_slots_per_worker(&self, job: &Job) -> Option<f64> {
+        let evacuated = || self.workers.values().filter(|worker| worker.is_evacuated);
+        let fitting = evacuated().filter(|worker| worker.report.service == job.service);
+        let slots =
+            saturating_sum(fitting.map(|worker| slots_in(&worker.report.capacity, &job.need)));
+        let workers = evacuated().count();
+        (workers > 0).then(|| f64::from(slots) / workers as f64)
+    }
+
     /// Counts the tasks of a job that fit the free resources here and at peers.
     fn free_slots(&self, job: &Job) -> u32 {
         let own = self.free_resources();
--- a/crates/fleet/src/worker.rs
+++ b/crates/fleet/src/worker.rs
@@ -50,6 +50,10 @@
     pub(crate) last_answer_at: Duration,
     /// Time before which the worker gets no new runs.
     pub(crate) blocked_until: Duration,
+    /// Whether the failure domain of the worker is evacuated.
+    pub(crate) is_evacuated: bool,
+    /// Time until which the worker expects to be slow, by its last report.
+    pub(crate) cold_until: Duration,
     /// Number of consecutive failed runs and refused starts.
     pub(crate) failures: u32,
     /// Number of times the fencing token was raised during take-over because
@@ -151,6 +155,8 @@
             last_poll_answer_at: now,
             last_answer_at: now,
             blocked_until: Duration::ZERO,
+            is_evacuated: false,
+            cold_until: Duration::ZERO,
             failures: 0,
             token_raises: 0,
             has_unknown_runs: false,
@@ -191,6 +197,7 @@
     pub(crate) fn accepts_runs(&self, now: Duration) -> bool {
         self.may_extend_lease()
             && !self.report.draining
+            && !self.is_evacuated
             && self.unanswered_polls == 0
             && !self.runs.values().any(|run| run.is_exclusive)
             && now >= self.blocked_until
--- a/crates/fleet/tests/common/mod.rs
+++ b/crates/fleet/tests/common/mod.rs
@@ -8,6 +8,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use hornbeam_core::evacuation::EvacuationList;
 use hornbeam_core::event::Event;
 use hornbeam_core::ids::HostId;
 use hornbeam_fleet::{
@@ -129,6 +130,14 @@
         worker_key
     }
 
+    /// Delivers a list of evacuated failure domains.
+    pub fn evacuate(&mut self, revision: u64, failure_domains: &[&str]) {
+        self.step(FleetInput::Evacuations(EvacuationList {
+            revision,
+            failure_domains: failure_domains.iter().map(|name| (*name).into()).collect(),
+        }));
+    }
+
     /// Answers the poll in flight at a worker.
     pub fn answer_poll(
         &mut self,
--- a/crates/fleet/tests/events.rs
+++ b/crates/fleet/tests/events.rs
@@ -142,6 +142,13 @@
     harness.logged_events()
 }
 
+/// Gets the events of an evacuation.
+fn evacuation_events() -> Logged {
+    let mut harness = Harness::new(1);
+    harness.evacuate(1, &["a"]);
+    harness.logged_events()
+}
+
 /// Guards against an event that cannot be found by its subject in the log.
 #[gtest]
 fn events_are_logged_with_their_subject() {
@@ -188,6 +195,8 @@
     for expected in [Event::PeerLost, Event::PeerFound, Event::RunLost] {
         expect_that!(peers, contains(eq(&(expected, peer(2)))));
     }
+    let applied = (Event::EvacuationsApplied, Subject::Host);
+    expect_that!(evacuation_events(), contains(eq(&applied)));
 }
 
 /// Guards against an event that no scenario emits, so that no test shows
@@ -200,6 +209,7 @@
         worker_events(),
         crash_events(),
         peer_events(),
+        evacuation_events(),
     ];
     let emitted: BTreeSet<String> = logs
         .into_iter()
