Pass on cold times and show evacuations in metrics

Cause: the fleet needs the remaining cold time of workers; operators need to see which list of evacuated failure domains a host has applied. Change: ReceivedReport has cold_remaining_ms beside clock_ms. Reports that arrive directly at the owner pass it on; relayed ones leave it out, since the worker reports directly after the first answer. Gauges evacuated_failure_domains and evacuation_revision on entry hosts.

--- a/crates/node/src/fleet_entry/event_loop.rs
+++ b/crates/node/src/fleet_entry/event_loop.rs
@@ -134,13 +134,16 @@
                 self.metrics.job_submitted(&submission.queue);
                 self.step(FleetInput::Submitted(call, submission));
             }
-            FleetLoopInput::Report(report, clock_ms, sender) => {
+            FleetLoopInput::Report(report, times, sender) => {
                 self.waiters.last_report += 1;
                 let id = self.waiters.last_report;
                 self.waiters.reports.insert(id, sender);
-                self.step(match clock_ms {
-                    Some(clock_ms) => FleetInput::ReportedAt(id, *report, clock_ms),
-                    None => FleetInput::Reported(id, *report),
+                self.step(match (times.clock_ms, times.cold_remaining_ms) {
+                    (Some(clock_ms), Some(cold_ms)) => {
+                        FleetInput::ReportedCold(id, *report, clock_ms, cold_ms)
+                    }
+                    (Some(clock_ms), None) => FleetInput::ReportedAt(id, *report, clock_ms),
+                    (None, _) => FleetInput::Reported(id, *report),
                 });
             }
             FleetLoopInput::Document(text, queues) => self.apply(&text, queues),
@@ -261,7 +264,11 @@
         let document_version = self.fleet.queues().map_or(0, |queues| queues.version);
         let newest = self.fleet.newest_peer_config();
         let newest = newest.map_or(0, |(version, _)| version);
+        let evacuations = self.fleet.evacuations();
+        let evacuated = evacuations.failure_domains.len();
         FleetStats {
+            evacuated_failure_domains: u32::try_from(evacuated).unwrap_or(u32::MAX),
+            evacuation_revision: evacuations.revision,
             owned_workers: u32::try_from(self.fleet.owned_workers()).unwrap_or(u32::MAX),
             free_cpu_milli: self.fleet.free_cpu_milli(),
             jobs: u32::try_from(self.fleet.jobs_in_progress()).unwrap_or(u32::MAX),
--- a/crates/node/src/fleet_entry/input.rs
+++ b/crates/node/src/fleet_entry/input.rs
@@ -17,11 +17,10 @@
     Fleet(FleetInput),
     /// A job; its outcome goes to the sender.
     Submit(CallId, Submission, oneshot::Sender<JobOutcome>),
-    /// A status report, with the worker's clock when it was sent, if that is known;
-    /// its answer goes to the sender.
+    /// A status report, with the times beside it; its answer goes to the sender.
     Report(
         Box<WorkerReport>,
-        Option<u64>,
+        ReportTimes,
         oneshot::Sender<ReportAnswer>,
     ),
     /// A newer document: its text and the queues that it defines.
@@ -34,6 +33,16 @@
     Stop,
 }
 
+/// `ReportTimes` holds the times that come beside a status report.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct ReportTimes {
+    /// The worker's clock when it sent the report, in ms.
+    pub(crate) clock_ms: Option<u64>,
+    /// Time for which the worker still expects to be slow, in ms. A relayed report
+    /// does not have it.
+    pub(crate) cold_remaining_ms: Option<u64>,
+}
+
 /// `FleetStats` are the current values of the gauges in the metrics.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct FleetStats {
@@ -45,6 +54,10 @@
     pub(crate) jobs: u32,
     /// Tasks that wait for free resources.
     pub(crate) waiting_tasks: u32,
+    /// Number of evacuated failure domains.
+    pub(crate) evacuated_failure_domains: u32,
+    /// Revision of the list of evacuated failure domains.
+    pub(crate) evacuation_revision: u64,
     /// Version of the document in force.
     pub(crate) document_version: u64,
     /// Number of versions by which the newest document at a peer is ahead.
--- a/crates/node/src/fleet_entry/links.rs
+++ b/crates/node/src/fleet_entry/links.rs
@@ -7,7 +7,7 @@
 use tokio::sync::watch;
 
 use super::event_loop::FleetEntryState;
-use super::input::{FleetLoopHandle, FleetLoopInput};
+use super::input::{FleetLoopHandle, FleetLoopInput, ReportTimes};
 use crate::documents::SharedDocuments;
 use crate::wire::{Request, RequestAnswer};
 
@@ -64,9 +64,13 @@
         report: Box<WorkerReport>,
         clock_ms: Option<u64>,
     ) -> Result<RequestAnswer> {
+        let times = ReportTimes {
+            clock_ms,
+            cold_remaining_ms: None,
+        };
         let asking = self
             .event_loop
-            .ask(|sender| FleetLoopInput::Report(report, clock_ms, sender));
+            .ask(|sender| FleetLoopInput::Report(report, times, sender));
         Ok(RequestAnswer::Announced(asking.await?))
     }
 
--- a/crates/node/src/fleet_entry/metrics.rs
+++ b/crates/node/src/fleet_entry/metrics.rs
@@ -93,6 +93,8 @@
     free_cores: Gauge<f64, AtomicU64>,
     jobs: Gauge,
     waiting_tasks: Gauge,
+    evacuated_failure_domains: Gauge,
+    evacuation_revision: Gauge,
     document_version: Gauge,
     document_lag: Gauge,
 }
@@ -115,6 +117,8 @@
             free_cores: Gauge::default(),
             jobs: Gauge::default(),
             waiting_tasks: Gauge::default(),
+            evacuated_failure_domains: Gauge::default(),
+            evacuation_revision: Gauge::default(),
             document_version: Gauge::default(),
             document_lag: Gauge::default(),
         };
@@ -191,6 +195,10 @@
         self.free_cores.set(stats.free_cpu_milli as f64 / 1000.0);
         self.jobs.set(stats.jobs.into());
         self.waiting_tasks.set(stats.waiting_tasks.into());
+        let evacuated = stats.evacuated_failure_domains;
+        self.evacuated_failure_domains.set(evacuated.into());
+        let revision = to_i64(stats.evacuation_revision);
+        self.evacuation_revision.set(revision);
         self.document_version.set(to_i64(stats.document_version));
         self.document_lag.set(to_i64(stats.document_lag));
         metrics::encode(&self.registry)
@@ -249,6 +257,12 @@
         self.register("jobs", "Jobs in progress", jobs);
         let waiting = self.waiting_tasks.clone();
         self.register("waiting_tasks", "Tasks that wait for room", waiting);
+        let evacuated = self.evacuated_failure_domains.clone();
+        let help = "Failure domains in which operators allow no new tasks";
+        self.register("evacuated_failure_domains", help, evacuated);
+        let revision = self.evacuation_revision.clone();
+        let help = "Revision of the list of evacuated failure domains";
+        self.register("evacuation_revision", help, revision);
         let version = self.document_version.clone();
         let help = "Version of the published document in force";
         self.register("document_version", help, version);
--- a/crates/node/src/fleet_entry/reports.rs
+++ b/crates/node/src/fleet_entry/reports.rs
@@ -16,7 +16,7 @@
 use volo_http::server::Router;
 
 use super::event_loop::FleetEntryState;
-use super::input::{FleetLoopHandle, FleetLoopInput};
+use super::input::{FleetLoopHandle, FleetLoopInput, ReportTimes};
 use crate::lifecycle::{Lifecycle, LifecycleState};
 use crate::reply::{self, BodyBudget};
 
@@ -100,9 +100,13 @@
             }
         };
         let report = Box::new(received.report);
+        let times = ReportTimes {
+            clock_ms: received.clock_ms,
+            cold_remaining_ms: received.cold_remaining_ms,
+        };
         let asking = self
             .event_loop
-            .ask(|sender| FleetLoopInput::Report(report, received.clock_ms, sender));
+            .ask(|sender| FleetLoopInput::Report(report, times, sender));
         match asking.await {
             Ok(ReportAnswer::Taken) => reply::json(OK, &report_answer(None)),
             Ok(ReportAnswer::Moved(owner)) => {
