Test the neighbours of hosts in evacuated failure domains

Change: tests for symmetry, even spread, the bound on neighbours and the return to the former ones; comments give the reasons only.

--- a/crates/fleet/src/neighbours.rs
+++ b/crates/fleet/src/neighbours.rs
@@ -26,8 +26,8 @@
 const SELECTED_IN_OTHER_DOMAINS: usize = 4;
 
 /// Largest mean number of hosts in evacuated failure domains that select a host
-/// elsewhere. It is the number of neighbours that a host loses at most, so that
-/// the cost of statuses stays about the same.
+/// elsewhere. Without a bound, the cost of statuses at the remaining hosts would
+/// grow with the number of evacuated ones.
 const MAX_SELECTED_BY_EVACUATED: usize = 7;
 
 /// Smallest number of hosts that a host in an evacuated failure domain selects,
@@ -151,9 +151,10 @@
 }
 
 /// Selects hosts for each host in an evacuated failure domain, spread evenly over
-/// the remaining failure domains. Each host there is selected about equally
-/// often, because the tasks of a whole failure domain move to them: rendezvous
-/// hashing alone selects some of 15 hosts seven times and others never.
+/// the remaining failure domains. A host that has been selected as often as the
+/// mean is selected again only if too few others are left, because the tasks of a
+/// whole failure domain move to these hosts. Otherwise the order of rendezvous
+/// hashing holds, so that few selections change when hosts join or leave.
 fn attach_evacuated<'a>(
     evacuated: &[&'a HostLocation],
     domains: &HostsByDomain<'a>,
--- a/crates/fleet/tests/neighbours.rs
+++ b/crates/fleet/tests/neighbours.rs
@@ -217,3 +217,87 @@
         assert_that!(harness.now - last, le(Duration::from_millis(250)));
     }
 }
+
+/// Gets the neighbours of every host of a site after an evacuation.
+fn neighbours_after_evacuation(
+    hosts: u8,
+    domains: u8,
+    evacuated: &[&str],
+) -> BTreeMap<String, BTreeSet<String>> {
+    let site = site(hosts, domains);
+    let of = |number| {
+        let mut harness = host(number, domains, &site);
+        notified(&mut harness);
+        harness.evacuate(1, evacuated);
+        harness.step(FleetInput::Peers(site.clone()));
+        let notified = notified(&mut harness);
+        (format!("entry-{number}"), notified)
+    };
+    (1..=hosts).map(of).collect()
+}
+
+/// Guards against a host without serving workers whose neighbours have none
+/// either, against the tasks of a whole domain that go to a few hosts, and against
+/// a cost of statuses that grows with the number of evacuated hosts.
+#[gtest]
+fn hosts_in_an_evacuated_domain_are_spread_over_the_others() {
+    let sites: [(u8, u8, &[&str]); 5] = [
+        (45, 3, &["d1"]),
+        (33, 4, &["d0"]),
+        (45, 3, &["d0", "d2"]),
+        (HOSTS, 8, &["d3"]),
+        (HOSTS, 8, &["d1", "d2", "d3", "d4", "d5", "d6", "d7"]),
+    ];
+    for (hosts, domains, evacuated) in sites {
+        let neighbours = neighbours_after_evacuation(hosts, domains, evacuated);
+        let number = |id: &String| id["entry-".len()..].parse::<u8>().expect("a number");
+        let is_evacuated = |id: &&String| evacuated.contains(&domain(number(id), domains).as_str());
+        let mut attached = Vec::new();
+        for (host, notified) in &neighbours {
+            let inside = notified.iter().filter(is_evacuated).count();
+            if is_evacuated(&host) {
+                expect_that!(inside, eq(0), "{host}, evacuated {evacuated:?}");
+                expect_that!(notified.len(), ge(2), "{host}, evacuated {evacuated:?}");
+            } else {
+                attached.push(inside);
+                expect_that!(notified.len() - inside, ge(3), "{host}");
+            }
+            for other in notified {
+                expect_that!(neighbours[other].contains(host), eq(true), "{host} {other}");
+            }
+        }
+        // Selections that follow the ranks stay the same when other hosts join or
+        // leave, so some hosts are selected less often than others.
+        let mean = attached.iter().sum::<usize>() as f64 / attached.len() as f64;
+        let (least, most) = (attached.iter().min(), attached.iter().max());
+        let least_and_most = (
+            *least.expect("a host") as f64,
+            *most.expect("a host") as f64,
+        );
+        let bounds = (ge((mean / 2.0).floor()), le(mean.ceil() + 1.0));
+        expect_that!(least_and_most, bounds, "{evacuated:?}: {attached:?}");
+        expect_that!(most, some(le(&14)), "evacuated {evacuated:?}");
+        let all: usize = neighbours.values().map(BTreeSet::len).sum();
+        expect_that!(all / usize::from(hosts), le(MAX_MEAN_NEIGHBOURS));
+    }
+}
+
+/// Guards against neighbours of an evacuation that stay after the return to
+/// service, and against a site that falls apart when all domains are evacuated.
+#[gtest]
+fn neighbours_are_the_former_ones_without_a_remaining_domain_or_after_a_return() {
+    let site = site(45, 3);
+    let mut harness = host(1, 3, &site);
+    let before = notified(&mut harness);
+    let lists: [&[&str]; 4] = [&["d1"], &[], &["d0", "d1", "d2"], &["elsewhere"]];
+    for (revision, evacuated) in (1..).zip(lists) {
+        harness.evacuate(revision, evacuated);
+        harness.step(FleetInput::Peers(site.clone()));
+        let is_former = notified(&mut harness) == before;
+        expect_that!(
+            is_former,
+            eq(evacuated != ["d1"]),
+            "evacuated {evacuated:?}"
+        );
+    }
+}
