Evacuate a failure domain in the soak test

Cause: the soak test must show that nothing starts in an evacuated failure domain under faults, and that the system recovers after its return to service. Change: an operator task posts /evacuate/fd-b/start and /finish to the control hosts in turn; a run that starts in the domain between 5 s after the acknowledgement and the return is a violation, as is a finish without an acknowledgement within 15 s.

--- a/crates/daemon/tests/fleet_soak.rs
+++ b/crates/daemon/tests/fleet_soak.rs
@@ -34,6 +34,25 @@
 /// Time that the system has to recover after the last fault.
 const RECOVERY_TIME: Duration = Duration::from_secs(8);
 
+/// Failure domain that is evacuated during the run; half of the workers are in it.
+const EVACUATED_DOMAIN: &str = "fd-b";
+
+/// Time after the acknowledgement of an evacuation from which on nothing may start
+/// in the domain.
+const EVACUATION_TIME: Duration = Duration::from_millis(5000);
+
+/// Time for which a domain stays evacuated after [`EVACUATION_TIME`], in which
+/// starts there are violations.
+const EVACUATED_TIME: Duration = Duration::from_millis(3000);
+
+/// Time after which an order counts as lost. Faults can leave no control host that
+/// commits for some seconds.
+const ORDER_TIMEOUT: Duration = Duration::from_secs(15);
+
+/// Delay before an order that was not acknowledged is sent to the next control
+/// host.
+const ORDER_RETRY_DELAY: Duration = Duration::from_millis(100);
+
 /// Time after SIGTERM at which a process is killed.
 const TERMINATION_GRACE: Duration = Duration::from_secs(6);
 
@@ -50,6 +69,8 @@
 struct Observations {
     jobs: Mutex<HashMap<u64, JobRecord>>,
     acknowledged: AtomicU64,
+    /// Times at which a domain must be empty of starts, from and until.
+    evacuations: Mutex<Vec<(Instant, Instant)>>,
     violations: Mutex<Vec<String>>,
     is_finished: AtomicBool,
 }
@@ -123,6 +144,56 @@
     }
 }
 
+/// Sends an order to the control hosts in turn until one acknowledges it or
+/// [`ORDER_TIMEOUT`] has passed.
+async fn order_evacuation(controls: &[SocketAddr], is_evacuated: bool) -> bool {
+    let client = FleetClient::new();
+    let deadline = Instant::now() + ORDER_TIMEOUT;
+    for to in controls.iter().cycle() {
+        if client.evacuate(*to, EVACUATED_DOMAIN, is_evacuated).await {
+            return true;
+        }
+        if Instant::now() > deadline {
+            break;
+        }
+        tokio::time::sleep(ORDER_RETRY_DELAY).await;
+    }
+    false
+}
+
+/// Evacuates a failure domain during the faults and returns it to service, again
+/// and again until the run ends.
+async fn run_evacuations(observations: Arc<Observations>, controls: Vec<SocketAddr>) {
+    while !observations.is_finished.load(Ordering::Relaxed) {
+        if order_evacuation(&controls, true).await {
+            let empty_from = Instant::now() + EVACUATION_TIME;
+            tokio::time::sleep(EVACUATION_TIME + EVACUATED_TIME).await;
+            let empty_until = Instant::now();
+            let mut evacuations = observations.evacuations.lock().expect("no panic");
+            evacuations.push((empty_from, empty_until));
+        }
+        if !order_evacuation(&controls, false).await {
+            let violation = "the evacuated domain was not returned to service".to_owned();
+            observations.add_violation(violation);
+        }
+        tokio::time::sleep(EVACUATED_TIME).await;
+    }
+}
+
+/// Reports runs that started in an evacuated failure domain. A worker may carry out
+/// a delayed start request seconds after it was sent, which [`EVACUATION_TIME`]
+/// covers.
+fn check_evacuations(fleet: &Fleet, runs: &[RunRecord], observations: &Observations) {
+    let evacuations = observations.evacuations.lock().expect("no panic").clone();
+    for run in runs {
+        let is_empty = |(from, until): &&(Instant, Instant)| (*from..*until).contains(&run.started);
+        let is_inside = fleet.failure_domain_of(&run.worker) == Some(EVACUATED_DOMAIN);
+        if is_inside && evacuations.iter().any(|evacuation| is_empty(&evacuation)) {
+            observations.add_violation(format!("a run started in an evacuated domain: {run:?}"));
+        }
+    }
+}
+
 /// Injects one random fault and repairs it.
 async fn inject_fault(fleet: &mut Fleet, rng: &mut ChaCha8Rng) {
     let mut pick = |range: std::ops::Range<usize>| rng.random_range(range);
@@ -278,6 +349,7 @@
         controls.clone(),
         seed ^ 99 << 32,
     ));
+    clients.spawn(run_evacuations(Arc::clone(&observations), controls.clone()));
     let end = Instant::now() + duration;
     while Instant::now() < end {
         inject_fault(&mut fleet, &mut rng).await;
@@ -308,6 +380,7 @@
 ) {
     let runs = fleet.log.runs();
     check_overlaps(&runs, observations);
+    check_evacuations(fleet, &runs, observations);
     check_answers(&runs, observations);
     let client = FleetClient::new();
     let min_version = observations.acknowledged.load(Ordering::SeqCst);
@@ -342,8 +415,9 @@
 }
 
 /// Guards against concurrent runs of a task, false refusals, jobs that complete
-/// without all tasks, documents that are lost or revert, and a system that does
-/// not recover, under random faults in sequence.
+/// without all tasks, documents that are lost or revert, starts in an evacuated
+/// failure domain, and a system that does not recover, under random faults in
+/// sequence.
 #[tokio::test(flavor = "multi_thread")]
 async fn promises_hold_under_random_faults() {
     let duration = Duration::from_secs(env_number("SOAK_SECONDS", 8));
--- a/crates/daemon/tests/harness/fleet.rs
+++ b/crates/daemon/tests/harness/fleet.rs
@@ -147,6 +147,13 @@
         }
     }
 
+    /// Gets the failure domain of a worker.
+    pub fn failure_domain_of(&self, worker_id: &str) -> Option<&str> {
+        let mut options = self.workers.iter().map(|worker| &worker.options);
+        let found = options.find(|options| options.worker_id == worker_id);
+        found.map(|options| options.failure_domain.as_str())
+    }
+
     fn data_folder(&self, index: usize) -> PathBuf {
         self.folder.path().join(format!("data-{index}"))
     }
@@ -397,6 +404,23 @@
         matches!(posting.await, Ok(Reply { status: 200, .. }))
     }
 
+    /// Orders an evacuation of a failure domain or its end; returns whether it was
+    /// acknowledged.
+    pub async fn evacuate(&self, to: SocketAddr, failure_domain: &str, is_evacuated: bool) -> bool {
+        let order = if is_evacuated { "start" } else { "finish" };
+        let path = format!("/evacuate/{failure_domain}/{order}");
+        let posting = self
+            .http
+            .post_text(to, &path, &Value::Null, OPERATOR_TIMEOUT);
+        matches!(
+            posting.await,
+            Ok(Reply {
+                status: 200..300,
+                ..
+            })
+        )
+    }
+
     /// Reads the version in force; `None` if the host cannot confirm it.
     pub async fn read_version(&self, from: SocketAddr) -> Option<u64> {
         let reading = self.http.get::<Value>(from, READ_PATH, OPERATOR_TIMEOUT);
