Merge the evacuation of failure domains

On merging, entry hosts keep one pair of gauges and one event for an applied list (those of the fleet), and a host without a configuration returns tasks of peers, since it may not have heard of evacuations: a document is downloaded only after a control host has answered.

--- a/crates/fleet/src/peer_tasks.rs
+++ b/crates/fleet/src/peer_tasks.rs
@@ -51,7 +51,9 @@
                 attempt: task.attempt,
             })
             .collect();
-        if !is_recent || !has_recent_ack || self.drain_started.is_some() {
+        // Without a configuration this host may not have heard of evacuations either.
+        let is_configured = self.queues.is_some();
+        if !is_configured || !is_recent || !has_recent_ack || self.drain_started.is_some() {
             return self.return_tasks(origin, runs);
         }
         let (taken, runs) = runs.into_iter().partition(|run| self.has_run(*run));
@@ -134,7 +136,12 @@
         };
         let waiting = self.waiting_peer_tasks.iter().copied();
         let late: Vec<(Duration, RunId)> = waiting.filter(|(_, run)| is_late(run)).collect();
-        for (effective_start_by, run) in late {
+        self.return_peer_tasks(late);
+    }
+
+    /// Sends some of the waiting tasks of peers back to their origins.
+    pub(crate) fn return_peer_tasks(&mut self, returned: Vec<(Duration, RunId)>) {
+        for (effective_start_by, run) in returned {
             self.waiting_peer_tasks.remove(&(effective_start_by, run));
             if let Some(peer_task) = self.peer_tasks.swap_remove(&run) {
                 self.return_tasks(&peer_task.origin, vec![run]);
--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -15,8 +15,8 @@
 
 impl Fleet {
     /// Chooses the worker of this host with the tightest fit, which leaves room
-    /// for large tasks, among those that come first by pace. The worker `avoid`
-    /// comes last.
+    /// for large tasks, among those that come first by pace. Cold workers come
+    /// after others, and the worker `avoid` comes last.
     pub(crate) fn choose_worker(
         &self,
         service: &ServiceId,
@@ -33,6 +33,7 @@
             let left = worker.free().cpu_milli - need.cpu_milli;
             (
                 avoid == Some(worker.worker_key),
+                self.is_cold(worker),
                 worker.failures,
                 self.pace_rank(order, worker),
                 left,
@@ -42,9 +43,16 @@
         fitting.min_by_key(rank).map(|worker| worker.worker_key)
     }
 
+    /// Whether a worker gets runs only if no other fits, here or at a peer.
+    pub(crate) fn is_cold_worker(&self, worker_key: WorkerKey) -> bool {
+        let worker = self.workers.get(&worker_key);
+        worker.is_some_and(|worker| self.is_cold(worker))
+    }
+
     /// Chooses a peer with free resources for a task and deducts them from its
-    /// known status. Peers in the failure domain of this host come first, then
-    /// those with the most free cores.
+    /// known status. Peers in an evacuated failure domain come last, because their
+    /// status may be older than the evacuation. Of the others, those in the failure
+    /// domain of this host come first, then those with the most free cores.
     pub(crate) fn choose_peer(&mut self, service: &ServiceId, need: &Resources) -> Option<HostId> {
         let own_domain = &self.options.failure_domain;
         let now = self.now;
@@ -53,7 +61,11 @@
                 && !peer.status.draining
                 && best_fit(peer, service, need).is_some()
         };
-        let rank = |peer: &&Peer| (peer.failure_domain == *own_domain, free_cpu(peer, service));
+        let rank = |peer: &&Peer| {
+            let is_remaining = !self.is_evacuated(&peer.failure_domain);
+            let is_near = peer.failure_domain == *own_domain;
+            (is_remaining, is_near, free_cpu(peer, service))
+        };
         let candidates = self.peers.iter().filter(|(_, peer)| fits(peer));
         let (host, _) = candidates.max_by_key(|(_, peer)| rank(peer))?;
         let host = host.clone();
@@ -130,16 +142,18 @@
                 && !peer.status.draining
                 && best_fit(peer, service, need).is_some()
         });
-        own.is_some_and(|worker_key| worker_key != except) || has_peer
+        // A run that moves to a cold worker would be slow there as well.
+        let is_other = |key: WorkerKey| key != except && !self.is_cold_worker(key);
+        own.is_some_and(is_other) || has_peer
     }
 
-    /// Whether a task fits no known worker of this host or its peers; false if
-    /// none is known.
+    /// Whether a task fits no known worker of this host or its peers outside the
+    /// evacuated failure domains; false if none is known.
     pub(crate) fn fits_nowhere(&self, service: &ServiceId, need: &Resources) -> bool {
         let own = self
             .workers
             .values()
-            .filter(|worker| worker.report.service == *service);
+            .filter(|worker| worker.report.service == *service && !worker.is_evacuated);
         let own = own.map(|worker| worker.report.capacity);
         let peers = self.peers.values().flat_map(|peer| &peer.status.resources);
         let theirs = peers.filter(|resources| resources.service == *service);
@@ -156,15 +170,32 @@
         u32::try_from(serving.count()).unwrap_or(u32::MAX)
     }
 
-    /// Whether the free resources of a worker are reported to peers.
+    /// Whether the free resources of a worker are reported to peers. Those of cold
+    /// workers are left out, because a peer cannot tell them from others and would
+    /// use them while others are free.
     pub(crate) fn reports_as_free(&self, worker: &Worker) -> bool {
+        self.has_free(worker) && !self.is_cold(worker)
+    }
+
+    fn has_free(&self, worker: &Worker) -> bool {
         worker.accepts_runs(self.now) && worker.free().cpu_milli > 0
     }
 
-    /// Gets the free resources of the workers of this host by service.
+    /// Gets the free resources of the workers of this host by service, without
+    /// workers in evacuated failure domains.
     pub(crate) fn free_resources(&self) -> Vec<ServiceResources> {
+        self.free_resources_of(|worker| self.has_free(worker))
+    }
+
+    /// Gets the free resources that peers are told of.
+    pub(crate) fn reported_resources(&self) -> Vec<ServiceResources> {
+        self.free_resources_of(|worker| self.reports_as_free(worker))
+    }
+
+    fn free_resources_of(&self, offers_free: impl Fn(&Worker) -> bool) -> Vec<ServiceResources> {
         let mut resources: Vec<ServiceResources> = Vec::new();
-        for worker in self.workers.values() {
+        let remaining = self.workers.values().filter(|worker| !worker.is_evacuated);
+        for worker in remaining {
             let service = &worker.report.service;
             let index = resources
                 .iter()
@@ -181,7 +212,7 @@
             if worker.report.capacity.cpu_milli > resources.largest.cpu_milli {
                 resources.largest = worker.report.capacity;
             }
-            if self.reports_as_free(worker) {
+            if offers_free(worker) {
                 resources.free.push(worker.free());
             }
         }
--- a/crates/fleet/src/scheduling.rs
+++ b/crates/fleet/src/scheduling.rs
@@ -44,6 +44,7 @@
     /// ascending order of effective start time.
     pub(crate) fn schedule(&mut self) {
         self.return_late_peer_tasks();
+        self.return_evacuated_peer_tasks();
         let jobs = self
             .queued_jobs
             .iter()
@@ -160,7 +161,8 @@
         let avoid = job.tasks[index as usize].avoid;
         let order = self.pace_order(&service, expected, job.time_left(self.now));
         let own = self.choose_worker(&service, &need, avoid, order);
-        let own = own.filter(|worker_key| avoid != Some(*worker_key));
+        let own = own
+            .filter(|worker_key| avoid != Some(*worker_key) && !self.is_cold_worker(*worker_key));
         let host = match (own, order) {
             (Some(worker_key), Some(order)) if !self.is_fast_enough(worker_key, order) => {
                 self.choose_fast_peer(&service, &need, order)
@@ -182,7 +184,7 @@
             });
             return true;
         }
-        // The worker of the last unsuccessful run is better than none.
+        // A cold worker, or that of the last unsuccessful run, is better than none.
         let Some(worker_key) = self.choose_worker(&service, &need, None, order) else {
             return false;
         };
--- a/crates/node/src/fleet_entry/discovery.rs
+++ b/crates/node/src/fleet_entry/discovery.rs
@@ -21,7 +21,6 @@
 use super::event_loop::FleetEntryState;
 use super::input::{FleetLoopHandle, FleetLoopInput};
 use super::member_lists::MemberLists;
-use super::metrics::FleetMetrics;
 use crate::lifecycle::{Lifecycle, LifecycleState};
 use crate::wire::{EntryRegistration, Request, RequestAnswer};
 
@@ -74,8 +73,6 @@
     pub(crate) state: watch::Sender<FleetEntryState>,
     /// Hosts that have documents.
     pub(crate) document_sources: watch::Sender<Vec<DocumentSource>>,
-    /// Metrics.
-    pub(crate) metrics: Arc<FleetMetrics>,
     /// Clock and timers.
     pub(crate) timer: TimerService,
     /// The life cycle of the process, which ends the task.
@@ -329,13 +326,6 @@
             return;
         }
         registrations.evacuation_revision = Some(list.revision);
-        if list.revision > 0 {
-            log_event!(
-                Event::EvacuationsInForce, host = self.host.host_id;
-                "revision {}: evacuated failure domains {:?}", list.revision, list.failure_domains
-            );
-        }
-        self.metrics.evacuations_applied(&list);
         // Fails only if the event loop has ended; this task then ends as well.
         let _ = self
             .event_loop
--- a/crates/node/src/fleet_entry/metrics.rs
+++ b/crates/node/src/fleet_entry/metrics.rs
@@ -3,7 +3,6 @@
 use std::sync::Arc;
 use std::sync::atomic::AtomicU64;
 
-use hornbeam_core::evacuation::EvacuationList;
 use hornbeam_core::event::Event;
 use hornbeam_fleet::{
     FleetInput, JobOutcome, JobTimes, PollOutcome, StartOutcome, StartRefusal, StopOutcome,
@@ -94,10 +93,10 @@
     free_cores: Gauge<f64, AtomicU64>,
     jobs: Gauge,
     waiting_tasks: Gauge,
-    document_version: Gauge,
-    document_lag: Gauge,
     evacuated_failure_domains: Gauge,
     evacuation_revision: Gauge,
+    document_version: Gauge,
+    document_lag: Gauge,
 }
 
 impl FleetMetrics {
@@ -118,10 +117,10 @@
             free_cores: Gauge::default(),
             jobs: Gauge::default(),
             waiting_tasks: Gauge::default(),
-            document_version: Gauge::default(),
-            document_lag: Gauge::default(),
             evacuated_failure_domains: Gauge::default(),
             evacuation_revision: Gauge::default(),
+            document_version: Gauge::default(),
+            document_lag: Gauge::default(),
         };
         metrics.register_counters();
         metrics.register_histograms();
@@ -178,13 +177,6 @@
         self.worker_requests.get_or_create(&label).inc();
     }
 
-    /// Records the newest list of evacuated failure domains.
-    pub(crate) fn evacuations_applied(&self, list: &EvacuationList) {
-        let count = list.failure_domains.len() as u64;
-        self.evacuated_failure_domains.set(to_i64(count));
-        self.evacuation_revision.set(to_i64(list.revision));
-    }
-
     /// Counts a log event, whether or not its line is written.
     pub(crate) fn event_logged(&self, event: Event) {
         let event = event.name();
@@ -203,6 +195,10 @@
         self.free_cores.set(stats.free_cpu_milli as f64 / 1000.0);
         self.jobs.set(stats.jobs.into());
         self.waiting_tasks.set(stats.waiting_tasks.into());
+        let evacuated = stats.evacuated_failure_domains;
+        self.evacuated_failure_domains.set(evacuated.into());
+        let revision = to_i64(stats.evacuation_revision);
+        self.evacuation_revision.set(revision);
         self.document_version.set(to_i64(stats.document_version));
         self.document_lag.set(to_i64(stats.document_lag));
         metrics::encode(&self.registry)
@@ -261,18 +257,18 @@
         self.register("jobs", "Jobs in progress", jobs);
         let waiting = self.waiting_tasks.clone();
         self.register("waiting_tasks", "Tasks that wait for room", waiting);
+        let evacuated = self.evacuated_failure_domains.clone();
+        let help = "Failure domains in which operators allow no new tasks";
+        self.register("evacuated_failure_domains", help, evacuated);
+        let revision = self.evacuation_revision.clone();
+        let help = "Revision of the list of evacuated failure domains";
+        self.register("evacuation_revision", help, revision);
         let version = self.document_version.clone();
         let help = "Version of the published document in force";
         self.register("document_version", help, version);
         let lag = self.document_lag.clone();
         let help = "Versions by which the newest document at a peer is ahead";
         self.register("document_lag", help, lag);
-        let domains = self.evacuated_failure_domains.clone();
-        let help = "Failure domains in which no task is started";
-        self.register("evacuated_failure_domains", help, domains);
-        let revision = self.evacuation_revision.clone();
-        let help = "Revision of the list of evacuated failure domains";
-        self.register("evacuation_revision", help, revision);
     }
 }
 
