Keep tasks that slow each other down apart where there is room

Cause: the tightest fit puts tasks side by side that slow each other down. Change: with interference = true an entry host learns from the starts and ends of its runs, and ranks workers by the delays that a task would suffer and inflict, after failures and before the tightest fit. Event 750 names each pair that begins or ceases to count.

--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -149,6 +149,8 @@
     HostReachability = 743, Info;
     /// The leader changes the voting members to repair the control group.
     GroupRepair = 744, Info;
+    /// An entry host begins or ceases to keep the tasks of two queues apart.
+    InterferenceChanged = 750, Info;
 }
 
 /// Logs an [`Event`] with a message and key-value fields.
--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -11,6 +11,7 @@
 
 use crate::admission::RecentJobs;
 use crate::fencing::{FencingToken, FencingTokens};
+use crate::interference::Interference;
 use crate::io::{FleetInput, FleetOutput, Subject};
 use crate::job::{Job, JobKey, RunId};
 use crate::loss_log::LossLog;
@@ -56,6 +57,7 @@
     pub(crate) known_capacities: KnownCapacities,
     pub(crate) estimates: RunTimeEstimates,
     pub(crate) mean_run_time: MeanRunTime,
+    pub(crate) interference: Interference,
     pub(crate) workers: BTreeMap<WorkerKey, Worker>,
     pub(crate) worker_keys_by_id: IndexMap<WorkerId, WorkerKey>,
     pub(crate) last_worker_key: WorkerKey,
@@ -112,6 +114,7 @@
             known_capacities: KnownCapacities::default(),
             estimates: RunTimeEstimates::default(),
             mean_run_time: MeanRunTime::default(),
+            interference: Interference::default(),
             workers: BTreeMap::new(),
             worker_keys_by_id: IndexMap::new(),
             last_worker_key: 0,
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -11,6 +11,7 @@
 mod evacuation;
 mod fencing;
 mod fleet;
+mod interference;
 mod io;
 mod job;
 mod lease;
--- a/crates/fleet/src/ownership.rs
+++ b/crates/fleet/src/ownership.rs
@@ -218,6 +218,7 @@
             self.worker_keys_by_id.swap_remove(&worker.report.worker_id);
         }
         self.resources_changed = true;
+        self.forget_interference_on(worker_key);
         self.emit(FleetOutput::DropConnections(worker.report.address));
         self.log(
             Event::WorkerForgotten,
--- a/crates/fleet/src/peer_tasks.rs
+++ b/crates/fleet/src/peer_tasks.rs
@@ -81,7 +81,10 @@
             return true;
         };
         let chunk = Arc::clone(&peer_task.chunk);
-        let Some(worker) = self.choose_worker(&chunk.service, &chunk.need, None) else {
+        let expected = Duration::from_millis(chunk.expected_ms);
+        let newcomer = self.peer_newcomer(chunk.need, expected);
+        let newcomer = newcomer.as_ref();
+        let Some(worker) = self.choose_worker(&chunk.service, &chunk.need, None, newcomer) else {
             return false;
         };
         self.waiting_peer_tasks
@@ -89,7 +92,6 @@
         if let Some(peer_task) = self.peer_tasks.get_mut(&run) {
             peer_task.worker = Some(worker);
         }
-        let expected = Duration::from_millis(chunk.expected_ms);
         self.start_run(worker, run, chunk.spec.clone(), chunk.need, expected);
         true
     }
--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -1,6 +1,7 @@
 //! Placement of tasks on workers and peers.
 
 use hornbeam_core::ids::{HostId, ServiceId};
+use hornbeam_interference::Newcomer;
 
 use crate::fleet::Fleet;
 use crate::peer::Peer;
@@ -14,12 +15,14 @@
 
 impl Fleet {
     /// Chooses the worker of this host with the tightest fit, which leaves room
-    /// for large tasks. The worker `avoid` comes last.
+    /// for large tasks. Workers where the task and its neighbours slow each other
+    /// down come after others, and the worker `avoid` comes last.
     pub(crate) fn choose_worker(
         &self,
         service: &ServiceId,
         need: &Resources,
         avoid: Option<WorkerKey>,
+        newcomer: Option<&Newcomer>,
     ) -> Option<WorkerKey> {
         let fits = |worker: &&Worker| {
             worker.report.service == *service
@@ -28,7 +31,9 @@
         };
         let rank = |worker: &&Worker| {
             let left = worker.free().cpu_milli - need.cpu_milli;
-            (avoid == Some(worker.worker_key), worker.failures, left)
+            let is_avoided = avoid == Some(worker.worker_key);
+            let penalty = self.interference_penalty(newcomer, worker);
+            (is_avoided, worker.failures, penalty, left)
         };
         let fitting = self.workers.values().filter(fits);
         fitting.min_by_key(rank).map(|worker| worker.worker_key)
@@ -88,7 +93,7 @@
         need: &Resources,
         except: WorkerKey,
     ) -> bool {
-        let own = self.choose_worker(service, need, Some(except));
+        let own = self.choose_worker(service, need, Some(except), None);
         let has_peer = self.peers.values().any(|peer| {
             peer.is_responsive(self.now)
                 && !peer.status.draining
--- a/crates/fleet/src/runs.rs
+++ b/crates/fleet/src/runs.rs
@@ -25,6 +25,7 @@
         took: Option<Duration>,
     ) {
         self.resources_changed = true;
+        self.observe_end(worker_key, id, end, took);
         if let Some(took) = took {
             self.mean_run_time.record(took);
         }
@@ -102,6 +103,7 @@
     /// Handles a run that has provably not started: its task is queued again,
     /// or returned to the host that it came from.
     pub(crate) fn on_run_not_started(&mut self, id: RunId, worker_key: WorkerKey) {
+        self.observe_end(worker_key, id, RunEnd::Lost, None);
         if let Some(peer_task) = self.peer_tasks.swap_remove(&id) {
             if let Some(peer) = self.peers.get_mut(&peer_task.origin) {
                 peer.push(PeerMessage::Refused(vec![id]));
--- a/crates/fleet/src/scheduling.rs
+++ b/crates/fleet/src/scheduling.rs
@@ -158,7 +158,8 @@
         let (service, need, expected) = (job.service.clone(), job.need, job.expected);
         let spec = job.spec.clone();
         let avoid = job.tasks[index as usize].avoid;
-        let own = self.choose_worker(&service, &need, avoid);
+        let newcomer = self.own_newcomer(key, index);
+        let own = self.choose_worker(&service, &need, avoid, newcomer.as_ref());
         let own = own.filter(|worker_key| avoid != Some(*worker_key));
         if let Some(worker_key) = own {
             let run = self.begin_attempt(key, index, TaskState::Local(worker_key));
@@ -174,7 +175,7 @@
             return true;
         }
         // The worker of the last unsuccessful run is better than none.
-        let Some(worker_key) = self.choose_worker(&service, &need, None) else {
+        let Some(worker_key) = self.choose_worker(&service, &need, None, newcomer.as_ref()) else {
             return false;
         };
         let run = self.begin_attempt(key, index, TaskState::Local(worker_key));
@@ -271,6 +272,7 @@
             },
         );
         self.resources_changed = true;
+        self.observe_start(worker_key, run, need, expected);
         self.send_start(worker_key, run);
     }
 
--- a/crates/fleet/tests/common/mod.rs
+++ b/crates/fleet/tests/common/mod.rs
@@ -54,7 +54,8 @@
         Self::with(options)
     }
 
-    fn with(options: FleetOptions) -> Self {
+    /// Creates a fleet with a configuration and these options.
+    pub fn with(options: FleetOptions) -> Self {
         let mut harness = Self {
             fleet: Fleet::new(options),
             now: Duration::from_secs(1),
--- a/crates/fleet/tests/events.rs
+++ b/crates/fleet/tests/events.rs
@@ -6,7 +6,7 @@
 
 use std::collections::BTreeSet;
 
-use common::{Harness, acknowledge_batch, chunk, report, run};
+use common::{Harness, acknowledge_batch, chunk, options, report, run};
 use googletest::prelude::*;
 use hornbeam_core::event::Event;
 use hornbeam_fleet::{FleetInput, PollOutcome, RunEnd, StartOutcome, StartRefusal, Subject};
@@ -100,6 +100,32 @@
     harness.logged_events()
 }
 
+/// Gets the events of tasks that take twice as long side by side as alone.
+fn interference_events() -> Logged {
+    let mut options = options(1);
+    options.scheduling.interference = true;
+    let mut harness = Harness::with(options);
+    let worker_key = harness.add_worker("w1");
+    let mut sequence = 0;
+    for job in 1..=200 {
+        let tasks = 1 + job % 2;
+        harness.submit(job, tasks as u32);
+        let requests = harness.starts();
+        for request in &requests {
+            harness.accept_start(request);
+        }
+        harness.advance_at_once(200 * tasks);
+        harness.polls();
+        let mut ended = Vec::new();
+        for request in requests {
+            sequence += 1;
+            ended.push((sequence, request.run, RunEnd::Done));
+        }
+        harness.answer_poll(worker_key, &[], &ended);
+    }
+    harness.logged_events()
+}
+
 /// Gets the events of a task whose workers refuse connections one after the
 /// other.
 fn crash_events() -> Logged {
@@ -199,6 +225,7 @@
         run_events(),
         worker_events(),
         crash_events(),
+        interference_events(),
         peer_events(),
     ];
     let emitted: BTreeSet<String> = logs
