--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -161,6 +161,8 @@
     EvacuationNotAcknowledged = 746, Warn;
     /// A newer list of evacuated failure domains is in force on this host.
     EvacuationsInForce = 747, Info;
+    /// An entry host begins or ceases to keep the tasks of two queues apart.
+    InterferenceChanged = 750, Info;
 }
 
 /// Logs an [`Event`] with a message and key-value fields.
--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -11,6 +11,7 @@
 
 use crate::admission::RecentJobs;
 use crate::fencing::{FencingToken, FencingTokens};
+use crate::interference::Interference;
 use crate::io::{FleetInput, FleetOutput, Subject};
 use crate::job::{Job, JobKey, RunId};
 use crate::loss_log::LossLog;
@@ -58,6 +59,7 @@
     pub(crate) estimates: RunTimeEstimates,
     pub(crate) mean_run_time: MeanRunTime,
     pub(crate) paces: ServicePaces,
+    pub(crate) interference: Interference,
     pub(crate) workers: BTreeMap<WorkerKey, Worker>,
     pub(crate) worker_keys_by_id: IndexMap<WorkerId, WorkerKey>,
     pub(crate) last_worker_key: WorkerKey,
@@ -115,6 +117,7 @@
             estimates: RunTimeEstimates::default(),
             mean_run_time: MeanRunTime::default(),
             paces: ServicePaces::default(),
+            interference: Interference::default(),
             workers: BTreeMap::new(),
             worker_keys_by_id: IndexMap::new(),
             last_worker_key: 0,
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -12,6 +12,7 @@
 mod extension;
 mod fencing;
 mod fleet;
+mod interference;
 mod io;
 mod job;
 mod lease;
--- a/crates/fleet/src/pace.rs
+++ b/crates/fleet/src/pace.rs
@@ -10,6 +10,7 @@
 
 use crate::fleet::Fleet;
 use crate::io::{PollResponse, RunProgress};
+use crate::placement::Preference;
 use crate::queues::QueueTable;
 use crate::stragglers::{MAX_SLOW_ATTEMPT, MOVE_COST};
 use crate::worker::{RunState, Worker, WorkerKey};
@@ -230,8 +231,11 @@
         let projected = elapsed * 100 / progress.done_percent;
         let mean_time = self.worker_pace(worker).mean_time_of(projected);
         let service = &job.service;
-        let order = self.pace_order(service, mean_time, job.time_left(self.now))?;
-        let target = self.choose_worker(service, &job.need, Some(worker_key), Some(order))?;
+        let preference = Preference {
+            pace: Some(self.pace_order(service, mean_time, job.time_left(self.now))?),
+            newcomer: None,
+        };
+        let target = self.choose_worker(service, &job.need, Some(worker_key), &preference)?;
         let target = self.workers.get(&target)?;
         let outlook = RunOutlook {
             remaining: projected.saturating_sub(elapsed),
--- a/crates/fleet/src/peer_tasks.rs
+++ b/crates/fleet/src/peer_tasks.rs
@@ -10,6 +10,7 @@
 use crate::io::{RunEnd, Subject};
 use crate::job::RunId;
 use crate::peer::{PeerMessage, TaskChunk};
+use crate::placement::Preference;
 use crate::worker::WorkerKey;
 
 /// `PeerTask` is a task of a peer's job that waits or runs here.
@@ -114,8 +115,11 @@
         let expected = Duration::from_millis(chunk.expected_ms);
         // The objective of a peer's job is not known here; the fastest worker comes
         // first.
-        let order = self.pace_order(&chunk.service, expected, Duration::ZERO);
-        let worker = self.choose_worker(&chunk.service, &chunk.need, None, order);
+        let preference = Preference {
+            pace: self.pace_order(&chunk.service, expected, Duration::ZERO),
+            newcomer: self.peer_newcomer(chunk.need, expected),
+        };
+        let worker = self.choose_worker(&chunk.service, &chunk.need, None, &preference);
         let Some(worker) = worker else {
             return false;
         };
--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -1,6 +1,7 @@
 //! Placement of tasks on workers and peers.
 
 use hornbeam_core::ids::{HostId, ServiceId};
+use hornbeam_interference::Newcomer;
 
 use crate::fleet::Fleet;
 use crate::pace::PaceOrder;
@@ -13,16 +14,25 @@
 /// allow.
 const MAX_QUEUE_LOAD_PERCENT: u32 = 150;
 
+/// `Preference` orders the workers that fit a task, beyond the tightest fit.
+#[derive(Debug, Default)]
+pub(crate) struct Preference {
+    /// Order by pace, where pace counts.
+    pub(crate) pace: Option<PaceOrder>,
+    /// The task as a neighbour of others, where interference counts.
+    pub(crate) newcomer: Option<Newcomer>,
+}
+
 impl Fleet {
     /// Chooses the worker of this host with the tightest fit, which leaves room
-    /// for large tasks, among those that come first by pace. Cold workers come
-    /// after others, and the worker `avoid` comes last.
+    /// for large tasks, among those that come first by pace and by what runs there.
+    /// Cold workers come after others, and the worker `avoid` comes last.
     pub(crate) fn choose_worker(
         &self,
         service: &ServiceId,
         need: &Resources,
         avoid: Option<WorkerKey>,
-        order: Option<PaceOrder>,
+        preference: &Preference,
     ) -> Option<WorkerKey> {
         let fits = |worker: &&Worker| {
             worker.report.service == *service
@@ -35,7 +45,8 @@
                 avoid == Some(worker.worker_key),
                 self.is_cold(worker),
                 worker.failures,
-                self.pace_rank(order, worker),
+                self.pace_rank(preference.pace, worker),
+                self.interference_penalty(preference.newcomer.as_ref(), worker),
                 left,
             )
         };
@@ -136,7 +147,7 @@
         need: &Resources,
         except: WorkerKey,
     ) -> bool {
-        let own = self.choose_worker(service, need, Some(except), None);
+        let own = self.choose_worker(service, need, Some(except), &Preference::default());
         let has_peer = self.peers.values().any(|peer| {
             peer.is_responsive(self.now)
                 && !peer.status.draining
--- a/crates/fleet/src/scheduling.rs
+++ b/crates/fleet/src/scheduling.rs
@@ -9,6 +9,7 @@
 use crate::io::FleetOutput;
 use crate::job::{JobKey, RunId, Task, TaskState};
 use crate::peer::{ChunkTask, PeerMessage, TaskChunk};
+use crate::placement::Preference;
 use crate::resources::Resources;
 use crate::worker::{Run, RunState, WorkerKey};
 
@@ -159,11 +160,14 @@
         let (service, need, expected) = (job.service.clone(), job.need, job.expected);
         let spec = job.spec.clone();
         let avoid = job.tasks[index as usize].avoid;
-        let order = self.pace_order(&service, expected, job.time_left(self.now));
-        let own = self.choose_worker(&service, &need, avoid, order);
+        let preference = Preference {
+            pace: self.pace_order(&service, expected, job.time_left(self.now)),
+            newcomer: self.own_newcomer(key, index),
+        };
+        let own = self.choose_worker(&service, &need, avoid, &preference);
         let own = own
             .filter(|worker_key| avoid != Some(*worker_key) && !self.is_cold_worker(*worker_key));
-        let host = match (own, order) {
+        let host = match (own, preference.pace) {
             (Some(worker_key), Some(order)) if !self.is_fast_enough(worker_key, order) => {
                 self.choose_fast_peer(&service, &need, order)
             }
@@ -185,7 +189,7 @@
             return true;
         }
         // A cold worker, or that of the last unsuccessful run, is better than none.
-        let Some(worker_key) = self.choose_worker(&service, &need, None, order) else {
+        let Some(worker_key) = self.choose_worker(&service, &need, None, &preference) else {
             return false;
         };
         let run = self.begin_attempt(key, index, TaskState::Local(worker_key));
@@ -296,6 +300,7 @@
             },
         );
         self.resources_changed = true;
+        self.observe_start(worker_key, run, need, expected);
         self.send_start(worker_key, run);
     }
 
--- a/crates/fleet/tests/common/mod.rs
+++ b/crates/fleet/tests/common/mod.rs
@@ -56,11 +56,7 @@
     }
 
     /// Creates a fleet with a configuration and these options.
-    pub fn with_options(options: FleetOptions) -> Self {
-        Self::with(options)
-    }
-
-    fn with(options: FleetOptions) -> Self {
+    pub fn with(options: FleetOptions) -> Self {
         let mut harness = Self {
             fleet: Fleet::new(options),
             now: Duration::from_secs(1),
--- a/crates/fleet/tests/pace.rs
+++ b/crates/fleet/tests/pace.rs
@@ -27,7 +27,7 @@
             pace,
             ..SchedulingOptions::default()
         };
-        let mut harness = Harness::with_options(options);
+        let mut harness = Harness::with(options);
         let slow = add_worker(&mut harness, "w1", "a");
         let fast = add_worker(&mut harness, "w2", "b");
         let mut host = Self {
