Estimate waits by work instead of a count of tasks

Cause: one mean run time over all queues stood for every waiting task, so that jobs were rejected on arrival while workers were free (71 ms estimated, 60 allowed), and jobs at their latest start were rejected before cores that became free in the same step were used. Change: with fair_admission, the new crate hornbeam-admission compares the work ahead of a job (cores times expected run time) with what the cores can take up until its latest start, with a margin for the error. Runs in progress count by the span in which each ends. A job whose tasks all fit free workers here or at peers, counted per worker, is never rejected. Tasks wait at a peer only until 20 ms before their latest start, and are not sent there later than that. A job at its latest start is kept if all its tasks fit now and it can still end in time. QueuedWork is the value that peers are to exchange; without it their tasks count as of mean work.

--- a/crates/fleet/src/admission.rs
+++ b/crates/fleet/src/admission.rs
@@ -127,6 +127,10 @@
         if self.fits_nowhere(&job.service, &job.need) {
             return Some("each task needs more than any worker has at present".into());
         }
+        if self.options.scheduling.fair_admission {
+            let late = self.check_start_by_work(job).err()?;
+            return Some(late.to_string());
+        }
         self.late_start_reason(job)
     }
 
@@ -209,6 +213,7 @@
             queue: queue.name.clone(),
             service: queue.service.clone(),
             spec: submission.spec.clone(),
+            priority: queue.priority,
             need: submission.need,
             expected,
             declared: submission.estimate,
@@ -274,7 +279,9 @@
     fn refuse_late_jobs(&mut self) {
         let is_late = |key: &JobKey| {
             let job = self.jobs.get(key);
-            job.is_some_and(|job| job.start_by <= self.now && !job.may_have_started())
+            job.is_some_and(|job| {
+                job.start_by <= self.now && !job.may_have_started() && !self.may_start_late(job)
+            })
         };
         let keys = self.queued_jobs.iter().map(|(_, key)| *key);
         let late: Vec<JobKey> = keys.filter(is_late).collect();
@@ -283,6 +290,15 @@
         }
     }
 
+    /// Whether a job past its latest start time starts in this step, because all
+    /// its tasks fit free resources. Cores that become free in the step of that
+    /// time, or tasks that a peer returns then, would else be of no use to it.
+    fn may_start_late(&self, job: &Job) -> bool {
+        self.options.scheduling.fair_admission
+            && self.now + job.expected < job.objective_at
+            && self.has_free_slots(job)
+    }
+
     /// Answers the caller of a job and stops its remaining runs.
     pub(crate) fn end_job(&mut self, key: JobKey, outcome: JobOutcome, reason: &str) {
         let Some(job) = self.jobs.swap_remove(&key) else {
--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use hornbeam_admission::MeanWork;
 use hornbeam_core::evacuation::EvacuationList;
 use hornbeam_core::event::Event;
 use hornbeam_core::ids::{FailureDomainId, HostId, TaskIndex, WorkerId};
@@ -56,6 +57,7 @@
     pub(crate) known_capacities: KnownCapacities,
     pub(crate) estimates: RunTimeEstimates,
     pub(crate) mean_run_time: MeanRunTime,
+    pub(crate) mean_work: MeanWork,
     pub(crate) workers: BTreeMap<WorkerKey, Worker>,
     pub(crate) worker_keys_by_id: IndexMap<WorkerId, WorkerKey>,
     pub(crate) last_worker_key: WorkerKey,
@@ -112,6 +114,7 @@
             known_capacities: KnownCapacities::default(),
             estimates: RunTimeEstimates::default(),
             mean_run_time: MeanRunTime::default(),
+            mean_work: MeanWork::default(),
             workers: BTreeMap::new(),
             worker_keys_by_id: IndexMap::new(),
             last_worker_key: 0,
--- a/crates/fleet/src/job.rs
+++ b/crates/fleet/src/job.rs
@@ -91,6 +91,8 @@
     pub(crate) service: ServiceId,
     /// Description of the work of its tasks.
     pub(crate) spec: Arc<str>,
+    /// Priority of the queue; 0 is the highest.
+    pub(crate) priority: u32,
     /// Resources that each task needs.
     pub(crate) need: Resources,
     /// Expected run time of a task.
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -37,6 +37,7 @@
 mod suspects;
 mod verification;
 mod wait_estimate;
+mod work_estimate;
 mod worker;
 
 pub use fencing::FencingToken;
--- a/crates/fleet/src/runs.rs
+++ b/crates/fleet/src/runs.rs
@@ -27,6 +27,7 @@
         self.resources_changed = true;
         if let Some(took) = took {
             self.mean_run_time.record(took);
+            self.record_work(id, took);
         }
         match end {
             RunEnd::Done => self.record_success(worker_key),
@@ -49,6 +50,15 @@
         self.task_ended(id, end, Some(worker_key));
     }
 
+    /// Records the work of an ended run for the wait estimate.
+    fn record_work(&mut self, id: RunId, took: Duration) {
+        let of_peer = self.peer_tasks.get(&id).map(|task| task.chunk.need);
+        let need = of_peer.or_else(|| Some(self.jobs.get(&id.job)?.need));
+        if let Some(need) = need {
+            self.mean_work.record(need.cpu_milli, took);
+        }
+    }
+
     /// Updates the task and the job of an ended run.
     pub(crate) fn task_ended(&mut self, id: RunId, end: RunEnd, worker_key: Option<WorkerKey>) {
         let Some(job) = self.jobs.get_mut(&id.job) else {
--- a/crates/fleet/src/scheduling.rs
+++ b/crates/fleet/src/scheduling.rs
@@ -30,6 +30,11 @@
 /// task that fits somewhere must not wait elsewhere.
 pub(crate) const OFFLOAD_AFTER: Duration = Duration::from_millis(8);
 
+/// Time before its latest start by which a task that waits at a peer is
+/// returned, so that it can start on workers that have become free elsewhere. It
+/// covers two network transits and the shortest time between two ticks.
+const RETURN_TIME: Duration = Duration::from_millis(20);
+
 /// `Waiting` is a candidate for free resources.
 #[derive(Clone, Copy, Debug)]
 enum Waiting {
@@ -101,7 +106,13 @@
                     break;
                 };
                 let is_early = self.now < job.arrived_at + OFFLOAD_AFTER;
-                if is_early || job.start_by <= self.now {
+                let min_wait = FREE_RESOURCES_WAIT + RETURN_TIME;
+                let is_late = if self.options.scheduling.fair_admission {
+                    job.start_by < self.now + min_wait
+                } else {
+                    job.start_by <= self.now
+                };
+                if is_early || is_late {
                     break;
                 }
                 let service = job.service.clone();
@@ -115,11 +126,17 @@
                 });
             }
             for (host, tasks) in chunks {
-                self.send_chunk(key, &host, tasks, Duration::MAX);
+                let start_by = self.jobs.get(&key).map(|job| job.start_by);
+                let wait = match start_by {
+                    Some(start_by) if self.options.scheduling.fair_admission => start_by
+                        .saturating_sub(self.now)
+                        .saturating_sub(RETURN_TIME),
+                    _ => Duration::MAX,
+                };
+                self.send_chunk(key, &host, tasks, wait);
             }
         }
     }
-
     /// Starts the queued tasks of a job; false if free resources have run out.
     fn start_queued(&mut self, key: JobKey) -> bool {
         let mut chunks: IndexMap<HostId, Vec<ChunkTask>> = IndexMap::new();
--- a/crates/fleet/src/wait_estimate.rs
+++ b/crates/fleet/src/wait_estimate.rs
@@ -9,7 +9,7 @@
 
 /// Share of the tasks that wait at peers and are ahead of a job of priority 0,
 /// if none wait here: those of the same priority.
-const SHARE_AHEAD_OF_URGENT: f64 = 0.3;
+pub(crate) const SHARE_AHEAD_OF_URGENT: f64 = 0.3;
 
 /// Weight of one run in the moving average of run times.
 const RUN_WEIGHT: f64 = 0.02;
--- a/crates/fleet/tests/common/mod.rs
+++ b/crates/fleet/tests/common/mod.rs
@@ -14,8 +14,8 @@
     BatchTime, CallId, ChunkTask, EndedRun, Fleet, FleetInput, FleetOptions, FleetOutput,
     JobOutcome, Limits, LossReport, PeerBatch, PeerInfo, PeerMessage, PeerStatus, PollOutcome,
     PollRequest, PollResponse, Queue, QueueTable, Resources, RunEnd, RunId, RunProgress,
-    ServiceResources, ServiceSettings, StartOutcome, StartRequest, StopRequest, Subject,
-    Submission, TaskChunk, WorkerReport,
+    SchedulingOptions, ServiceResources, ServiceSettings, StartOutcome, StartRequest, StopRequest,
+    Subject, Submission, TaskChunk, WorkerReport,
 };
 use indexmap::IndexMap;
 
@@ -54,6 +54,13 @@
         Self::with(options)
     }
 
+    /// Creates a fleet with a configuration and scheduling switches.
+    pub fn with_scheduling(host: u8, scheduling: SchedulingOptions) -> Self {
+        let mut options = options(host);
+        options.scheduling = scheduling;
+        Self::with(options)
+    }
+
     fn with(options: FleetOptions) -> Self {
         let mut harness = Self {
             fleet: Fleet::new(options),
