Tell priorities apart by leads, and treat wide jobs as a unit

Cause: priorities 1 and 2 were alike, a burst of one queue took the place of others, and wide jobs lost their last tasks after the first ones had started. Change: with fair_admission, a job's place is its latest start less a lead by priority; a job beyond the recent share of its queue (a token bucket at 1.3 times the demand of the last 15 s) has a smaller one, behind the next priority within its share. A lead is a time, so that no queue starves. A job that is next and whose last tasks would start too late is rejected before its first start; the last tasks of a started job go before new jobs of its priority.

--- a/crates/fleet/src/admission.rs
+++ b/crates/fleet/src/admission.rs
@@ -110,7 +110,10 @@
             );
             return self.emit(FleetOutput::Answer(call, JobOutcome::Failed));
         }
-        let job = self.new_job(call, &submission, queue);
+        let mut job = self.new_job(call, &submission, queue);
+        if self.options.scheduling.fair_admission {
+            job.effective_start_by = self.place_of(&job);
+        }
         if !job.may_have_started()
             && let Some(reason) = self.unservable_reason(&job)
         {
@@ -398,7 +401,7 @@
     }
 }
 
-const fn overloaded() -> JobOutcome {
+pub(crate) const fn overloaded() -> JobOutcome {
     JobOutcome::NotRun(NotRun::Overloaded {
         retry_after_ms: RETRY_AFTER_MS,
     })
--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use hornbeam_admission::MeanWork;
+use hornbeam_admission::{MeanWork, Shares};
 use hornbeam_core::evacuation::EvacuationList;
 use hornbeam_core::event::Event;
 use hornbeam_core::ids::{FailureDomainId, HostId, TaskIndex, WorkerId};
@@ -58,6 +58,7 @@
     pub(crate) estimates: RunTimeEstimates,
     pub(crate) mean_run_time: MeanRunTime,
     pub(crate) mean_work: MeanWork,
+    pub(crate) shares: Shares,
     pub(crate) workers: BTreeMap<WorkerKey, Worker>,
     pub(crate) worker_keys_by_id: IndexMap<WorkerId, WorkerKey>,
     pub(crate) last_worker_key: WorkerKey,
@@ -115,6 +116,7 @@
             estimates: RunTimeEstimates::default(),
             mean_run_time: MeanRunTime::default(),
             mean_work: MeanWork::default(),
+            shares: Shares::default(),
             workers: BTreeMap::new(),
             worker_keys_by_id: IndexMap::new(),
             last_worker_key: 0,
--- a/crates/fleet/src/scheduling.rs
+++ b/crates/fleet/src/scheduling.rs
@@ -5,6 +5,7 @@
 use hornbeam_core::ids::{HostId, TaskIndex};
 use indexmap::IndexMap;
 
+use crate::admission::overloaded;
 use crate::fleet::Fleet;
 use crate::io::FleetOutput;
 use crate::job::{JobKey, RunId, Task, TaskState};
@@ -139,8 +140,15 @@
     }
     /// Starts the queued tasks of a job; false if free resources have run out.
     fn start_queued(&mut self, key: JobKey) -> bool {
+        let is_fair = self.options.scheduling.fair_admission;
+        if is_fair && let Err(late) = self.check_start_as_unit(key) {
+            let reason = format!("its tasks cannot start together: {late}");
+            self.end_job(key, overloaded(), &reason);
+            return true;
+        }
         let mut chunks: IndexMap<HostId, Vec<ChunkTask>> = IndexMap::new();
         let mut has_resources = true;
+        let was_queued = self.jobs.get(&key).map_or(0, |job| job.queued);
         while has_resources {
             let Some(index) = self.next_queued(key) else {
                 break;
@@ -150,6 +158,13 @@
         for (host, tasks) in chunks {
             self.send_chunk(key, &host, tasks, FREE_RESOURCES_WAIT);
         }
+        let has_started = self
+            .jobs
+            .get(&key)
+            .is_some_and(|job| job.queued < was_queued);
+        if is_fair && has_started {
+            self.advance_started(key);
+        }
         has_resources
     }
 
--- a/crates/fleet/src/work_estimate.rs
+++ b/crates/fleet/src/work_estimate.rs
@@ -4,18 +4,79 @@
 use std::time::Duration;
 
 use hornbeam_admission::{
-    EndSpan, JobDemand, LateStart, PeerLine, QueuedWork, Supply, Work, check_start,
+    EndSpan, JobDemand, LateStart, PeerLine, QueuedWork, Standing, Supply, Work, check_start,
+    place_before_new,
 };
 use hornbeam_core::ids::{HostId, ServiceId};
 
 use crate::fleet::Fleet;
-use crate::job::Job;
+use crate::job::{Job, JobKey};
 use crate::peer::Peer;
 use crate::resources::Resources;
 use crate::wait_estimate::SHARE_AHEAD_OF_URGENT;
 use crate::worker::{Run, RunState};
 
 impl Fleet {
+    /// Records the demand of a new job, and gets its place in the line.
+    pub(crate) fn place_of(&mut self, job: &Job) -> Duration {
+        let work = Work::of_tasks(job.tasks.len(), job.need.cpu_milli, job.expected);
+        let standing = Standing {
+            priority: job.priority,
+            is_within_share: self.shares.record(&job.queue, work.core_ms, self.now),
+        };
+        standing.place(job.start_by)
+    }
+
+    /// Places the last tasks of a job that has just started before the first
+    /// tasks of others of its priority.
+    pub(crate) fn advance_started(&mut self, key: JobKey) {
+        let Some(job) = self.jobs.get_mut(&key).filter(|job| job.queued > 0) else {
+            return;
+        };
+        let place = place_before_new(job.priority, self.now);
+        if place < job.effective_start_by {
+            self.queued_jobs.remove(&(job.effective_start_by, key));
+            job.effective_start_by = place;
+            self.queued_jobs.insert((place, key));
+        }
+    }
+
+    /// Checks whether the last tasks of a job that is next in the line would
+    /// start too late if its first ones started now. The cores of these would be
+    /// wasted.
+    pub(crate) fn check_start_as_unit(&self, key: JobKey) -> Result<(), LateStart> {
+        let Some(job) = self.jobs.get(&key) else {
+            return Ok(());
+        };
+        let free_slots = self.free_task_slots(&job.service, &job.need);
+        let tasks = u32::try_from(job.queued).unwrap_or(u32::MAX);
+        if job.may_have_started() || free_slots == 0 || free_slots >= tasks {
+            return Ok(());
+        }
+        check_start(
+            &self.demand_of(job, tasks),
+            &Work::default(),
+            &self.supply_of(job, free_slots),
+        )
+    }
+
+    fn demand_of(&self, job: &Job, tasks: u32) -> JobDemand {
+        JobDemand {
+            tasks,
+            cpu_milli: job.need.cpu_milli,
+            expected: job.expected,
+            time_left: job.start_by.saturating_sub(self.now),
+        }
+    }
+
+    fn supply_of(&self, job: &Job, free_slots: u32) -> Supply {
+        Supply {
+            free_slots,
+            serving_slots: self.serving_slots(job),
+            ends: self.run_ends(),
+        }
+    }
+
     /// Whether every queued task of a job fits the free resources of a worker
     /// here or at a peer, counted per worker.
     pub(crate) fn has_free_slots(&self, job: &Job) -> bool {
@@ -30,18 +91,11 @@
         if free_slots >= tasks {
             return Ok(());
         }
-        let supply = Supply {
-            free_slots,
-            serving_slots: self.serving_slots(job),
-            ends: self.run_ends(),
-        };
-        let demand = JobDemand {
-            tasks,
-            cpu_milli: job.need.cpu_milli,
-            expected: job.expected,
-            time_left: job.start_by.saturating_sub(self.now),
-        };
-        check_start(&demand, &self.work_ahead(job), &supply)
+        check_start(
+            &self.demand_of(job, tasks),
+            &self.work_ahead(job),
+            &self.supply_of(job, free_slots),
+        )
     }
 
     /// Sums the waiting work that starts before a job, here and at peers.
--- a/crates/fleet/tests/admission.rs
+++ b/crates/fleet/tests/admission.rs
@@ -224,3 +224,28 @@
         eq(&vec![&completed])
     );
 }
+
+/// Guards against the start of the first tasks of a job whose last ones would
+/// start too late: the cores of the first ones are wasted.
+#[gtest]
+fn wide_job_starts_as_a_unit_or_not_at_all() {
+    for (scheduling, starts) in [(FAIR, 0), (SchedulingOptions::default(), 1)] {
+        let mut harness = Harness::with_scheduling(OWN_HOST, scheduling);
+        harness.add_worker("w1");
+        let long = Submission {
+            estimate: Duration::from_secs(3),
+            ..short_job(1)
+        };
+        harness.step(FleetInput::Submitted(100, long));
+        let start = harness.starts().remove(0);
+        harness.accept_start(&start);
+        harness.submit(2, 3);
+        expect_that!(harness.starts().len(), eq(starts), "{scheduling:?}");
+        let rejected = harness
+            .answers()
+            .iter()
+            .filter(|a| is_overloaded(a))
+            .count();
+        expect_that!(rejected, eq(1 - starts), "{scheduling:?}");
+    }
+}
