Derive the retry-after time from the work ahead and prefer returning callers

Cause: every rejection told callers to return after 1,000 ms, whatever the load, and those that did had no precedence. Change: with fair_admission, the time is that in which the work ahead drains, 250 ms to 5 s, with jitter from the job's id over the next half. A job with the same id that is back by then goes before new ones of its priority; at most 4,096 rejections of 20 s are kept.

--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -8,11 +8,13 @@
 #![forbid(unsafe_code)]
 
 mod order;
+mod retry;
 mod shares;
 mod wait;
 mod work;
 
 pub use order::{Standing, place_before_new};
+pub use retry::{Rejections, retry_after};
 pub use shares::Shares;
 pub use wait::{EndSpan, JobDemand, LateStart, Supply, check_start};
 pub use work::{MAX_PRIORITIES, MeanWork, PeerLine, QueuedWork, Work};
--- a/crates/admission/src/wait.rs
+++ b/crates/admission/src/wait.rs
@@ -54,6 +54,19 @@
     pub ends: Vec<EndSpan>,
 }
 
+impl Supply {
+    /// Gets the time after which waiting work has drained, if all slots of tasks
+    /// with these cores work on it; `None` without any slot.
+    pub fn drain_time(&self, work: &Work, cpu_milli: u32) -> Option<Duration> {
+        let cores = f64::from(self.serving_slots) * f64::from(cpu_milli) / 1000.0;
+        if cores <= 0.0 {
+            return None;
+        }
+        let seconds = work.core_ms / cores / 1000.0;
+        Some(MAX_WAIT.mul_f64((seconds / MAX_WAIT.as_secs_f64()).clamp(0.0, 1.0)))
+    }
+}
+
 /// `EndSpan` is the span within which a run ends, each time in it being equally
 /// likely.
 #[derive(Clone, Copy, Debug, PartialEq)]
--- a/crates/fleet/src/admission.rs
+++ b/crates/fleet/src/admission.rs
@@ -23,8 +23,8 @@
 /// start.
 const TOP_PRIORITY_LEAD: Duration = Duration::from_millis(150);
 
-/// Delay after which a refused caller may retry.
-const RETRY_AFTER_MS: u64 = 1000;
+/// Delay after which a refused caller may retry, without `fair_admission`.
+pub(crate) const RETRY_AFTER_MS: u64 = 1000;
 
 /// Time after the end of a job within which its last runs have ended: stops are
 /// sent at once, and if they are not answered the lease is not extended and
@@ -112,21 +112,19 @@
         }
         let mut job = self.new_job(call, &submission, queue);
         if self.options.scheduling.fair_admission {
-            job.effective_start_by = self.place_of(&job);
+            job.effective_start_by = self.place_of(submission.job, &job);
         }
         if !job.may_have_started()
             && let Some(reason) = self.unservable_reason(&job)
         {
-            let refusal = NotRun::Overloaded {
-                retry_after_ms: RETRY_AFTER_MS,
-            };
+            let refusal = self.overloaded(submission.job);
             return self.refuse(call, submission.job, refusal, &reason);
         }
         self.add_job(submission.job, job);
     }
 
     /// Gets the reason if the job could not be served at present.
-    fn unservable_reason(&self, job: &Job) -> Option<String> {
+    fn unservable_reason(&mut self, job: &Job) -> Option<String> {
         if self.fits_nowhere(&job.service, &job.need) {
             return Some("each task needs more than any worker has at present".into());
         }
@@ -266,11 +264,8 @@
             if started {
                 self.end_job(key, JobOutcome::TimedOut, "its timeout has passed");
             } else {
-                self.end_job(
-                    key,
-                    overloaded(),
-                    "no resources became free before its timeout",
-                );
+                let outcome = JobOutcome::NotRun(self.overloaded(key));
+                self.end_job(key, outcome, "no resources became free before its timeout");
             }
         }
         self.refuse_late_jobs();
@@ -289,7 +284,8 @@
         let keys = self.queued_jobs.iter().map(|(_, key)| *key);
         let late: Vec<JobKey> = keys.filter(is_late).collect();
         for key in late {
-            self.end_job(key, overloaded(), "it can no longer meet its objective");
+            let outcome = JobOutcome::NotRun(self.overloaded(key));
+            self.end_job(key, outcome, "it can no longer meet its objective");
         }
     }
 
@@ -400,9 +396,3 @@
         _ => Duration::ZERO,
     }
 }
-
-pub(crate) const fn overloaded() -> JobOutcome {
-    JobOutcome::NotRun(NotRun::Overloaded {
-        retry_after_ms: RETRY_AFTER_MS,
-    })
-}
--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use hornbeam_admission::{MeanWork, Shares};
+use hornbeam_admission::{MeanWork, Rejections, Shares};
 use hornbeam_core::evacuation::EvacuationList;
 use hornbeam_core::event::Event;
 use hornbeam_core::ids::{FailureDomainId, HostId, TaskIndex, WorkerId};
@@ -59,6 +59,9 @@
     pub(crate) mean_run_time: MeanRunTime,
     pub(crate) mean_work: MeanWork,
     pub(crate) shares: Shares,
+    pub(crate) rejections: Rejections,
+    /// Time until the waiting work has drained, as of the last estimate.
+    pub(crate) drain_time: Duration,
     pub(crate) workers: BTreeMap<WorkerKey, Worker>,
     pub(crate) worker_keys_by_id: IndexMap<WorkerId, WorkerKey>,
     pub(crate) last_worker_key: WorkerKey,
@@ -117,6 +120,8 @@
             mean_run_time: MeanRunTime::default(),
             mean_work: MeanWork::default(),
             shares: Shares::default(),
+            rejections: Rejections::default(),
+            drain_time: Duration::ZERO,
             workers: BTreeMap::new(),
             worker_keys_by_id: IndexMap::new(),
             last_worker_key: 0,
--- a/crates/fleet/src/scheduling.rs
+++ b/crates/fleet/src/scheduling.rs
@@ -5,10 +5,9 @@
 use hornbeam_core::ids::{HostId, TaskIndex};
 use indexmap::IndexMap;
 
-use crate::admission::overloaded;
 use crate::fleet::Fleet;
 use crate::io::FleetOutput;
-use crate::job::{JobKey, RunId, Task, TaskState};
+use crate::job::{JobKey, JobOutcome, RunId, Task, TaskState};
 use crate::peer::{ChunkTask, PeerMessage, TaskChunk};
 use crate::resources::Resources;
 use crate::worker::{Run, RunState, WorkerKey};
@@ -143,7 +142,8 @@
         let is_fair = self.options.scheduling.fair_admission;
         if is_fair && let Err(late) = self.check_start_as_unit(key) {
             let reason = format!("its tasks cannot start together: {late}");
-            self.end_job(key, overloaded(), &reason);
+            let outcome = JobOutcome::NotRun(self.overloaded(key));
+            self.end_job(key, outcome, &reason);
             return true;
         }
         let mut chunks: IndexMap<HostId, Vec<ChunkTask>> = IndexMap::new();
--- a/crates/fleet/src/work_estimate.rs
+++ b/crates/fleet/src/work_estimate.rs
@@ -5,26 +5,32 @@
 
 use hornbeam_admission::{
     EndSpan, JobDemand, LateStart, PeerLine, QueuedWork, Standing, Supply, Work, check_start,
-    place_before_new,
+    place_before_new, retry_after,
 };
 use hornbeam_core::ids::{HostId, ServiceId};
 
+use crate::admission::RETRY_AFTER_MS;
 use crate::fleet::Fleet;
-use crate::job::{Job, JobKey};
+use crate::job::{Job, JobKey, NotRun};
 use crate::peer::Peer;
 use crate::resources::Resources;
 use crate::wait_estimate::SHARE_AHEAD_OF_URGENT;
 use crate::worker::{Run, RunState};
 
 impl Fleet {
-    /// Records the demand of a new job, and gets its place in the line.
-    pub(crate) fn place_of(&mut self, job: &Job) -> Duration {
+    /// Records the demand of a new job, and gets its place in the line. A caller
+    /// that was rejected and returns as told goes before new ones.
+    pub(crate) fn place_of(&mut self, job_key: JobKey, job: &Job) -> Duration {
         let work = Work::of_tasks(job.tasks.len(), job.need.cpu_milli, job.expected);
         let standing = Standing {
             priority: job.priority,
             is_within_share: self.shares.record(&job.queue, work.core_ms, self.now),
         };
-        standing.place(job.start_by)
+        let place = standing.place(job.start_by);
+        if self.rejections.returns_as_told(job_key, self.now) {
+            return place.min(place_before_new(job.priority, self.now));
+        }
+        place
     }
 
     /// Places the last tasks of a job that has just started before the first
@@ -84,18 +90,34 @@
         self.free_task_slots(&job.service, &job.need) >= tasks
     }
 
-    /// Checks by work whether the last task of a job would start too late.
-    pub(crate) fn check_start_by_work(&self, job: &Job) -> Result<(), LateStart> {
+    /// Checks by work whether the last task of a job would start too late, and
+    /// records how long the waiting work takes to drain.
+    pub(crate) fn check_start_by_work(&mut self, job: &Job) -> Result<(), LateStart> {
         let tasks = u32::try_from(job.tasks.len()).unwrap_or(u32::MAX);
         let free_slots = self.free_task_slots(&job.service, &job.need);
         if free_slots >= tasks {
+            self.drain_time = Duration::ZERO;
             return Ok(());
         }
-        check_start(
-            &self.demand_of(job, tasks),
-            &self.work_ahead(job),
-            &self.supply_of(job, free_slots),
-        )
+        let ahead = self.work_ahead(job);
+        let supply = self.supply_of(job, free_slots);
+        let drain_time = supply.drain_time(&ahead, job.need.cpu_milli);
+        self.drain_time = drain_time.unwrap_or_default();
+        check_start(&self.demand_of(job, tasks), &ahead, &supply)
+    }
+
+    /// Rejects a job because of overload, and gets the reason with the time after
+    /// which its caller may return. The drain time is that of the last estimate,
+    /// so that a rejection does not scan the waiting jobs again.
+    pub(crate) fn overloaded(&mut self, job: JobKey) -> NotRun {
+        let retry_after_ms = if self.options.scheduling.fair_admission {
+            let retry_after = retry_after(self.drain_time, job);
+            self.rejections.record(job, self.now, retry_after);
+            u64::try_from(retry_after.as_millis()).unwrap_or(u64::MAX)
+        } else {
+            RETRY_AFTER_MS
+        };
+        NotRun::Overloaded { retry_after_ms }
     }
 
     /// Sums the waiting work that starts before a job, here and at peers.
--- a/crates/fleet/tests/admission.rs
+++ b/crates/fleet/tests/admission.rs
@@ -249,3 +249,45 @@
         expect_that!(rejected, eq(1 - starts), "{scheduling:?}");
     }
 }
+
+/// Guards against a fixed retry-after time, and a rejected caller that comes back
+/// as told and has to queue behind new ones again.
+#[gtest]
+fn returning_caller_goes_before_new_ones() {
+    let (mut harness, worker_key) = busy_host(FAIR);
+    // A line of 20 tasks of 200 ms on two slots of this host takes 2 s.
+    harness.receive_batch(2, FIRST_BATCH, vec![waiting(20)]);
+    harness.submit(4, 1);
+    let answers = harness.answers();
+    let retry_after_ms = match answers[0].1 {
+        JobOutcome::NotRun(NotRun::Overloaded { retry_after_ms }) => retry_after_ms,
+        _ => 0,
+    };
+    expect_that!(retry_after_ms, all!(ge(250), le(7500), not(eq(1000))));
+    harness.receive_batch(2, FIRST_BATCH + 1, vec![waiting(0)]);
+    let ended = [
+        (2, run(2, 0, 1), RunEnd::Done),
+        (3, run(3, 0, 1), RunEnd::Done),
+    ];
+    harness.answer_poll(worker_key, &[], &ended);
+    for _ in 0..=retry_after_ms / 100 {
+        harness.advance(100);
+        harness.answer_poll(worker_key, &[], &[]);
+    }
+    harness.start_job(6);
+    harness.start_job(7);
+    for job in [5, 4] {
+        harness.submit(job, 1);
+    }
+    let ended = (4, run(6, 0, 1), RunEnd::Done);
+    harness.answer_poll(worker_key, &[run(7, 0, 1)], &[ended]);
+    let started: Vec<u64> = harness.starts().iter().map(|start| start.run.job).collect();
+    expect_that!(started, elements_are![eq(&4)]);
+}
+
+fn waiting(tasks: u32) -> PeerMessage {
+    PeerMessage::Status(PeerStatus {
+        waiting: tasks,
+        ..PeerStatus::default()
+    })
+}
