--- a/crates/fleet/src/admission.rs
+++ b/crates/fleet/src/admission.rs
@@ -22,8 +22,8 @@
 /// start.
 const TOP_PRIORITY_LEAD: Duration = Duration::from_millis(150);
 
-/// Delay after which a refused caller may retry.
-const RETRY_AFTER_MS: u64 = 1000;
+/// Delay after which a refused caller may retry, without `fair_admission`.
+pub(crate) const RETRY_AFTER_MS: u64 = 1000;
 
 /// Time after the end of a job within which its last runs have ended: stops are
 /// sent at once, and if they are not answered the lease is not extended and
@@ -109,23 +109,28 @@
             );
             return self.emit(FleetOutput::Answer(call, JobOutcome::Failed));
         }
-        let job = self.new_job(call, &submission, queue);
+        let mut job = self.new_job(call, &submission, queue);
+        if self.options.scheduling.fair_admission {
+            job.effective_start_by = self.place_of(submission.job, &job);
+        }
         if !job.may_have_started()
             && let Some(reason) = self.unservable_reason(&job)
         {
-            let refusal = NotRun::Overloaded {
-                retry_after_ms: RETRY_AFTER_MS,
-            };
+            let refusal = self.overloaded(submission.job);
             return self.refuse(call, submission.job, refusal, &reason);
         }
         self.add_job(submission.job, job);
     }
 
     /// Gets the reason if the job could not be served at present.
-    fn unservable_reason(&self, job: &Job) -> Option<String> {
+    fn unservable_reason(&mut self, job: &Job) -> Option<String> {
         if self.fits_nowhere(&job.service, &job.need) {
             return Some("each task needs more than any worker has at present".into());
         }
+        if self.options.scheduling.fair_admission {
+            let late = self.check_start_by_work(job).err()?;
+            return Some(late.to_string());
+        }
         self.late_start_reason(job)
     }
 
@@ -208,6 +213,7 @@
             queue: queue.name.clone(),
             service: queue.service.clone(),
             spec: submission.spec.clone(),
+            priority: queue.priority,
             need: submission.need,
             expected,
             declared: submission.estimate,
@@ -257,11 +263,8 @@
             if started {
                 self.end_job(key, JobOutcome::TimedOut, "its timeout has passed");
             } else {
-                self.end_job(
-                    key,
-                    overloaded(),
-                    "no resources became free before its timeout",
-                );
+                let outcome = JobOutcome::NotRun(self.overloaded(key));
+                self.end_job(key, outcome, "no resources became free before its timeout");
             }
         }
         self.refuse_late_jobs();
@@ -273,15 +276,27 @@
     fn refuse_late_jobs(&mut self) {
         let is_late = |key: &JobKey| {
             let job = self.jobs.get(key);
-            job.is_some_and(|job| job.start_by <= self.now && !job.may_have_started())
+            job.is_some_and(|job| {
+                job.start_by <= self.now && !job.may_have_started() && !self.may_start_late(job)
+            })
         };
         let keys = self.queued_jobs.iter().map(|(_, key)| *key);
         let late: Vec<JobKey> = keys.filter(is_late).collect();
         for key in late {
-            self.end_job(key, overloaded(), "it can no longer meet its objective");
+            let outcome = JobOutcome::NotRun(self.overloaded(key));
+            self.end_job(key, outcome, "it can no longer meet its objective");
         }
     }
 
+    /// Whether a job past its latest start time starts in this step, because all
+    /// its tasks fit free resources. Cores that become free in the step of that
+    /// time, or tasks that a peer returns then, would else be of no use to it.
+    fn may_start_late(&self, job: &Job) -> bool {
+        self.options.scheduling.fair_admission
+            && self.now + job.expected < job.objective_at
+            && self.has_free_slots(job)
+    }
+
     /// Answers the caller of a job and stops its remaining runs.
     pub(crate) fn end_job(&mut self, key: JobKey, outcome: JobOutcome, reason: &str) {
         let Some(job) = self.jobs.swap_remove(&key) else {
@@ -380,9 +395,3 @@
         _ => Duration::ZERO,
     }
 }
-
-const fn overloaded() -> JobOutcome {
-    JobOutcome::NotRun(NotRun::Overloaded {
-        retry_after_ms: RETRY_AFTER_MS,
-    })
-}
--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use hornbeam_admission::{MeanWork, Rejections, Shares};
 use hornbeam_core::evacuation::EvacuationList;
 use hornbeam_core::event::Event;
 use hornbeam_core::ids::{FailureDomainId, HostId, TaskIndex, WorkerId};
@@ -60,6 +61,11 @@
     pub(crate) mean_run_time: MeanRunTime,
     pub(crate) paces: ServicePaces,
     pub(crate) interference: Interference,
+    pub(crate) mean_work: MeanWork,
+    pub(crate) shares: Shares,
+    pub(crate) rejections: Rejections,
+    /// Time until the waiting work has drained, as of the last estimate.
+    pub(crate) drain_time: Duration,
     pub(crate) workers: BTreeMap<WorkerKey, Worker>,
     pub(crate) worker_keys_by_id: IndexMap<WorkerId, WorkerKey>,
     pub(crate) last_worker_key: WorkerKey,
@@ -118,6 +124,10 @@
             mean_run_time: MeanRunTime::default(),
             paces: ServicePaces::default(),
             interference: Interference::default(),
+            mean_work: MeanWork::default(),
+            shares: Shares::default(),
+            rejections: Rejections::default(),
+            drain_time: Duration::ZERO,
             workers: BTreeMap::new(),
             worker_keys_by_id: IndexMap::new(),
             last_worker_key: 0,
