Keep decisions and estimates as they were where paces are even

Cause: with pace on, run times in estimates were converted to the mean pace also where workers differ by less than the stretch, so the earlier deployments were not served exactly as before. Change: a worker counts as of mean pace unless paces are uneven.

--- a/crates/fleet/src/pace.rs
+++ b/crates/fleet/src/pace.rs
@@ -92,9 +92,6 @@
     /// Gets the paces of the workers with free resources, for peers; `None` where
     /// pace does not count.
     pub(crate) fn own_free_paces(&self) -> Option<Vec<FreePaces>> {
-        if !self.options.scheduling.pace {
-            return None;
-        }
         let mut services: Vec<FreePaces> = Vec::new();
         for worker in self.workers.values() {
             let service = &worker.report.service;
@@ -117,6 +114,9 @@
     /// Whether workers of a service differ so much in pace that some miss the
     /// objectives that others meet.
     fn has_uneven_paces(&self, service: &ServiceId) -> bool {
+        if !self.options.scheduling.pace {
+            return false;
+        }
         let table = self.paces.tables.get(service);
         let extremes = table.and_then(PaceTable::extremes);
         let stretch = self.paces.stretches.get(service);
@@ -128,9 +128,10 @@
         }
     }
 
-    /// Gets the pace of a worker; the mean pace where pace does not count.
+    /// Gets the pace of a worker; the mean pace where pace does not count, so that
+    /// estimates and placement are the former ones there.
     pub(crate) fn worker_pace(&self, worker: &Worker) -> Pace {
-        if !self.options.scheduling.pace {
+        if !self.has_uneven_paces(&worker.report.service) {
             return Pace::MEAN;
         }
         let table = self.paces.tables.get(&worker.report.service);
@@ -171,9 +172,6 @@
         expected: Duration,
         time_left: Duration,
     ) -> Option<PaceOrder> {
-        if !self.options.scheduling.pace {
-            return None;
-        }
         if !self.has_uneven_paces(service) {
             return None;
         }
--- a/crates/fleet/tests/pace.rs
+++ b/crates/fleet/tests/pace.rs
@@ -18,10 +18,15 @@
     harness: Harness,
     slow: u64,
     fast: u64,
+    fast_ms: u64,
 }
 
 impl TwoPaces {
     fn new(pace: bool) -> Self {
+        Self::with_fast_time(pace, FAST_MS)
+    }
+
+    fn with_fast_time(pace: bool, fast_ms: u64) -> Self {
         let mut options = options(OWN_HOST);
         options.scheduling = SchedulingOptions {
             pace,
@@ -34,6 +39,7 @@
             harness,
             slow,
             fast,
+            fast_ms,
         };
         for round in 0..12 {
             host.run_tasks(round);
@@ -50,7 +56,7 @@
             harness.accept_start(&start);
             runs[usize::from(start.target.worker_key == self.fast)].push(start.run);
         }
-        harness.advance(FAST_MS);
+        harness.advance(self.fast_ms);
         let ended = |runs: &[RunId]| {
             let sequences = 2 * round + 1..;
             let runs = sequences.zip(runs.to_vec());
@@ -58,7 +64,7 @@
             ended.collect::<Vec<_>>()
         };
         harness.answer_poll(self.fast, &[], &ended(&runs[1]));
-        harness.advance(SLOW_MS - FAST_MS);
+        harness.advance(SLOW_MS - self.fast_ms);
         harness.answer_poll(self.slow, &[], &ended(&runs[0]));
     }
 
@@ -144,6 +150,18 @@
     expect_that!(extended.count(), eq(0));
 }
 
+/// Guards against a change of placement where workers differ in pace, but by less
+/// than the stretch of the queue.
+#[gtest]
+fn workers_of_similar_pace_are_placed_by_the_tightest_fit() {
+    let mut host = TwoPaces::with_fast_time(true, 220);
+    let (slow, fast) = (host.slow, host.fast);
+    expect_that!(
+        host.place(4),
+        elements_are![eq(&slow), eq(&slow), eq(&fast), eq(&fast)]
+    );
+}
+
 /// Guards against tasks that run too late on an own slow worker while a peer has a
 /// free fast one.
 #[gtest]
