Show that repeated disk losses end the repair of the control group

The table of links to replicas holds 64 ids in the life of a process and forgets none. After as many restarts of one host with an empty disk no new replica gets a link, so two further hosts that lose their disks one after the other take the quorum with them.

--- a/review/standins-2/rig.rs
+++ b/review/standins-2/rig.rs
@@ -1162,6 +1162,57 @@
     Ok(i32::from(is_broken))
 }
 
+/// One control host loses its disk at each of many restarts. Later, each time after the
+/// host before has been back for longer than `catchUpS`, two others lose theirs in turn.
+fn disks_lost_in_turn(record: Record, trouble: bool) -> Result<i32, String> {
+    // Few restarts show that the rest is borne.
+    let is_short = std::env::var("TROUBLE").as_deref() == Ok("few");
+    let restarts = if is_short { 3 } else { 72 };
+    let deployment = &mut start_core(&record, false)?;
+    let control = deployment.control();
+    if !publish(&control, &record, 1, 1500) {
+        return Err("version 1 was not acknowledged".into());
+    }
+    thread::sleep(Duration::from_secs(2));
+    deployment.is_first_start = false;
+    let lose_disk = |host: u8, zone: &str| {
+        let name = format!("core-{host}");
+        deployment.kill(&name);
+        let _ = fs::remove_dir_all(deployment.folder.join(format!("data-{name}")));
+        let starting = deployment.start(&name, host, zone);
+        starting.map_err(|cause| cause.to_string())
+    };
+    if trouble {
+        record.line(&format!(
+            "core-4 loses its disk at each of {restarts} restarts"
+        ));
+        for _ in 0..restarts {
+            lose_disk(4, "zone-d")?;
+            thread::sleep(Duration::from_millis(600));
+        }
+        record.line("core-4 stays up");
+        thread::sleep(Duration::from_secs(8));
+    }
+    if !publish(&control, &record, 2, 1500) {
+        return Err("version 2 was not acknowledged".into());
+    }
+    for (host, zone) in [(1, "zone-a"), (2, "zone-b")] {
+        if trouble {
+            record.line(&format!("core-{host} loses its disk"));
+            lose_disk(host, zone)?;
+        }
+        thread::sleep(Duration::from_secs(8));
+    }
+    let version = read_back(&control, &record, Duration::from_secs(20));
+    let summary = match version {
+        Some(version) => format!("read back: version {version}"),
+        None => "BROKEN CONFIG: no control host answers with the acknowledged version 2".to_owned(),
+    };
+    record.line(&summary);
+    println!("{summary}");
+    Ok(i32::from(version != Some(2)))
+}
+
 /// A quarter of the clients cancel their jobs 0.5 s after they have handed them in, while
 /// the tasks run.
 fn cancelled_while_running(record: Record, trouble: bool) -> Result<i32, String> {
@@ -1233,6 +1284,7 @@
     let result = match scenario.as_str() {
         "killed-during-first-start" => killed_during_first_start(record, trouble),
         "cancelled-while-running" => cancelled_while_running(record, trouble),
+        "disks-lost-in-turn" => disks_lost_in_turn(record, trouble),
         "entry-host-killed" => entry_host_killed(record, trouble),
         "restart-under-same-id" => restart_under_same_id(record, trouble),
         _ => Err(format!("no scenario {scenario}")),
