Hold tasks whose start may reach a restarted worker

Cause: a restart ended all runs on the worker here, also those that the new incarnation had started. It accepts start requests meant for the former one: it has seen no fencing token, and a lease end on the former clock is far ahead.

Change: a run ends with a restart only if the former incarnation has certainly started it by its only request. The others wait until the new incarnation has answered a poll with a higher token, which shuts out requests still on their way, and no longer lists them. An answer with a clock below the one read before the request shows the restart at once. Handles lists of runs, reports, answers of another incarnation and clocks alike, and runs held for peers. Also waits for a lease where another host has fenced the worker, and for the request's timeout where the worker is silent at the lease's end.

Ruled out: a wait of a whole lease for each task of a crashed worker; what the former incarnation ran still starts elsewhere at once.

The workers of the model check report up to 1.5 s after a restart.

--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -144,6 +144,9 @@
     StaleMessage = 732, Info;
     /// A newer list of evacuated failure domains is in force on this host.
     EvacuationsApplied = 733, Info;
+    /// A guarded worker restarted while start requests to it were without an
+    /// answer; their tasks wait until it is certain that none takes effect.
+    RunsUnsettled = 734, Info;
     /// A published configuration was accepted.
     PublishAccepted = 740, Info;
     /// A published configuration was rejected as invalid.
--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -23,6 +23,7 @@
 use crate::peer_tasks::PeerTask;
 use crate::queues::QueueTable;
 use crate::resources::KnownCapacities;
+use crate::restarts::RestartedWorkers;
 use crate::run_times::RunTimeEstimates;
 use crate::scheduling::OFFLOAD_AFTER;
 use crate::verification::Verification;
@@ -68,6 +69,7 @@
     pub(crate) drain_time: Duration,
     pub(crate) workers: BTreeMap<WorkerKey, Worker>,
     pub(crate) worker_keys_by_id: IndexMap<WorkerId, WorkerKey>,
+    pub(crate) restarted_workers: RestartedWorkers,
     pub(crate) last_worker_key: WorkerKey,
     pub(crate) fencing_tokens: FencingTokens,
     pub(crate) peer_tasks: IndexMap<RunId, PeerTask>,
@@ -130,6 +132,7 @@
             drain_time: Duration::ZERO,
             workers: BTreeMap::new(),
             worker_keys_by_id: IndexMap::new(),
+            restarted_workers: RestartedWorkers::new(),
             last_worker_key: 0,
             peer_tasks: IndexMap::new(),
             waiting_peer_tasks: BTreeSet::new(),
@@ -156,6 +159,7 @@
         self.expire_leases();
         self.handle_input(input);
         self.remove_unresponsive_workers();
+        self.settle_restarted_workers();
         self.check_peers();
         self.requeue_expired();
         self.end_expired_jobs();
@@ -211,6 +215,7 @@
             self.first_start_by(),
             self.first_offload_at(),
             self.awaiting_expiry.first().map(|(at, _, _)| *at),
+            self.next_settlement_at(),
         ];
         let workers = self
             .workers
@@ -283,7 +288,10 @@
         let Some(started) = self.drain_started else {
             return false;
         };
-        let is_idle = self.jobs.is_empty() && self.peer_tasks.is_empty() && self.workers.is_empty();
+        let is_idle = self.jobs.is_empty()
+            && self.peer_tasks.is_empty()
+            && self.workers.is_empty()
+            && self.restarted_workers.is_empty();
         let since = self.now.saturating_sub(started);
         is_idle && since >= self.options.min_drain || since >= self.options.max_drain
     }
--- a/crates/fleet/src/lease.rs
+++ b/crates/fleet/src/lease.rs
@@ -9,6 +9,17 @@
 /// Time that a worker takes after the lease expires to kill its runs.
 const KILL_DELAY: Duration = Duration::from_millis(20);
 
+/// Gets the longest time for which a run goes on after a lease of this length was
+/// granted.
+pub(crate) fn longest(length: Duration) -> Duration {
+    on_slow_clock(length) + KILL_DELAY
+}
+
+/// Gets the longest time in which a worker's clock advances by `duration`.
+fn on_slow_clock(duration: Duration) -> Duration {
+    duration * 100 / (100 - MAX_CLOCK_SLOWDOWN_PERCENT)
+}
+
 /// `Lease` is what the owner knows about a worker's clock and lease.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Lease {
@@ -32,6 +43,11 @@
         self.reading = Some(Reading { clock_ms, at: now });
     }
 
+    /// Gets the last reading of the worker's clock, in ms.
+    pub(crate) fn clock_ms(&self) -> u64 {
+        self.reading.map_or(0, |reading| reading.clock_ms)
+    }
+
     /// Extends the lease and gets the new expiry on the worker's clock; `None`
     /// until the clock has been read.
     pub(crate) fn extend(&mut self, now: Duration, length: Duration) -> Option<u64> {
@@ -58,10 +74,7 @@
     /// Gets the latest time at which the worker's clock shows `clock_ms`.
     fn latest_time_of(&self, reading: Reading, clock_ms: u64) -> Duration {
         let ahead = Duration::from_millis(clock_ms.saturating_sub(reading.clock_ms));
-        reading.at
-            + ahead
-            + ahead * MAX_CLOCK_SLOWDOWN_PERCENT / (100 - MAX_CLOCK_SLOWDOWN_PERCENT)
-            + KILL_DELAY
+        reading.at + longest(ahead)
     }
 }
 
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -31,6 +31,7 @@
 mod queues;
 mod report;
 mod resources;
+mod restarts;
 mod run_losses;
 mod run_times;
 mod runs;
--- a/crates/fleet/src/ownership.rs
+++ b/crates/fleet/src/ownership.rs
@@ -9,9 +9,10 @@
 use crate::fleet::Fleet;
 use crate::io::{FleetOutput, ReportAnswer, ReportId, Subject};
 use crate::job::RunId;
-use crate::loss_log::LossEvidence;
+use crate::lease;
 use crate::report::WorkerReport;
 use crate::resources::Resources;
+use crate::restarts::RestartSeenIn;
 use crate::verification::Verification;
 use crate::worker::{Phase, Worker, WorkerKey};
 
@@ -63,7 +64,7 @@
             return ReportAnswer::Declined;
         };
         if report.born_unix_ms > worker.report.born_unix_ms {
-            self.worker_restarted(worker_key);
+            self.worker_restarted(worker_key, RestartSeenIn::Report);
             return self.add_worker(report, verification);
         }
         // A late report of a previous incarnation, or one that a later report
@@ -176,12 +177,6 @@
         );
     }
 
-    /// Handles a restart of a worker: none of its runs is left.
-    pub(crate) fn worker_restarted(&mut self, worker_key: WorkerKey) {
-        self.record_losses(worker_key, LossEvidence::Restarted);
-        self.remove_worker(worker_key, self.now, "it restarted");
-    }
-
     /// Handles a worker that has seen a higher fencing token. While a message about
     /// it is verified, the worker has or had an owner. During take-over the worker
     /// reports to this host, so the clock of a former owner was ahead, and
@@ -232,12 +227,15 @@
                 worker.runs.len()
             ),
         );
-        let runs: Vec<RunId> = worker.runs.keys().copied().collect();
-        for id in runs {
+        let longest_lease = lease::longest(self.options.max_lease);
+        for (id, run) in &worker.runs {
             if ends_by <= self.now {
-                self.end_run_as_lost(worker_key, id);
+                self.end_run_as_lost(worker_key, *id);
+            } else if run.may_start_after_restart() {
+                // The worker may have restarted before its next owner took it over.
+                self.hold_run_until_expiry(*id, ends_by.max(self.now + longest_lease));
             } else {
-                self.hold_run_until_expiry(id, ends_by);
+                self.hold_run_until_expiry(*id, ends_by);
             }
         }
     }
--- a/crates/fleet/src/peer_tasks.rs
+++ b/crates/fleet/src/peer_tasks.rs
@@ -81,7 +81,9 @@
     /// of a new one.
     pub(crate) fn has_run(&self, run: RunId) -> bool {
         let mut workers = self.workers.values();
-        self.peer_tasks.contains_key(&run) || workers.any(|worker| worker.runs.contains_key(&run))
+        self.peer_tasks.contains_key(&run)
+            || workers.any(|worker| worker.runs.contains_key(&run))
+            || self.is_unsettled(run)
     }
 
     /// Returns runs whose ids runs of earlier calls still have here. The end of
--- a/crates/fleet/src/polls.rs
+++ b/crates/fleet/src/polls.rs
@@ -10,9 +10,10 @@
 };
 use crate::job::RunId;
 use crate::loss_log::LossEvidence;
+use crate::restarts::RestartSeenIn;
 use crate::run_losses::list_runs;
 use crate::verification::Verification;
-use crate::worker::{Phase, RunState, Worker, WorkerKey};
+use crate::worker::{Phase, RunState, WorkerKey};
 
 /// Delay before an unanswered poll is repeated; it doubles up to
 /// [`MAX_POLL_RETRY_DELAY`].
@@ -21,6 +22,12 @@
 /// Longest delay between polls of a worker that does not answer.
 const MAX_POLL_RETRY_DELAY: Duration = Duration::from_millis(800);
 
+/// Gets the delay before the next poll after some in a row without an answer.
+pub(crate) fn poll_retry_delay(unanswered_polls: u32) -> Duration {
+    let doublings = unanswered_polls.saturating_sub(1).min(5);
+    (POLL_RETRY_DELAY * 2_u32.pow(doublings)).min(MAX_POLL_RETRY_DELAY)
+}
+
 impl Fleet {
     /// Sends all polls, probes and stop requests that are due.
     pub(crate) fn send_due_requests(&mut self) {
@@ -65,12 +72,14 @@
 
     pub(crate) fn on_poll_ended(&mut self, worker_key: WorkerKey, outcome: PollOutcome) {
         let Some(worker) = self.workers.get_mut(&worker_key) else {
-            return;
+            return self.on_settlement_poll_ended(worker_key, &outcome);
         };
         let sent_at = worker.poll_sent_at.take().unwrap_or(self.now);
         match outcome {
             PollOutcome::Fenced(clock_ms) => self.on_fenced(worker_key, clock_ms),
-            PollOutcome::OtherIncarnation => self.worker_restarted(worker_key),
+            PollOutcome::OtherIncarnation => {
+                self.worker_restarted(worker_key, RestartSeenIn::Answer);
+            }
             PollOutcome::Unanswered => {
                 self.on_poll_unanswered(worker_key, sent_at, "did not answer");
             }
@@ -96,8 +105,7 @@
         }
         worker.unanswered_polls += 1;
         let is_first = worker.unanswered_polls == 1;
-        let delay = POLL_RETRY_DELAY * 2_u32.pow((worker.unanswered_polls - 1).min(5));
-        worker.next_poll_at = self.now + delay.min(MAX_POLL_RETRY_DELAY);
+        worker.next_poll_at = self.now + poll_retry_delay(worker.unanswered_polls);
         let message = format!(
             "worker {} {what} {} consecutive polls; {} runs on it",
             worker.report.worker_id,
@@ -127,11 +135,12 @@
             .born_unix_ms
             .is_some_and(|reported_born| reported_born != born)
         {
-            return self.worker_restarted(worker_key);
+            return self.worker_restarted(worker_key, RestartSeenIn::Answer);
         }
         worker.lease.record_clock(response.clock_ms, now);
         worker.last_answer_at = now;
         worker.last_poll_answer_at = now;
+        worker.incarnation_seen_at = worker.incarnation_seen_at.max(sent_at);
         worker.next_poll_at = now;
         self.withdraw_losses(worker_key);
         let Some(worker) = self.workers.get_mut(&worker_key) else {
@@ -172,6 +181,11 @@
         };
         let last = response.ended.iter().map(|ended| ended.sequence).max();
         worker.acknowledged = worker.acknowledged.max(last.unwrap_or(0));
+        let worker_id = worker.report.worker_id.clone();
+        self.settle_listed_runs(&worker_id, response);
+        let Some(worker) = self.workers.get_mut(&worker_key) else {
+            return;
+        };
         if response.running.is_empty() {
             worker.phase = Phase::Ready;
             let message = format!(
@@ -232,7 +246,11 @@
         };
         let listed = |id: &RunId| response.running.iter().any(|progress| progress.run == *id);
         for (id, run) in &mut worker.runs {
-            if matches!(run.state, RunState::Starting(_) | RunState::Unknown) && listed(id) {
+            if !listed(id) {
+                continue;
+            }
+            run.is_confirmed = true;
+            if matches!(run.state, RunState::Starting(_) | RunState::Unknown) {
                 // Answers can arrive out of order: only a poll sent from now on
                 // is certain to list the run.
                 run.state = RunState::Running(now);
@@ -280,20 +298,17 @@
     /// pause of this process.
     pub(crate) fn expire_leases(&mut self) {
         let now = self.now;
-        let has_expired =
-            |worker: &&Worker| !worker.runs.is_empty() && worker.lease.ends_by() <= now;
-        let expired: Vec<WorkerKey> = self
+        let expired: Vec<(WorkerKey, Vec<RunId>)> = self
             .workers
             .values()
-            .filter(has_expired)
-            .map(|worker| worker.worker_key)
+            .map(|worker| (worker.worker_key, worker.expired_runs(now)))
+            .filter(|(_, runs)| !runs.is_empty())
             .collect();
-        for worker_key in expired {
+        for (worker_key, runs) in expired {
             let Some(worker) = self.workers.get(&worker_key) else {
                 continue;
             };
             let worker_id = worker.report.worker_id.clone();
-            let runs: Vec<RunId> = worker.runs.keys().copied().collect();
             let unanswered_polls = worker.unanswered_polls;
             // Otherwise this process was paused, and the worker is not at fault.
             if unanswered_polls > 0 {
@@ -324,8 +339,9 @@
         let now = self.now;
         let mut ended = Vec::new();
         for worker in self.workers.values_mut() {
-            let has_ended =
-                |run: &crate::worker::Run| run.state == RunState::Unknown && run.ends_by <= now;
+            let has_ended = |run: &crate::worker::Run| {
+                run.state == RunState::Unknown && worker.latest_end(run) <= now
+            };
             let ids: Vec<RunId> = worker
                 .runs
                 .iter()
--- a/crates/fleet/src/run_losses.rs
+++ b/crates/fleet/src/run_losses.rs
@@ -40,7 +40,7 @@
             let lost_run = worker.lost_runs.entry(*id);
             lost_run.or_insert_with(|| LostRun {
                 origin: peer_tasks.get(id).map(|task| task.origin.clone()),
-                has_started: matches!(run.state, RunState::Running(_)),
+                has_started: matches!(run.state, RunState::Running(_)) && run.is_confirmed,
             });
         }
         let lost_runs = worker.lost_runs.clone();
--- a/crates/fleet/src/scheduling.rs
+++ b/crates/fleet/src/scheduling.rs
@@ -326,6 +326,10 @@
                 progress: (0, self.now),
                 state: RunState::Starting(0),
                 ends_by: self.now,
+                ends_by_if_restarted: self.now,
+                clock_at_start_ms: 0,
+                has_unanswered_start: false,
+                is_confirmed: false,
                 stop_at: None,
                 stop_requested: false,
                 stop_is_unanswered: false,
@@ -347,6 +351,7 @@
             return;
         };
         let ends_by = worker.lease.ends_by();
+        let clock_ms = worker.lease.clock_ms();
         let target = worker.target();
         let Some(run) = worker.runs.get_mut(&id) else {
             return;
@@ -356,9 +361,11 @@
             _ => return,
         };
         run.state = RunState::Starting(tries + 1);
+        let timeout = START_TIMEOUTS[(tries as usize).min(START_TIMEOUTS.len() - 1)];
         run.ends_by = ends_by;
+        run.ends_by_if_restarted = ends_by + timeout;
+        run.clock_at_start_ms = clock_ms;
         let spec = run.spec.clone();
-        let timeout = START_TIMEOUTS[(tries as usize).min(START_TIMEOUTS.len() - 1)];
         self.emit(FleetOutput::Start(crate::io::StartRequest {
             target,
             run: id,
--- a/crates/fleet/src/starts.rs
+++ b/crates/fleet/src/starts.rs
@@ -9,6 +9,7 @@
     FleetOutput, RunEnd, StartOutcome, StartRefusal, StopOutcome, StopRequest, Subject,
 };
 use crate::job::RunId;
+use crate::restarts::RestartSeenIn;
 use crate::scheduling::START_TIMEOUTS;
 use crate::worker::{RunState, WorkerKey};
 
@@ -34,13 +35,29 @@
         let Some(worker) = self.workers.get_mut(&worker_key) else {
             return;
         };
-        if let StartOutcome::Accepted(clock_ms) = outcome {
-            worker.lease.record_clock(clock_ms, now);
-            worker.last_answer_at = now;
+        if let StartOutcome::Accepted(clock_ms) = outcome
+            && let Some(run) = worker.runs.get(&id)
+            && clock_ms < run.clock_at_start_ms
+        {
+            return self.worker_restarted(worker_key, RestartSeenIn::Answer);
+        }
+        let is_known_incarnation = match outcome {
+            StartOutcome::Accepted(clock_ms) => {
+                worker.lease.record_clock(clock_ms, now);
+                worker.last_answer_at = now;
+                worker.has_clock_of_known_incarnation(clock_ms, now)
+            }
+            _ => false,
+        };
+        let is_unanswered = outcome == StartOutcome::Unanswered;
+        if is_unanswered {
+            worker.start_unanswered_at = Some(now);
         }
         let Some(run) = worker.runs.get_mut(&id) else {
             return;
         };
+        run.has_unanswered_start |= is_unanswered;
+        run.is_confirmed |= is_known_incarnation;
         let RunState::Starting(tries) = run.state else {
             return;
         };
@@ -49,7 +66,7 @@
             StartOutcome::Accepted(_) => run.state = RunState::Running(now),
             StartOutcome::Refused(StartRefusal::Fenced) => self.on_fenced(worker_key, None),
             StartOutcome::Refused(StartRefusal::OtherIncarnation) => {
-                self.worker_restarted(worker_key)
+                self.worker_restarted(worker_key, RestartSeenIn::Answer);
             }
             StartOutcome::Refused(refusal) if is_first => {
                 self.on_start_refused(worker_key, id, refusal);
@@ -144,7 +161,9 @@
         };
         match outcome {
             StopOutcome::Fenced => return self.on_fenced(worker_key, None),
-            StopOutcome::OtherIncarnation => return self.worker_restarted(worker_key),
+            StopOutcome::OtherIncarnation => {
+                return self.worker_restarted(worker_key, RestartSeenIn::Answer);
+            }
             StopOutcome::Accepted => worker.last_answer_at = now,
             StopOutcome::Unanswered => {}
         }
--- a/crates/fleet/src/worker.rs
+++ b/crates/fleet/src/worker.rs
@@ -46,6 +46,9 @@
     pub(crate) unanswered_polls: u32,
     /// Time of the last answer to a poll or a probe.
     pub(crate) last_poll_answer_at: Duration,
+    /// Send time of the last answered poll or probe, after which a later
+    /// incarnation can have started.
+    pub(crate) incarnation_seen_at: Duration,
     /// Time of the last answer to any request.
     pub(crate) last_answer_at: Duration,
     /// Time before which the worker gets no new runs.
@@ -62,6 +65,8 @@
     /// Whether the last poll listed runs that this host does not know, which
     /// occupy an unknown amount of resources.
     pub(crate) has_unknown_runs: bool,
+    /// Time at which a start request was last given up without an answer.
+    pub(crate) start_unanswered_at: Option<Duration>,
     /// Number of refused connections since the last answer.
     pub(crate) refused_polls: u32,
     /// Runs that were on the worker when it became silent, until it answers.
@@ -107,6 +112,17 @@
     /// Time by which the run has ended if none of its start requests was
     /// answered.
     pub(crate) ends_by: Duration,
+    /// The same if the worker has restarted: a later incarnation counts the lease
+    /// from the arrival of the last start request, which is given up by its timeout.
+    pub(crate) ends_by_if_restarted: Duration,
+    /// Last reading of the worker's clock when the last start request was sent, in
+    /// ms.
+    pub(crate) clock_at_start_ms: u64,
+    /// Whether a start request got no answer. It may be carried out seconds later,
+    /// by a later incarnation as well.
+    pub(crate) has_unanswered_start: bool,
+    /// Whether the incarnation that is known here has certainly started the run.
+    pub(crate) is_confirmed: bool,
     /// Completed share of the work in percent when it last increased, and the
     /// time of that increase.
     pub(crate) progress: (u32, Duration),
@@ -155,6 +171,7 @@
             next_poll_at: now,
             unanswered_polls: 0,
             last_poll_answer_at: now,
+            incarnation_seen_at: Duration::ZERO,
             last_answer_at: now,
             blocked_until: Duration::ZERO,
             is_evacuated: false,
@@ -162,6 +179,7 @@
             failures: 0,
             token_raises: 0,
             has_unknown_runs: false,
+            start_unanswered_at: None,
             refused_polls: 0,
             lost_runs: IndexMap::new(),
         }
--- a/crates/fleet/tests/events.rs
+++ b/crates/fleet/tests/events.rs
@@ -150,6 +150,12 @@
         }
     }
     harness.step(FleetInput::LossReportEnded("entry-2".into(), 9, false));
+    harness.add_worker("w3");
+    harness.submit(10, 1);
+    harness.starts();
+    let mut restarted = report("w3", 1);
+    restarted.born_unix_ms += 1000;
+    harness.step(FleetInput::Reported(2, restarted));
     harness.logged_events()
 }
 
@@ -225,6 +231,7 @@
     let second = Subject::Run(run(9, 0, 2));
     expect_that!(crashes, contains(eq(&(Event::WorkerCrashed, worker("w1")))));
     expect_that!(crashes, contains(eq(&(Event::TaskGivenUp, second))));
+    expect_that!(crashes, contains(eq(&(Event::RunsUnsettled, worker("w3")))));
     let peers = peer_events();
     for expected in [
         Event::PeerLost,
--- a/crates/fleet/tests/model/reports.rs
+++ b/crates/fleet/tests/model/reports.rs
@@ -7,7 +7,7 @@
 use super::site::{CONTROLS, HOSTS, Site, host_at, worker_address};
 use crate::common::SERVICE;
 
-const REPORT_INTERVAL_MS: Millis = 1500;
+pub(super) const REPORT_INTERVAL_MS: Millis = 1500;
 
 const REPORT_TIMEOUT_MS: Millis = 1000;
 
--- a/crates/fleet/tests/model/workers.rs
+++ b/crates/fleet/tests/model/workers.rs
@@ -6,6 +6,7 @@
 
 use super::Millis;
 use super::network::{Event, HostLife, MessageKind, RequestResult, WorkerLife, WorkerRequest};
+use super::reports::REPORT_INTERVAL_MS;
 use super::site::{NEED_CPU_MILLI, Site, job_index};
 
 const STOP_TIME_MS: Millis = 50;
@@ -21,7 +22,14 @@
         let now = self.now;
         self.workers[worker].start(worker, now);
         self.note(|| format!("w{worker} starts"));
-        self.send_report(worker);
+        let life = self.worker_life(worker);
+        if life.life == 1 {
+            return self.send_report(worker);
+        }
+        // Requests can reach a restarted worker long before its owner learns of it.
+        let spread = now + 389 * worker as Millis + 613 * Millis::from(life.life);
+        let first_report_at = now + spread % REPORT_INTERVAL_MS;
+        self.network.at(first_report_at, Event::ReportDue(life, 0));
     }
 
     pub(super) fn leave(&mut self, life: WorkerLife) {
