Limit a run's lease by the time at which it was last wanted

Cause: the lease of a run for a peer was renewed for a whole second until the peer's silence was noticed (600 ms) and a stop had got no answer (150 ms).

Change: no lease is extended beyond 1,260 ms after a run on its worker was last wanted. For a run of a peer that is the echo in the newest batch from its origin, on this host's own clock. The echo now includes the time since the echoed batch arrived, which keeps leases as long as before while batches arrive. A batch takes all stops that wait, one that is sent again keeps its echo while a stop waits, and a host that was paused keeps it for 50 ms, so an echo never says that a run is wanted after its stop was requested. A run for a peer joins no worker whose lease goes beyond its limit. The format of batches is the same.

Ruled out: silent connections as the cause (the stops are held up by the workers); shorter leases (a lost poll takes 550 ms); the job's end sent with the task (says nothing about a host that dies).

Tests: fleet::stops, six new ones, of which five failed before (the sixth guards that leases stay long enough to outlast a lost poll).

--- a/crates/fleet/src/admission.rs
+++ b/crates/fleet/src/admission.rs
@@ -10,6 +10,7 @@
 use crate::job::{
     DISPATCH_OVERHEAD, Job, JobKey, JobOutcome, NotRun, RunId, Submission, Task, TaskState,
 };
+use crate::lease::RUN_END_LIMIT;
 use crate::peer::PeerMessage;
 use crate::queues::Queue;
 use crate::run_times::scaled;
@@ -25,11 +26,6 @@
 /// Delay after which a refused caller may retry, without `fair_admission`.
 pub(crate) const RETRY_AFTER_MS: u64 = 1000;
 
-/// Time after the end of a job within which its last runs have ended: stops are
-/// sent at once, and if they are not answered the lease is not extended and
-/// expires. It is shorter than the time after which callers send a job again.
-const MAX_RUN_END_DELAY: Duration = Duration::from_millis(1250);
-
 /// Time for which the end of a job is remembered. A call that was delayed in
 /// the network can arrive seconds after the answer.
 const RECENT_JOB_RETENTION: Duration = Duration::from_secs(20);
@@ -332,7 +328,7 @@
         let runs_end_by = if runs_ended {
             self.now
         } else {
-            self.now + MAX_RUN_END_DELAY
+            self.now + RUN_END_LIMIT
         };
         let end = RecentJob {
             outcome,
--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -33,6 +33,13 @@
 /// Longest time without a tick, so that a missed timer cannot stall the host.
 const MAX_WAKEUP_DELAY: Duration = Duration::from_millis(100);
 
+/// Time since the last step from which on the process counts as paused.
+const MAX_STEP_DELAY: Duration = Duration::from_millis(140);
+
+/// Time after a pause of the process in which the inputs that arrived meanwhile,
+/// such as callers that have disconnected, are handled.
+const PENDING_INPUTS_TIME: Duration = Duration::from_millis(50);
+
 /// Shortest time between two ticks. Timers need no finer resolution, and each
 /// tick costs processor time.
 const MIN_WAKEUP_DELAY: Duration = Duration::from_millis(2);
@@ -69,6 +76,7 @@
     pub(crate) drain_time: Duration,
     pub(crate) workers: BTreeMap<WorkerKey, Worker>,
     pub(crate) worker_keys_by_id: IndexMap<WorkerId, WorkerKey>,
+    /// Workers whose later incarnation may run tasks of the former one.
     pub(crate) restarted_workers: RestartedWorkers,
     pub(crate) last_worker_key: WorkerKey,
     pub(crate) fencing_tokens: FencingTokens,
@@ -106,6 +114,7 @@
             address: options.link_address,
             failure_domain: options.failure_domain.clone(),
             incarnation: options.incarnation,
+            inputs_pending_until: Duration::ZERO,
         };
         Self {
             fencing_tokens: FencingTokens::new(options.link_address),
@@ -152,6 +161,9 @@
     /// Handles one input. `now` is the monotonic time of the process; `unix_ms`
     /// is the wall-clock time, which is used only for fencing tokens.
     pub fn step(&mut self, now: Duration, unix_ms: u64, input: FleetInput) -> Vec<FleetOutput> {
+        if !self.now.is_zero() && now > self.now + MAX_STEP_DELAY {
+            self.sender.inputs_pending_until = now + PENDING_INPUTS_TIME;
+        }
         self.now = self.now.max(now);
         self.unix_ms = unix_ms;
         // After a pause of the process, leases that expired meanwhile come
--- a/crates/fleet/src/lease.rs
+++ b/crates/fleet/src/lease.rs
@@ -9,6 +9,10 @@
 /// Time that a worker takes after the lease expires to kill its runs.
 const KILL_DELAY: Duration = Duration::from_millis(20);
 
+/// Time after a run was last wanted by which it has ended, whichever messages are
+/// lost. Callers send a job again 1,300 ms after they got no answer.
+pub(crate) const RUN_END_LIMIT: Duration = Duration::from_millis(1260);
+
 /// Gets the longest time for which a run goes on after a lease of this length was
 /// granted.
 pub(crate) fn longest(length: Duration) -> Duration {
@@ -37,6 +41,15 @@
     at: Duration,
 }
 
+impl Reading {
+    /// Gets the longest lease from this reading on under which all runs have ended
+    /// by `limit`.
+    fn longest_lease_until(self, limit: Duration) -> Duration {
+        let left = limit.saturating_sub(self.at).saturating_sub(KILL_DELAY);
+        left * (100 - MAX_CLOCK_SLOWDOWN_PERCENT) / 100
+    }
+}
+
 impl Lease {
     /// Records a reading of the worker's clock.
     pub(crate) fn record_clock(&mut self, clock_ms: u64, now: Duration) {
@@ -49,16 +62,31 @@
     }
 
     /// Extends the lease and gets the new expiry on the worker's clock; `None`
-    /// until the clock has been read.
-    pub(crate) fn extend(&mut self, now: Duration, length: Duration) -> Option<u64> {
+    /// until the clock has been read. If there is a limit, runs that the extension
+    /// keeps alive have ended by then.
+    pub(crate) fn extend(
+        &mut self,
+        now: Duration,
+        length: Duration,
+        limit: Option<Duration>,
+    ) -> Option<u64> {
         let reading = self.reading?;
         let since = now.saturating_sub(reading.at);
-        let end = reading.clock_ms.saturating_add(millis(since + length));
+        let allowed = limit.map_or(Duration::MAX, |limit| reading.longest_lease_until(limit));
+        let end = reading
+            .clock_ms
+            .saturating_add(millis(allowed.min(since + length)));
         self.latest_expiry_ms = self.latest_expiry_ms.max(end);
         self.ends_by = self.ends_by.max(self.latest_time_of(reading, end));
         Some(self.latest_expiry_ms)
     }
 
+    /// Records that a former owner may have extended the lease until runs end at
+    /// `ends_by`.
+    pub(crate) fn record_former(&mut self, ends_by: Duration) {
+        self.ends_by = self.ends_by.max(ends_by);
+    }
+
     /// Gets the latest expiry sent, on the worker's clock; `None` until the clock
     /// has been read.
     pub(crate) fn latest_expiry_ms(&self) -> Option<u64> {
--- a/crates/fleet/src/pace.rs
+++ b/crates/fleet/src/pace.rs
@@ -232,6 +232,7 @@
         let preference = Preference {
             pace: Some(self.pace_order(service, mean_time, job.time_left(self.now))?),
             newcomer: None,
+            lease_limit: None,
         };
         let target = self.choose_worker(service, &job.need, Some(worker_key), &preference)?;
         let target = self.workers.get(&target)?;
--- a/crates/fleet/src/peer.rs
+++ b/crates/fleet/src/peer.rs
@@ -12,6 +12,7 @@
 use crate::fencing::FencingToken;
 use crate::io::RunEnd;
 use crate::job::{JobKey, RunId};
+use crate::lease::RUN_END_LIMIT;
 use crate::pace::FreePaces;
 use crate::report::WorkerReport;
 use crate::resources::{Resources, ServiceResources};
@@ -66,8 +67,10 @@
     pub failure_domain: FailureDomainId,
     /// Time at which the batch was sent.
     pub time: BatchTime,
-    /// Time of the newest batch that the sender has received from the receiver.
-    /// It bounds the transit time of this batch.
+    /// Time by the receiver's clock at or after which this batch was sent: that of
+    /// the newest batch from the receiver, and the time since its arrival. It bounds
+    /// the transit time of this batch. Runs that the sender wanted to stop by then
+    /// are in this batch or an earlier one.
     pub echo: Option<BatchTime>,
     /// Sequence number of the batch from that process to this peer, from 1. A
     /// batch without an answer is retransmitted under the same number.
@@ -158,6 +161,13 @@
     pub(crate) newest_batch: Option<BatchTime>,
     /// Previous incarnations of the peer, the latest first.
     past_incarnations: VecDeque<u64>,
+    /// Arrival time of the newest batch from the peer.
+    newest_batch_at: Duration,
+    /// Last echo that was sent to the peer.
+    last_echo: Option<BatchTime>,
+    /// Latest time at which the peer is known to have wanted the tasks that this host
+    /// runs for it, other than those that it has asked to stop.
+    wanted_at: Option<Duration>,
     /// Time at which the last batch from the peer arrived.
     pub(crate) heard_at: Option<Duration>,
     /// Send time of the last batch that the peer accepted.
@@ -228,6 +238,8 @@
     pub(crate) address: SocketAddr,
     pub(crate) failure_domain: FailureDomainId,
     pub(crate) incarnation: u64,
+    /// Time until which inputs from a pause of the process may not be handled yet.
+    pub(crate) inputs_pending_until: Duration,
 }
 
 impl BatchSender {
@@ -235,19 +247,21 @@
     fn time(&self, now: Duration) -> BatchTime {
         BatchTime {
             incarnation: self.incarnation,
-            sent_ms: u64::try_from(now.as_millis()).unwrap_or(u64::MAX),
+            sent_ms: millis(now),
         }
     }
 
-    /// Whether a batch with this echo was sent recently: its sender had
-    /// received a batch that this process sent within
-    /// [`STOP_PEER_TASKS_AFTER`].
+    /// Whether a batch with this echo was sent within [`STOP_PEER_TASKS_AFTER`].
     pub(crate) fn is_recent(&self, echo: Option<BatchTime>, now: Duration) -> bool {
-        echo.is_some_and(|echo| {
-            let sent_at = Duration::from_millis(echo.sent_ms);
-            echo.incarnation == self.incarnation
-                && now.saturating_sub(sent_at) <= STOP_PEER_TASKS_AFTER
-        })
+        let sent_at = self.time_of_echo(echo);
+        sent_at.is_some_and(|sent_at| now.saturating_sub(sent_at) <= STOP_PEER_TASKS_AFTER)
+    }
+
+    /// Gets the time at or after which a batch with this echo was sent; `None` if its
+    /// sender has received no batch from this process.
+    pub(crate) fn time_of_echo(&self, echo: Option<BatchTime>) -> Option<Duration> {
+        let echo = echo.filter(|echo| echo.incarnation == self.incarnation)?;
+        Some(Duration::from_millis(echo.sent_ms))
     }
 }
 
@@ -259,6 +273,9 @@
             is_neighbour: false,
             newest_batch: None,
             past_incarnations: VecDeque::new(),
+            newest_batch_at: Duration::ZERO,
+            last_echo: None,
+            wanted_at: None,
             heard_at: None,
             acked_at: None,
             confirmed_at: None,
@@ -325,6 +342,17 @@
         self.has_recent_ack(now) && is_within(self.confirmed_at, now, STOP_PEER_TASKS_AFTER)
     }
 
+    /// Records that the peer wanted its tasks at a time.
+    pub(crate) fn record_wanted(&mut self, at: Duration) {
+        self.wanted_at = self.wanted_at.max(Some(at));
+    }
+
+    /// Gets the time by which the runs for the peer must have ended unless more is
+    /// heard from it.
+    pub(crate) fn run_limit(&self) -> Option<Duration> {
+        self.wanted_at.map(|at| at + RUN_END_LIMIT)
+    }
+
     /// Whether tasks were exchanged with the peer recently, and may still run.
     pub(crate) fn exchanges_tasks(&self, now: Duration) -> bool {
         now < self.exchanges_until
@@ -354,16 +382,20 @@
     }
 
     /// Records the time of a batch, and classifies the process that sent it.
-    pub(crate) fn record_timestamp(&mut self, time: BatchTime) -> SenderIncarnation {
+    pub(crate) fn record_timestamp(&mut self, time: BatchTime, now: Duration) -> SenderIncarnation {
         if self.past_incarnations.contains(&time.incarnation) {
             return SenderIncarnation::Past;
         }
         match &mut self.newest_batch {
             Some(newest) if newest.incarnation == time.incarnation => {
-                newest.sent_ms = newest.sent_ms.max(time.sent_ms);
+                if time.sent_ms > newest.sent_ms {
+                    newest.sent_ms = time.sent_ms;
+                    self.newest_batch_at = now;
+                }
                 SenderIncarnation::Current
             }
             newest => {
+                self.newest_batch_at = now;
                 let Some(previous) = newest.replace(time) else {
                     return SenderIncarnation::Current;
                 };
@@ -449,6 +481,7 @@
         (status, extension): (&PeerStatus, Option<&BatchExtension>),
         sends_heartbeats: bool,
     ) -> Option<(PeerBatch, Option<BatchExtension>)> {
+        let echo = self.next_echo(now, from);
         if let Some(in_flight) = &mut self.in_flight {
             if in_flight.is_sending || now < self.next_batch_at {
                 return None;
@@ -456,14 +489,16 @@
             in_flight.is_sending = true;
             in_flight.sent_at = now;
             in_flight.batch.time = from.time(now);
-            in_flight.batch.echo = self.newest_batch;
+            if !self.outbox.iter().any(is_stop) {
+                in_flight.batch.echo = echo;
+            }
             return Some((in_flight.batch.clone(), in_flight.extension.clone()));
         }
         let has_status = self.is_status_due(now, sends_heartbeats);
         if self.outbox.is_empty() && !has_status {
             return None;
         }
-        let batch = self.fill_batch(now, from, has_status.then_some(status));
+        let batch = self.fill_batch((now, echo), from, has_status.then_some(status));
         let extension = extension.filter(|_| has_status).cloned();
         if has_tasks(&batch.messages) {
             self.exchanges_until = now + EXCHANGE_RETENTION;
@@ -482,14 +517,31 @@
         Some((batch, extension))
     }
 
+    /// Gets the echo of a batch that is composed now. After a pause of the process
+    /// it stays, because callers may have left whose jobs have not ended yet.
+    fn next_echo(&mut self, now: Duration, from: &BatchSender) -> Option<BatchTime> {
+        if now >= from.inputs_pending_until {
+            self.last_echo = self.newest_batch.map(|newest| BatchTime {
+                sent_ms: newest
+                    .sent_ms
+                    .saturating_add(millis(now.saturating_sub(self.newest_batch_at))),
+                ..newest
+            });
+        }
+        self.last_echo
+    }
+
     fn fill_batch(
         &mut self,
-        now: Duration,
+        (now, echo): (Duration, Option<BatchTime>),
         from: &BatchSender,
         status: Option<&PeerStatus>,
     ) -> PeerBatch {
         self.sequence += 1;
-        let count = self.outbox.len().min(MAX_BATCH_MESSAGES);
+        // All stops are included: the echo says that none is left.
+        let stops = self.outbox.iter().rposition(is_stop);
+        let least = stops.map_or(0, |last| last + 1);
+        let count = self.outbox.len().min(MAX_BATCH_MESSAGES.max(least));
         let mut messages: Vec<PeerMessage> = self.outbox.drain(..count).collect();
         messages.extend(status.cloned().map(PeerMessage::Status));
         PeerBatch {
@@ -497,7 +549,7 @@
             address: from.address,
             failure_domain: from.failure_domain.clone(),
             time: from.time(now),
-            echo: self.newest_batch,
+            echo,
             sequence: self.sequence,
             messages,
         }
@@ -514,10 +566,18 @@
     messages.iter().any(is_status)
 }
 
+fn is_stop(message: &PeerMessage) -> bool {
+    matches!(message, PeerMessage::Stop(_))
+}
+
 fn is_status(message: &PeerMessage) -> bool {
     matches!(message, PeerMessage::Status(_))
 }
 
+fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
+
 fn is_within(at: Option<Duration>, now: Duration, limit: Duration) -> bool {
     at.is_some_and(|at| now.saturating_sub(at) <= limit)
 }
--- a/crates/fleet/src/peer_tasks.rs
+++ b/crates/fleet/src/peer_tasks.rs
@@ -110,9 +110,13 @@
     /// Starts a waiting task of a peer; false if no worker has free resources for
     /// it.
     pub(crate) fn start_peer_task(&mut self, run: RunId) -> bool {
+        let lease_limit = self.peer_run_limit(run);
         let Some(peer_task) = self.peer_tasks.get(&run) else {
             return true;
         };
+        if lease_limit.is_none() {
+            return false;
+        }
         let chunk = Arc::clone(&peer_task.chunk);
         let expected = Duration::from_millis(chunk.expected_ms);
         // The objective of a peer's job is not known here; the fastest worker comes
@@ -120,6 +124,7 @@
         let preference = Preference {
             pace: self.pace_order(&chunk.service, expected, Duration::ZERO),
             newcomer: self.peer_newcomer(chunk.need, expected),
+            lease_limit,
         };
         let worker = self.choose_worker(&chunk.service, &chunk.need, None, &preference);
         let Some(worker) = worker else {
@@ -134,6 +139,29 @@
         true
     }
 
+    /// Gets the time by which a run for a peer must have ended if nothing more is
+    /// heard from its origin; `None` for a run of a job of this host.
+    pub(crate) fn peer_run_limit(&self, run: RunId) -> Option<Duration> {
+        let origin = &self.peer_tasks.get(&run)?.origin;
+        self.peers.get(origin)?.run_limit()
+    }
+
+    /// Extends the limits of the runs that an origin still wants.
+    pub(crate) fn extend_run_limits(&mut self, origin: &HostId) {
+        let Some(limit) = self.peers.get(origin).and_then(|peer| peer.run_limit()) else {
+            return;
+        };
+        for (id, peer_task) in &self.peer_tasks {
+            let worker = peer_task.worker.filter(|_| peer_task.origin == *origin);
+            let worker = worker.and_then(|worker_key| self.workers.get_mut(&worker_key));
+            if let Some(run) = worker.and_then(|worker| worker.runs.get_mut(id))
+                && !run.stop_requested
+            {
+                run.lease_limit = Some(limit);
+            }
+        }
+    }
+
     /// Sends tasks that have waited as long as they may back to their origins.
     pub(crate) fn return_late_peer_tasks(&mut self) {
         let is_late = |run: &RunId| {
--- a/crates/fleet/src/peering.rs
+++ b/crates/fleet/src/peering.rs
@@ -58,7 +58,7 @@
             self.next_selection_at = Duration::ZERO;
         }
         let peer = self.get_or_insert_peer(host.clone(), batch.address, batch.failure_domain);
-        match peer.record_timestamp(batch.time) {
+        match peer.record_timestamp(batch.time, now) {
             SenderIncarnation::Current => {}
             SenderIncarnation::New => {
                 peer.last_sequence = 0;
@@ -93,6 +93,13 @@
                 self.on_message(&host, message, is_recent);
             }
         }
+        // The stops in the batch come first: the sender wants all other runs.
+        if let Some(wanted_at) = self.sender.time_of_echo(batch.echo)
+            && let Some(peer) = self.peers.get_mut(&host)
+        {
+            peer.record_wanted(wanted_at.min(now));
+            self.extend_run_limits(&host);
+        }
     }
 
     fn on_message(&mut self, host: &HostId, message: PeerMessage, is_recent: bool) {
--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -1,5 +1,7 @@
 //! Placement of tasks on workers and peers.
 
+use std::time::Duration;
+
 use hornbeam_core::ids::{HostId, ServiceId};
 use hornbeam_interference::Newcomer;
 
@@ -21,6 +23,9 @@
     pub(crate) pace: Option<PaceOrder>,
     /// The task as a neighbour of others, where interference counts.
     pub(crate) newcomer: Option<Newcomer>,
+    /// Time by which the run must have ended even if no stop arrives, so that it
+    /// cannot join a worker whose lease already goes beyond.
+    pub(crate) lease_limit: Option<Duration>,
 }
 
 impl Fleet {
@@ -34,9 +39,14 @@
         avoid: Option<WorkerKey>,
         preference: &Preference,
     ) -> Option<WorkerKey> {
+        let has_short_lease = |worker: &&Worker| {
+            let limit = preference.lease_limit;
+            limit.is_none_or(|limit| worker.lease.ends_by() <= limit)
+        };
         let fits = |worker: &&Worker| {
             worker.report.service == *service
                 && worker.accepts_runs(self.now)
+                && has_short_lease(worker)
                 && worker.free().can_fit(need)
         };
         let rank = |worker: &&Worker| {
--- a/crates/fleet/src/polls.rs
+++ b/crates/fleet/src/polls.rs
@@ -9,6 +9,7 @@
     FleetOutput, PollOutcome, PollRequest, PollResponse, RunEnd, StopRequest, Subject,
 };
 use crate::job::RunId;
+use crate::lease;
 use crate::loss_log::LossEvidence;
 use crate::restarts::RestartSeenIn;
 use crate::run_losses::list_runs;
@@ -176,6 +177,7 @@
     fn take_over(&mut self, worker_key: WorkerKey, response: &PollResponse) {
         let now = self.now;
         let max_stop_time = self.options.max_stop_time;
+        let longest_lease = lease::longest(self.options.max_lease);
         let Some(worker) = self.workers.get_mut(&worker_key) else {
             return;
         };
@@ -188,6 +190,7 @@
         };
         if response.running.is_empty() {
             worker.phase = Phase::Ready;
+            worker.lease.record_former(now + longest_lease);
             let message = format!(
                 "worker {} of service {} is owned with fencing token {}",
                 worker.report.worker_id, worker.report.service, worker.fencing_token.0
--- a/crates/fleet/src/scheduling.rs
+++ b/crates/fleet/src/scheduling.rs
@@ -195,6 +195,7 @@
         let preference = Preference {
             pace: self.pace_order(&service, expected, job.time_left(self.now)),
             newcomer: self.own_newcomer(key, index),
+            lease_limit: None,
         };
         let own = self.choose_worker(&service, &need, avoid, &preference);
         let own = own
@@ -312,6 +313,7 @@
             return;
         };
         let pace = self.worker_pace(worker);
+        let lease_limit = self.peer_run_limit(run);
         let Some(worker) = self.workers.get_mut(&worker_key) else {
             return;
         };
@@ -333,6 +335,7 @@
                 stop_at: None,
                 stop_requested: false,
                 stop_is_unanswered: false,
+                lease_limit,
             },
         );
         self.resources_changed = true;
--- a/crates/fleet/src/starts.rs
+++ b/crates/fleet/src/starts.rs
@@ -100,8 +100,7 @@
         let worker_id = worker.report.worker_id.clone();
         if let Some(run) = worker.runs.get_mut(&id) {
             run.state = RunState::Unknown;
-            run.stop_requested = true;
-            run.stop_at = Some(now);
+            run.request_stop(now);
         }
         self.log(
             Event::WorkerUnanswered,
@@ -202,8 +201,7 @@
         if let Some(run) = worker.and_then(|worker| worker.runs.get_mut(&id))
             && !run.stop_requested
         {
-            run.stop_requested = true;
-            run.stop_at = Some(now);
+            run.request_stop(now);
         }
     }
 
--- a/crates/fleet/src/worker.rs
+++ b/crates/fleet/src/worker.rs
@@ -9,7 +9,7 @@
 use crate::fencing::FencingToken;
 use crate::io::{StopRequest, WorkerTarget};
 use crate::job::RunId;
-use crate::lease::Lease;
+use crate::lease::{Lease, RUN_END_LIMIT};
 use crate::report::WorkerReport;
 use crate::resources::Resources;
 use crate::verification::Verification;
@@ -17,6 +17,10 @@
 /// Timeout of a stop request. A round trip takes a few milliseconds.
 pub(crate) const STOP_TIMEOUT: Duration = Duration::from_millis(150);
 
+/// Shortest lease under which a run is started. It outlasts a lost poll, which is
+/// given up after 550 ms.
+const MIN_LEASE_OF_NEW_RUN: Duration = Duration::from_millis(620);
+
 /// `WorkerKey` identifies one period of ownership of a worker within a process.
 pub type WorkerKey = u64;
 
@@ -135,6 +139,19 @@
     pub(crate) stop_requested: bool,
     /// Whether the last stop request got no answer.
     pub(crate) stop_is_unanswered: bool,
+    /// Time by which the run must have ended even if all stop requests are lost:
+    /// [`RUN_END_LIMIT`] after it was last known to be wanted. `None` while this
+    /// host itself wants it.
+    pub(crate) lease_limit: Option<Duration>,
+}
+
+impl Run {
+    /// Marks the run to be stopped at once.
+    pub(crate) fn request_stop(&mut self, now: Duration) {
+        self.stop_requested = true;
+        self.stop_at = Some(now);
+        self.lease_limit.get_or_insert(now + RUN_END_LIMIT);
+    }
 }
 
 /// `RunState` is the state of a run.
@@ -193,11 +210,18 @@
             && !self.runs.values().any(|run| run.stop_is_unanswered)
     }
 
+    /// Gets the time by which the lease must have ended, because of a run on the
+    /// worker that may no longer be wanted; `None` if there is no such run.
+    fn lease_limit(&self) -> Option<Duration> {
+        self.runs.values().filter_map(|run| run.lease_limit).min()
+    }
+
     /// Extends the lease if it may be extended, and gets its expiry on the worker's
     /// clock; `None` until the clock has been read.
     pub(crate) fn extend_lease(&mut self, now: Duration, length: Duration) -> Option<u64> {
         if self.may_extend_lease() {
-            self.lease.extend(now, length)
+            let limit = self.lease_limit();
+            self.lease.extend(now, length, limit)
         } else {
             self.lease.latest_expiry_ms()
         }
@@ -215,7 +239,9 @@
 
     /// Whether the worker may get new runs now.
     pub(crate) fn accepts_runs(&self, now: Duration) -> bool {
+        let allows_lease = |limit: Duration| limit >= now + MIN_LEASE_OF_NEW_RUN;
         self.may_extend_lease()
+            && self.lease_limit().is_none_or(allows_lease)
             && !self.report.draining
             && !self.is_evacuated
             && self.unanswered_polls == 0
--- a/crates/fleet/tests/stops.rs
+++ b/crates/fleet/tests/stops.rs
@@ -6,7 +6,10 @@
 
 use common::{Harness, acknowledge_batch, chunk, run};
 use googletest::prelude::*;
-use hornbeam_fleet::{FleetInput, FleetOutput, PollOutcome, RunId, StartOutcome, StopOutcome};
+use hornbeam_fleet::{
+    BatchTime, FleetInput, FleetOutput, PeerBatch, PeerMessage, PollOutcome, RunId, StartOutcome,
+    StopOutcome,
+};
 
 /// Time after a missing answer at which a caller sends its job again.
 const CALLER_RETRY_DELAY: Duration = Duration::from_millis(1300);
@@ -90,9 +93,21 @@
 /// Advances the time while polls are answered and stop requests are lost, and
 /// gets the latest time by which a lease that was sent to the worker ends.
 fn lose_stops(harness: &mut Harness, worker: u64, run: RunId, ms: u64) -> Duration {
+    lose_stops_beside(harness, worker, run, ms, |_, _| {})
+}
+
+/// As `lose_stops`; `each_ms` gets the host and the time in ms so far.
+fn lose_stops_beside(
+    harness: &mut Harness,
+    worker: u64,
+    run: RunId,
+    ms: u64,
+    mut each_ms: impl FnMut(&mut Harness, u64),
+) -> Duration {
     let mut ends_by = Duration::ZERO;
     let mut lost_stops = Vec::new();
-    for _ in 0..ms {
+    for at in 0..ms {
+        each_ms(harness, at);
         for stop in harness.stops() {
             lost_stops.push((harness.now + stop.timeout, stop.run));
         }
@@ -172,3 +187,166 @@
     }
     expect_that!(ends_by - acked_at, lt(origin.now - heard_at));
 }
+
+/// Starts a task of the peer at `10.1.0.2`, and gets its worker and its run.
+fn start_peer_run(harness: &mut Harness) -> (u64, RunId) {
+    let worker = harness.add_worker("w1");
+    harness.answer_poll(worker, &[], &[]);
+    harness.receive_batch(2, 1, Vec::new());
+    harness.batches();
+    acknowledge_batch(harness, 2);
+    harness.receive_batch(2, 2, vec![chunk(5, 1)]);
+    let start = harness.starts().remove(0);
+    harness.accept_start(&start);
+    (worker, start.run)
+}
+
+/// Guards against two runs of a task after the host of its job was killed: the run
+/// at a peer whose stops are lost goes on when the caller sends the job again
+/// (review, case 8).
+#[gtest]
+fn run_of_a_dead_origin_ends_before_its_caller_retries_if_stops_are_lost() {
+    let mut harness = Harness::new(1);
+    let (worker, run) = start_peer_run(&mut harness);
+    let mut sequence = 2;
+    let mut died_at = harness.now;
+    let ends_by = lose_stops_beside(&mut harness, worker, run, 2000, |harness, at| {
+        if at <= 300 && at % 50 == 0 {
+            sequence += 1;
+            harness.receive_batch(2, sequence, Vec::new());
+            acknowledge_batch(harness, 2);
+            died_at = harness.now;
+        }
+    });
+    expect_that!(ends_by, lt(died_at + CALLER_RETRY_DELAY));
+}
+
+/// Guards against the same after the job has timed out at a host whose batches are
+/// late, so that its stop arrives 400 ms after the answer to the caller (seed 2026
+/// of the model check).
+#[gtest]
+fn run_of_an_origin_with_late_batches_ends_before_its_caller_retries() {
+    const TRANSIT_MS: u64 = 400;
+    const JOB_ENDS_AT_MS: u64 = 500;
+    let mut harness = Harness::new(1);
+    let (worker, run) = start_peer_run(&mut harness);
+    let started_at = harness.now;
+    let mut sequence = 2;
+    let mut on_the_way: Vec<(u64, PeerBatch)> = Vec::new();
+    let ends_by = lose_stops_beside(&mut harness, worker, run, 2500, |harness, at| {
+        if at % 100 == 0 {
+            sequence += 1;
+            let stop = (at == JOB_ENDS_AT_MS).then(|| PeerMessage::Stop(vec![run]));
+            let batch = harness.batch(2, sequence, stop.into_iter().collect());
+            on_the_way.push((at + TRANSIT_MS, batch));
+        }
+        for (_, batch) in on_the_way.extract_if(.., |(due, _)| *due <= at) {
+            harness.step(FleetInput::Batch(batch, None));
+            acknowledge_batch(harness, 2);
+        }
+    });
+    let job_ended_at = started_at + Duration::from_millis(JOB_ENDS_AT_MS);
+    expect_that!(ends_by, lt(job_ended_at + CALLER_RETRY_DELAY));
+}
+
+/// Guards against a lease of a worker with a run for a peer that one lost poll
+/// would expire, while batches arrive as usual.
+#[gtest]
+fn lease_of_a_wanted_run_for_a_peer_outlasts_a_lost_poll() {
+    let mut harness = Harness::new(1);
+    let (worker, run) = start_peer_run(&mut harness);
+    let mut sequence = 2;
+    for at in 0..2000_u64 {
+        // The time from one batch to the next, and 10 ms on the way.
+        if at % 200 == 0 {
+            sequence += 1;
+            let batch = harness.batch(2, sequence, Vec::new());
+            harness.advance(10);
+            harness.step(FleetInput::Batch(batch, None));
+            acknowledge_batch(&mut harness, 2);
+        }
+        for poll in harness.polls() {
+            let expiry = poll.lease_end_ms.map(Duration::from_millis);
+            let lease = expiry.unwrap_or_default().saturating_sub(harness.now);
+            expect_that!(lease, ge(Duration::from_millis(900)));
+            harness.answer_poll(worker, &[run], &[]);
+        }
+        harness.advance(1);
+    }
+}
+
+/// Guards against a start under a lease that outlives the time for which the origin
+/// is known to want the task.
+#[gtest]
+fn task_of_a_peer_does_not_join_a_worker_with_a_longer_lease() {
+    let mut harness = Harness::new(1);
+    let worker = harness.add_worker("w1");
+    harness.receive_batch(2, 1, Vec::new());
+    harness.batches();
+    acknowledge_batch(&mut harness, 2);
+    let late = harness.batch(2, 2, vec![chunk(5, 1)]);
+    let sent_at = harness.now;
+    harness.advance(400);
+    harness.answer_poll(worker, &[], &[]);
+    harness.polls();
+    harness.step(FleetInput::Batch(late, None));
+    let ends = harness.starts().into_iter();
+    let ends = ends.map(|start| latest_end(harness.now, start.lease_end_ms));
+    let outlives = |end: &Duration| *end >= sent_at + CALLER_RETRY_DELAY;
+    expect_that!(ends.filter(outlives).count(), eq(0));
+}
+
+/// Gets the echoes of the batches to peer 2 that were sent so far.
+fn echoes(harness: &mut Harness) -> Vec<Option<BatchTime>> {
+    let batches = harness.batches().into_iter();
+    batches.map(|batch| batch.echo).collect()
+}
+
+fn sent_ms(echo: Option<BatchTime>) -> u64 {
+    echo.expect("an echo").sent_ms
+}
+
+/// Guards against a run that its origin counts as wanted for longer than it is: the
+/// echo of a batch says when the origin still wanted it, and a repeated batch has
+/// no stop that was requested after it was composed.
+#[gtest]
+fn repeated_batch_has_its_former_echo_while_a_stop_waits() {
+    let mut origin = Harness::new(1);
+    origin.receive_batch(2, 1, vec![common::free_status()]);
+    let heard_ms = origin.now.as_millis() as u64;
+    echoes(&mut origin);
+    acknowledge_batch(&mut origin, 2);
+    origin.submit(1, 1);
+    let sent = echoes(&mut origin);
+    expect_that!(sent_ms(sent[0]), eq(heard_ms));
+    origin.advance(100);
+    origin.step(FleetInput::BatchEnded("entry-2".into(), false));
+    origin.advance(30);
+    expect_that!(sent_ms(echoes(&mut origin)[0]), eq(heard_ms + 130));
+    origin.step(FleetInput::CallerDisconnected(1, 1));
+    origin.advance(100);
+    origin.step(FleetInput::BatchEnded("entry-2".into(), false));
+    origin.advance(30);
+    expect_that!(sent_ms(echoes(&mut origin)[0]), eq(heard_ms + 130));
+}
+
+/// Guards against the same for a host that was paused while a caller left: it sends
+/// a batch before it handles that.
+#[gtest]
+fn batch_right_after_a_pause_has_the_former_echo() {
+    let mut origin = Harness::new(1);
+    origin.receive_batch(2, 1, vec![common::free_status()]);
+    origin.submit(1, 1);
+    let last = echoes(&mut origin).pop().expect("a batch");
+    acknowledge_batch(&mut origin, 2);
+    origin.advance_at_once(700);
+    let first = echoes(&mut origin);
+    expect_that!(first.iter().all(|echo| *echo == last), eq(true));
+    expect_that!(first.is_empty(), eq(false));
+    acknowledge_batch(&mut origin, 2);
+    origin.advance(300);
+    acknowledge_batch(&mut origin, 2);
+    origin.advance(300);
+    let later = echoes(&mut origin).pop().expect("a batch");
+    expect_that!(sent_ms(later), gt(sent_ms(last) + 700));
+}
