Play the orders of events of both cases in the model check

The schedules of the model check seldom restart a worker within the time of a poll, or kill a host while stops are late. Adds a fixed schedule for each, played with 100 loads.

--- a/crates/fleet/tests/ownership_model.rs
+++ b/crates/fleet/tests/ownership_model.rs
@@ -10,13 +10,16 @@
 use std::cell::Cell;
 
 use model::network::MessageKind;
-use model::schedule::{Fate, MessageFault, Schedule, schedules};
+use model::schedule::{Fate, MessageFault, NodeFault, Schedule, schedules};
 use model::site::Site;
 use proptest::test_runner::{Config, RngAlgorithm, TestCaseError, TestRng, TestRunner};
 
 /// Schedules that are played without a setting.
 const DEFAULT_SCHEDULES: u32 = 200;
 
+/// Loads with which a fixed schedule is played.
+const LOADS: u64 = 100;
+
 fn setting(name: &str, default: u64) -> u64 {
     let value = std::env::var(name).ok();
     value.map_or(default, |value| value.parse().expect("a number"))
@@ -105,3 +108,55 @@
         panic!("{}\n{}", broken.join("\n"), trace(&schedule));
     }
 }
+
+/// Plays a schedule with each of many loads, until one breaks a rule.
+fn play_with_loads(schedule: impl Fn(u64) -> Schedule) {
+    for seed in 0..LOADS {
+        let schedule = schedule(seed);
+        if let Err(broken) = play(&schedule) {
+            panic!("{}\n{}", broken.join("\n"), trace(&schedule));
+        }
+    }
+}
+
+/// Guards against two runs of a task after its worker has restarted under its id
+/// within the time of a poll, and start requests of before reach it (review, case
+/// 7).
+#[test]
+fn rules_hold_when_workers_restart_before_their_polls_are_given_up() {
+    play_with_loads(|seed| Schedule {
+        seed,
+        messages: vec![],
+        nodes: (0..12)
+            .map(|step| {
+                let worker = usize::try_from((seed + step) % 4).expect("a small number");
+                let down_ms = 20 + seed % 180;
+                (700 * step, NodeFault::Crash { worker, down_ms })
+            })
+            .collect(),
+    });
+}
+
+/// Guards against two runs of a task after the host of its job was killed, while the
+/// stops at workers are held up (review, case 8).
+#[test]
+fn rules_hold_when_a_host_is_killed_and_stops_are_late() {
+    let late_stops = |worker| MessageFault {
+        kind: MessageKind::Stop,
+        node: worker,
+        from_ms: 0,
+        count: 200,
+        fate: Fate::Held(2300),
+    };
+    play_with_loads(|seed| Schedule {
+        seed,
+        messages: (0..4).map(late_stops).collect(),
+        nodes: (0..3)
+            .map(|step| {
+                let host = usize::try_from((seed + step) % 3).expect("a small number");
+                let down_ms = 2000;
+                (800 + 3300 * step, NodeFault::Kill { host, down_ms })
+            })
+            .collect(),
+    });
+}
