Limit leases after a pause by the time at which it began

What callers saw: nothing, but a task could run twice: a caller that left while the host of its job was paused sends the job again, and the paused host extended the run's lease by a whole second when it went on, before it handled that the caller had gone.

The lease was extended without proof that the run is still wanted.

Change: after a pause, runs count as last wanted when it began, for the 50 ms in which the inputs of the pause are handled. Polls of a worker whose lease is short because of a limit wait for 50 ms only, so the lease of a run that is still wanted does not lapse.

Tests: run_of_a_caller_that_left_during_a_pause_ends_before_the_caller_retries and lease_is_extended_as_usual_after_a_pause failed before.

--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -36,10 +36,6 @@
 /// Time since the last step from which on the process counts as paused.
 const MAX_STEP_DELAY: Duration = Duration::from_millis(140);
 
-/// Time after a pause of the process in which the inputs that arrived meanwhile,
-/// such as callers that have disconnected, are handled.
-const PENDING_INPUTS_TIME: Duration = Duration::from_millis(50);
-
 /// Shortest time between two ticks. Timers need no finer resolution, and each
 /// tick costs processor time.
 const MIN_WAKEUP_DELAY: Duration = Duration::from_millis(2);
@@ -114,7 +110,7 @@
             address: options.link_address,
             failure_domain: options.failure_domain.clone(),
             incarnation: options.incarnation,
-            inputs_pending_until: Duration::ZERO,
+            inputs_pending_until: None,
         };
         Self {
             fencing_tokens: FencingTokens::new(options.link_address),
@@ -161,10 +157,12 @@
     /// Handles one input. `now` is the monotonic time of the process; `unix_ms`
     /// is the wall-clock time, which is used only for fencing tokens.
     pub fn step(&mut self, now: Duration, unix_ms: u64, input: FleetInput) -> Vec<FleetOutput> {
-        if !self.now.is_zero() && now > self.now + MAX_STEP_DELAY {
-            self.sender.inputs_pending_until = now + PENDING_INPUTS_TIME;
-        }
+        let paused_at = self.now;
         self.now = self.now.max(now);
+        if !paused_at.is_zero() && now > paused_at + MAX_STEP_DELAY {
+            self.on_paused(paused_at);
+        }
+        self.end_pause();
         self.unix_ms = unix_ms;
         // After a pause of the process, leases that expired meanwhile come
         // before the input.
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -22,6 +22,7 @@
 mod options;
 mod ownership;
 mod pace;
+mod pauses;
 mod peer;
 mod peer_tasks;
 mod peering;
--- a/crates/fleet/src/peer.rs
+++ b/crates/fleet/src/peer.rs
@@ -238,8 +238,9 @@
     pub(crate) address: SocketAddr,
     pub(crate) failure_domain: FailureDomainId,
     pub(crate) incarnation: u64,
-    /// Time until which inputs from a pause of the process may not be handled yet.
-    pub(crate) inputs_pending_until: Duration,
+    /// Time until which inputs from a pause of the process may not be handled yet;
+    /// `None` if there was none since.
+    pub(crate) inputs_pending_until: Option<Duration>,
 }
 
 impl BatchSender {
@@ -520,7 +521,7 @@
     /// Gets the echo of a batch that is composed now. After a pause of the process
     /// it stays, because callers may have left whose jobs have not ended yet.
     fn next_echo(&mut self, now: Duration, from: &BatchSender) -> Option<BatchTime> {
-        if now >= from.inputs_pending_until {
+        if from.inputs_pending_until.is_none() {
             self.last_echo = self.newest_batch.map(|newest| BatchTime {
                 sent_ms: newest
                     .sent_ms
--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -39,14 +39,14 @@
         avoid: Option<WorkerKey>,
         preference: &Preference,
     ) -> Option<WorkerKey> {
-        let has_short_lease = |worker: &&Worker| {
+        let ends_in_time = |worker: &&Worker| {
             let limit = preference.lease_limit;
             limit.is_none_or(|limit| worker.lease.ends_by() <= limit)
         };
         let fits = |worker: &&Worker| {
             worker.report.service == *service
                 && worker.accepts_runs(self.now)
-                && has_short_lease(worker)
+                && ends_in_time(worker)
                 && worker.free().can_fit(need)
         };
         let rank = |worker: &&Worker| {
--- a/crates/fleet/src/polls.rs
+++ b/crates/fleet/src/polls.rs
@@ -58,7 +58,12 @@
             (None, Duration::ZERO)
         } else if worker.may_extend_lease() {
             let lease_end_ms = worker.extend_lease(now, max_lease);
-            (lease_end_ms, worker.poll_wait(now, poll_wait))
+            let longest_wait = if worker.has_short_lease(now) {
+                max_stop_time
+            } else {
+                poll_wait
+            };
+            (lease_end_ms, worker.poll_wait(now, longest_wait))
         } else {
             (None, worker.poll_wait(now, max_stop_time))
         };
--- a/crates/fleet/src/worker.rs
+++ b/crates/fleet/src/worker.rs
@@ -216,6 +216,12 @@
         self.runs.values().filter_map(|run| run.lease_limit).min()
     }
 
+    /// Whether the lease would not outlast a lost poll, because of its limit.
+    pub(crate) fn has_short_lease(&self, now: Duration) -> bool {
+        let is_short = |limit: Duration| limit < now + MIN_LEASE_OF_NEW_RUN;
+        self.lease_limit().is_some_and(is_short)
+    }
+
     /// Extends the lease if it may be extended, and gets its expiry on the worker's
     /// clock; `None` until the clock has been read.
     pub(crate) fn extend_lease(&mut self, now: Duration, length: Duration) -> Option<u64> {
@@ -239,9 +245,8 @@
 
     /// Whether the worker may get new runs now.
     pub(crate) fn accepts_runs(&self, now: Duration) -> bool {
-        let allows_lease = |limit: Duration| limit >= now + MIN_LEASE_OF_NEW_RUN;
         self.may_extend_lease()
-            && self.lease_limit().is_none_or(allows_lease)
+            && !self.has_short_lease(now)
             && !self.report.draining
             && !self.is_evacuated
             && self.unanswered_polls == 0
--- a/crates/fleet/tests/stops.rs
+++ b/crates/fleet/tests/stops.rs
@@ -350,3 +350,38 @@
     let later = echoes(&mut origin).pop().expect("a batch");
     expect_that!(sent_ms(later), gt(sent_ms(last) + 700));
 }
+
+/// Guards against a lease that a host extends right after a pause, in which the
+/// caller may have left and sent its job to another host.
+#[gtest]
+fn run_of_a_caller_that_left_during_a_pause_ends_before_the_caller_retries() {
+    let mut harness = Harness::new(1);
+    let worker = harness.add_worker("w1");
+    let run = harness.start_job(1).run;
+    harness.answer_poll(worker, &[run], &[]);
+    let paused_at = harness.now;
+    harness.polls();
+    harness.advance_at_once(700);
+    harness.answer_poll(worker, &[run], &[]);
+    harness.step(FleetInput::CallerDisconnected(1, 1));
+    let ends_by = lose_stops(&mut harness, worker, run, 1000);
+    expect_that!(ends_by, lt(paused_at + CALLER_RETRY_DELAY));
+}
+
+/// Guards against leases that stay short after a pause.
+#[gtest]
+fn lease_is_extended_as_usual_after_a_pause() {
+    let mut harness = Harness::new(1);
+    let worker = harness.add_worker("w1");
+    let run = harness.start_job(1).run;
+    harness.answer_poll(worker, &[run], &[]);
+    harness.polls();
+    harness.advance_at_once(700);
+    harness.answer_poll(worker, &[run], &[]);
+    let first = harness.poll();
+    expect_that!(first.wait, le(Duration::from_millis(50)));
+    harness.advance(50);
+    harness.answer_poll(worker, &[run], &[]);
+    let lease_end_ms = harness.poll().lease_end_ms;
+    expect_that!(lease_end_ms, some(ge(harness.now.as_millis() as u64 + 900)));
+}
