Stop what a restarted worker began by given-up start requests

Change: all runs that the first list under the raised token has were begun by former start requests, since no owner had a higher token. They are stopped, and the worker is polled until none is left.

Test: run_of_a_given_up_start_is_stopped failed before.

--- a/crates/fleet/src/restarts.rs
+++ b/crates/fleet/src/restarts.rs
@@ -58,6 +58,8 @@
     ends_by: Duration,
     /// Whether no former start request can be carried out any more.
     is_fenced: bool,
+    /// Whether the worker lists runs, all of which former start requests began.
+    lists_runs: bool,
 }
 
 /// `RestartedWorkers` are the restarted workers whose runs are not settled.
@@ -100,6 +102,7 @@
             unanswered_polls: 0,
             ends_by: self.now + SETTLEMENT_TIMEOUT,
             is_fenced: false,
+            lists_runs: false,
             target,
         };
         let worker_key = restarted.target.worker_key;
@@ -183,13 +186,14 @@
             PollOutcome::Answered(response) => {
                 restarted.unanswered_polls = 0;
                 restarted.next_poll_at = Some(now + max_stop_time);
+                restarted.lists_runs = !response.running.is_empty();
                 let target = restarted.target.clone();
                 self.limit_unsettled_runs(worker_key);
                 self.settle_listed_runs(&target.worker_id, response);
-                for run in self.unsettled_runs(worker_key) {
+                for progress in &response.running {
                     self.emit(FleetOutput::Stop(StopRequest {
                         target: target.clone(),
-                        run,
+                        run: progress.run,
                         timeout: STOP_TIMEOUT,
                     }));
                 }
@@ -228,7 +232,7 @@
             self.run_ended(worker_key, run, end, None);
         }
         self.restarted_workers
-            .retain(|_, restarted| !restarted.runs.is_empty());
+            .retain(|_, restarted| !restarted.runs.is_empty() || restarted.lists_runs);
     }
 
     fn end_unsettled_runs(&mut self, worker_key: WorkerKey) {
@@ -239,11 +243,6 @@
         }
     }
 
-    fn unsettled_runs(&self, worker_key: WorkerKey) -> Vec<RunId> {
-        let restarted = self.restarted_workers.get(&worker_key);
-        restarted.map_or_else(Vec::new, |restarted| restarted.runs.clone())
-    }
-
     /// Whether a run may be active on a restarted worker.
     pub(crate) fn is_unsettled(&self, run: RunId) -> bool {
         let mut restarted = self.restarted_workers.values();
--- a/crates/fleet/tests/restarts.rs
+++ b/crates/fleet/tests/restarts.rs
@@ -316,3 +316,23 @@
     expect_that!(starts_within(&mut harness, 1040), eq(false));
     expect_that!(starts_within(&mut harness, 20), eq(true));
 }
+
+/// Guards against a run that an earlier start request began after its task was given
+/// up: it would go on beside the next one.
+#[gtest]
+fn run_of_a_given_up_start_is_stopped() {
+    let mut harness = host();
+    let start = start(&mut harness);
+    harness.answer_start(&start, StartOutcome::Unanswered);
+    let again = harness.starts().remove(0);
+    harness.accept_start(&again);
+    let done = [(1, start.run, RunEnd::Done)];
+    harness.answer_poll(start.target.worker_key, &[], &done);
+    harness.polls();
+    let poll = restart_seen_by_poll(&mut harness, &start);
+    let listed = later_incarnation(&[start.run], &[]);
+    end_poll(&mut harness, poll.target.worker_key, listed);
+    let stops = harness.stops();
+    expect_that!(stops.len(), eq(1));
+    expect_that!(stops[0].run, eq(start.run));
+}
