Ask for an owner before a restarted worker is fenced

Cause: a poll with a raised token could shut out the owner of a later incarnation, this host included: the token of its own take-over can be lower than the one that the settlement draws later, and the poll then stops the runs of the new owner. Found by reading; only a late status report had been considered.

Change: the first poll to a restarted worker always has the former token. Only if it is accepted, and this host does not take the worker over itself, the next one has a raised token. A task whose start is in doubt waits one round trip longer.

--- a/crates/fleet/src/ownership.rs
+++ b/crates/fleet/src/ownership.rs
@@ -12,7 +12,6 @@
 use crate::lease;
 use crate::report::WorkerReport;
 use crate::resources::Resources;
-use crate::restarts::RestartSeenIn;
 use crate::verification::Verification;
 use crate::worker::{Phase, Worker, WorkerKey};
 
@@ -64,7 +63,7 @@
             return ReportAnswer::Declined;
         };
         if report.born_unix_ms > worker.report.born_unix_ms {
-            self.worker_restarted(worker_key, RestartSeenIn::Report);
+            self.worker_restarted(worker_key);
             return self.add_worker(report, verification);
         }
         // A late report of a previous incarnation, or one that a later report
--- a/crates/fleet/src/polls.rs
+++ b/crates/fleet/src/polls.rs
@@ -11,7 +11,6 @@
 use crate::job::RunId;
 use crate::lease;
 use crate::loss_log::LossEvidence;
-use crate::restarts::RestartSeenIn;
 use crate::run_losses::list_runs;
 use crate::verification::Verification;
 use crate::worker::{Phase, RunState, WorkerKey};
@@ -83,9 +82,7 @@
         let sent_at = worker.poll_sent_at.take().unwrap_or(self.now);
         match outcome {
             PollOutcome::Fenced(clock_ms) => self.on_fenced(worker_key, clock_ms),
-            PollOutcome::OtherIncarnation => {
-                self.worker_restarted(worker_key, RestartSeenIn::Answer);
-            }
+            PollOutcome::OtherIncarnation => self.worker_restarted(worker_key),
             PollOutcome::Unanswered => {
                 self.on_poll_unanswered(worker_key, sent_at, "did not answer");
             }
@@ -141,7 +138,7 @@
             .born_unix_ms
             .is_some_and(|reported_born| reported_born != born)
         {
-            return self.worker_restarted(worker_key, RestartSeenIn::Answer);
+            return self.worker_restarted(worker_key);
         }
         worker.lease.record_clock(response.clock_ms, now);
         worker.last_answer_at = now;
--- a/crates/fleet/src/probes.rs
+++ b/crates/fleet/src/probes.rs
@@ -9,7 +9,6 @@
 
 use crate::fleet::Fleet;
 use crate::io::{FleetOutput, PollOutcome, PollRequest};
-use crate::restarts::RestartSeenIn;
 use crate::worker::{Phase, RunState, Worker, WorkerKey};
 
 /// Time after a lost poll during which probes are sent. It covers several polls
@@ -82,9 +81,7 @@
         worker.next_probe_at = now + MIN_PROBE_INTERVAL;
         match outcome {
             PollOutcome::Fenced(clock_ms) => self.on_fenced(worker_key, clock_ms),
-            PollOutcome::OtherIncarnation => {
-                self.worker_restarted(worker_key, RestartSeenIn::Answer);
-            }
+            PollOutcome::OtherIncarnation => self.worker_restarted(worker_key),
             // The poll in flight, not the probe, counts towards `unanswered_polls`.
             PollOutcome::Unanswered | PollOutcome::ConnectionRefused => self.record_lost_poll(),
             PollOutcome::Answered(response) => {
--- a/crates/fleet/src/restarts.rs
+++ b/crates/fleet/src/restarts.rs
@@ -13,7 +13,6 @@
 use hornbeam_core::ids::WorkerId;
 use indexmap::IndexMap;
 
-use crate::fencing::FencingToken;
 use crate::fleet::Fleet;
 use crate::io::{
     FleetOutput, PollOutcome, PollRequest, PollResponse, RunEnd, StopRequest, Subject, WorkerTarget,
@@ -31,16 +30,6 @@
 /// Time after which a start request without an answer is no longer carried out.
 const START_REQUEST_RETENTION: Duration = Duration::from_secs(12);
 
-/// `RestartSeenIn` is the kind of message that showed the restart of a worker.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(crate) enum RestartSeenIn {
-    /// Answer of the later incarnation to a request of this host. It has no owner
-    /// with a higher token, which would have shut out the request.
-    Answer,
-    /// Status report, which may be late: the later incarnation can have an owner.
-    Report,
-}
-
 /// `RestartedWorker` is a worker that started again while start requests to its
 /// former incarnation were without an answer. It is *settled* once none of them can
 /// take effect any more and the runs that they started have ended.
@@ -68,7 +57,7 @@
 impl Fleet {
     /// Handles a restart of a worker, whichever message shows it. Runs that the
     /// former incarnation is known to have started ended with it.
-    pub(crate) fn worker_restarted(&mut self, worker_key: WorkerKey, seen_in: RestartSeenIn) {
+    pub(crate) fn worker_restarted(&mut self, worker_key: WorkerKey) {
         self.record_losses(worker_key, LossEvidence::Restarted);
         let Some(worker) = self.workers.get_mut(&worker_key) else {
             return;
@@ -83,10 +72,6 @@
         }
         self.last_worker_key += 1;
         target.worker_key = self.last_worker_key;
-        let may_have_owner = seen_in == RestartSeenIn::Report;
-        if !may_have_owner {
-            target.fencing_token = self.raised_token(&target);
-        }
         let message = format!(
             "{} runs may have reached the later incarnation of worker {}: {}",
             runs.len(),
@@ -97,7 +82,7 @@
         self.log(Event::RunsUnsettled, subject, message);
         let restarted = RestartedWorker {
             runs,
-            may_have_owner,
+            may_have_owner: true,
             next_poll_at: Some(self.now),
             unanswered_polls: 0,
             ends_by: self.now + SETTLEMENT_TIMEOUT,
@@ -109,11 +94,6 @@
         self.restarted_workers.insert(worker_key, restarted);
     }
 
-    fn raised_token(&mut self, target: &WorkerTarget) -> FencingToken {
-        let former = Some(target.fencing_token);
-        self.fencing_tokens.next(self.unix_ms, former)
-    }
-
     /// Sends the polls to restarted workers that are due, and ends the runs whose
     /// time has passed.
     pub(crate) fn settle_restarted_workers(&mut self) {
@@ -173,15 +153,20 @@
                 let address = restarted.target.address;
                 self.emit(FleetOutput::DropConnections(address));
             }
-            // The former token was accepted, so the worker has no owner.
             PollOutcome::Answered(_) if restarted.may_have_owner => {
-                let target = restarted.target.clone();
-                let raised = self.raised_token(&target);
-                if let Some(restarted) = self.restarted_workers.get_mut(&worker_key) {
-                    restarted.may_have_owner = false;
-                    restarted.target.fencing_token = raised;
-                    restarted.next_poll_at = Some(now);
+                let id = &restarted.target.worker_id;
+                if self.worker_keys_by_id.contains_key(id) {
+                    // The take-over by this host settles the runs, under a token of
+                    // its own.
+                    restarted.next_poll_at = Some(now + max_stop_time);
+                    return;
                 }
+                // The former token was accepted, so the worker has no owner.
+                let former_token = Some(restarted.target.fencing_token);
+                restarted.may_have_owner = false;
+                restarted.next_poll_at = Some(now);
+                restarted.target.fencing_token =
+                    self.fencing_tokens.next(self.unix_ms, former_token);
             }
             PollOutcome::Answered(response) => {
                 restarted.unanswered_polls = 0;
--- a/crates/fleet/src/starts.rs
+++ b/crates/fleet/src/starts.rs
@@ -9,7 +9,6 @@
     FleetOutput, RunEnd, StartOutcome, StartRefusal, StopOutcome, StopRequest, Subject,
 };
 use crate::job::RunId;
-use crate::restarts::RestartSeenIn;
 use crate::scheduling::START_TIMEOUTS;
 use crate::worker::{RunState, WorkerKey};
 
@@ -39,7 +38,7 @@
             && let Some(run) = worker.runs.get(&id)
             && clock_ms < run.clock_at_start_ms
         {
-            return self.worker_restarted(worker_key, RestartSeenIn::Answer);
+            return self.worker_restarted(worker_key);
         }
         let is_known_incarnation = match outcome {
             StartOutcome::Accepted(clock_ms) => {
@@ -66,7 +65,7 @@
             StartOutcome::Accepted(_) => run.state = RunState::Running(now),
             StartOutcome::Refused(StartRefusal::Fenced) => self.on_fenced(worker_key, None),
             StartOutcome::Refused(StartRefusal::OtherIncarnation) => {
-                self.worker_restarted(worker_key, RestartSeenIn::Answer);
+                self.worker_restarted(worker_key)
             }
             StartOutcome::Refused(refusal) if is_first => {
                 self.on_start_refused(worker_key, id, refusal);
@@ -160,9 +159,7 @@
         };
         match outcome {
             StopOutcome::Fenced => return self.on_fenced(worker_key, None),
-            StopOutcome::OtherIncarnation => {
-                return self.worker_restarted(worker_key, RestartSeenIn::Answer);
-            }
+            StopOutcome::OtherIncarnation => return self.worker_restarted(worker_key),
             StopOutcome::Accepted => worker.last_answer_at = now,
             StopOutcome::Unanswered => {}
         }
