--- a/crates/fleet/src/restarts.rs
+++ b/crates/fleet/src/restarts.rs
@@ -41,6 +41,8 @@
     may_have_owner: bool,
     /// Runs that it may have started, or may still start.
     runs: Vec<RunId>,
+    /// Time at which the next poll is due; `None` while one is in flight, or if no
+    /// more are needed.
     next_poll_at: Option<Duration>,
     unanswered_polls: u32,
     /// Time by which all runs have ended.
@@ -65,11 +67,15 @@
         let runs = worker.take_unsettled_runs();
         let is_recent = |at: Duration| self.now < at + START_REQUEST_RETENTION;
         let has_recent_start = worker.start_unanswered_at.is_some_and(is_recent);
-        let mut target = worker.target();
+        let target = worker.target();
         self.remove_worker(worker_key, self.now, "it restarted");
-        if runs.is_empty() && !has_recent_start {
-            return;
+        if !runs.is_empty() || has_recent_start {
+            self.begin_settlement(target, runs);
         }
+    }
+
+    /// Begins to settle the runs that may have reached a later incarnation.
+    fn begin_settlement(&mut self, mut target: WorkerTarget, runs: Vec<RunId>) {
         self.last_worker_key += 1;
         target.worker_key = self.last_worker_key;
         let message = format!(
@@ -168,21 +174,29 @@
                 restarted.target.fencing_token =
                     self.fencing_tokens.next(self.unix_ms, former_token);
             }
-            PollOutcome::Answered(response) => {
-                restarted.unanswered_polls = 0;
-                restarted.next_poll_at = Some(now + max_stop_time);
-                restarted.lists_runs = !response.running.is_empty();
-                let target = restarted.target.clone();
-                self.limit_unsettled_runs(worker_key);
-                self.settle_listed_runs(&target.worker_id, response);
-                for progress in &response.running {
-                    self.emit(FleetOutput::Stop(StopRequest {
-                        target: target.clone(),
-                        run: progress.run,
-                        timeout: STOP_TIMEOUT,
-                    }));
-                }
-            }
+            PollOutcome::Answered(response) => self.on_fenced_list(worker_key, response),
+        }
+    }
+
+    /// Handles the list of runs of a restarted worker that has seen a higher token.
+    /// All of them were begun by former start requests.
+    fn on_fenced_list(&mut self, worker_key: WorkerKey, response: &PollResponse) {
+        let next_poll_at = self.now + self.options.max_stop_time;
+        let Some(restarted) = self.restarted_workers.get_mut(&worker_key) else {
+            return;
+        };
+        restarted.unanswered_polls = 0;
+        restarted.next_poll_at = Some(next_poll_at);
+        restarted.lists_runs = !response.running.is_empty();
+        let target = restarted.target.clone();
+        self.limit_unsettled_runs(worker_key);
+        self.settle_listed_runs(&target.worker_id, response);
+        for progress in &response.running {
+            self.emit(FleetOutput::Stop(StopRequest {
+                target: target.clone(),
+                run: progress.run,
+                timeout: STOP_TIMEOUT,
+            }));
         }
     }
 
