--- a/crates/fleet/tests/restarts.rs
+++ b/crates/fleet/tests/restarts.rs
@@ -93,12 +93,14 @@
 
 /// Lists the run until it has been stopped, and expects that its task starts
 /// elsewhere only then.
-fn expect_start_after_the_run(harness: &mut Harness, worker_key: WorkerKey, run: RunId) {
+fn expect_start_after_the_run(harness: &mut Harness, poll: &PollRequest, run: RunId) {
+    let worker_key = poll.target.worker_key;
     expect_that!(harness.starts(), is_empty());
     list(harness, worker_key, &[run]);
     let stops = harness.stops();
     expect_that!(stops.len(), eq(1));
     expect_that!(stops[0].run, eq(run));
+    expect_that!(stops[0].target.fencing_token, eq(poll.target.fencing_token));
     harness.advance(50);
     expect_that!(harness.starts(), is_empty());
     list(harness, worker_key, &[]);
@@ -121,7 +123,7 @@
     let start = start(&mut harness);
     let poll = restart_seen_by_poll(&mut harness, &start);
     harness.advance(30);
-    expect_start_after_the_run(&mut harness, poll.target.worker_key, start.run);
+    expect_start_after_the_run(&mut harness, &poll, start.run);
 }
 
 /// Guards against the same if the answer to the start request comes from the later
@@ -132,7 +134,7 @@
     let start = start(&mut harness);
     harness.answer_start(&start, StartOutcome::Accepted(LATER_CLOCK_MS));
     let poll = settling_poll(&mut harness, &start);
-    expect_start_after_the_run(&mut harness, poll.target.worker_key, start.run);
+    expect_start_after_the_run(&mut harness, &poll, start.run);
 }
 
 /// Reports the later incarnation, and gets the poll with the former token and that
@@ -160,7 +162,7 @@
     let (first, take_over) = restart_seen_by_report(&mut harness, &start);
     let owned = PollOutcome::Fenced(None);
     end_poll(&mut harness, first.target.worker_key, owned);
-    expect_start_after_the_run(&mut harness, take_over.target.worker_key, start.run);
+    expect_start_after_the_run(&mut harness, &take_over, start.run);
 }
 
 /// Guards against a second run of a task that was known to run, but whose first
