review: cases 13, 14 and 15 stay inside the shares they quote

In 13 both tasks of the job failed, which normal traffic seldom does.

Adds: ten entry hosts in 13, 14 and 15, twelve workers in 15, and a single failure in 13. The checks are as they were.

--- a/review/standins-3/broken_channel.rs
+++ b/review/standins-3/broken_channel.rs
@@ -23,10 +23,13 @@
 
 pub fn play(record: &Record, has_trouble: bool) -> Verdict {
     let mut system = System::new(3, 1, record);
-    for zone in ["a", "b", "c", "a", "b"] {
+    // One of ten entry hosts stands still and has a channel reset.
+    for zone in [
+        "a", "b", "c", "a", "b", "c", "c", "c", "c", "d", "d", "d", "d",
+    ] {
         system.add(zone);
     }
-    for index in 0..5 {
+    for index in 0..system.hosts.len() {
         system.start(index, true);
     }
     // The entry hosts have registered when the first minion reports.
--- a/review/standins-3/draining.rs
+++ b/review/standins-3/draining.rs
@@ -21,7 +21,10 @@
 
 pub fn play(record: &Record, has_trouble: bool) -> Verdict {
     let mut system = System::new(3, 1, record);
-    for zone in ["a", "b", "c", "a", "a", "b", "b"] {
+    // One of ten entry hosts stands still, and another one is cut from a minion.
+    for zone in [
+        "a", "b", "c", "a", "a", "b", "b", "b", "b", "c", "c", "c", "c",
+    ] {
         system.add(zone);
     }
     for index in 0..system.hosts.len() {
@@ -31,8 +34,10 @@
     std::thread::sleep(Duration::from_secs(2));
     let runs = Runs::default();
     let mut workers = Vec::new();
-    for index in 0..6 {
-        let place = (["a", "b"][index % 2], system.worker_address(index));
+    // One of twelve minions leaves.
+    for index in 0..12 {
+        let zone = if index < 7 { "a" } else { "b" };
+        let place = (zone, system.worker_address(index));
         workers.push(Worker::start(
             index,
             place,
@@ -41,7 +46,7 @@
             &runs,
             record,
         ));
-        std::thread::sleep(Duration::from_millis(600));
+        std::thread::sleep(Duration::from_millis(300));
     }
     if !system.publish(1, Duration::from_secs(10)) {
         return Verdict::CouldNotRun("the configuration was not acknowledged".into());
--- a/review/standins-3/late_end.rs
+++ b/review/standins-3/late_end.rs
@@ -13,7 +13,7 @@
 const TIME_BUDGET: Duration = Duration::from_millis(1500);
 /// Time after which a client sends a job again (`retransmitMs`).
 const RETRANSMIT: Duration = Duration::from_millis(1300);
-/// Time after which the task fails at the first minion.
+/// Time after which one of the two tasks fails, by its own fault.
 const FAILURE: Duration = Duration::from_millis(300);
 /// Time after the request at which the host that took it is killed.
 const KILL: Duration = Duration::from_millis(285);
@@ -28,7 +28,10 @@
 
 pub fn play(record: &Record, has_trouble: bool) -> Verdict {
     let mut system = System::new(3, 1, record);
-    for zone in ["a", "b", "c", "a", "a", "b"] {
+    // One of ten entry hosts is killed, and one stands still.
+    for zone in [
+        "a", "b", "c", "a", "a", "b", "b", "b", "b", "c", "c", "c", "c",
+    ] {
         system.add(zone);
     }
     for index in 0..system.hosts.len() {
@@ -38,7 +41,7 @@
     std::thread::sleep(Duration::from_secs(2));
     let runs = Runs::default();
     let mut workers = Vec::new();
-    for (index, zone) in ["a", "b", "b", "b"].into_iter().enumerate() {
+    for (index, zone) in ["a", "b", "c", "b", "c", "b"].into_iter().enumerate() {
         let place = (zone, system.worker_address(index));
         workers.push(Worker::start(
             index,
@@ -96,7 +99,7 @@
     std::thread::scope(|scope| {
         let to = system.callers(taker);
         let name = system.hosts[taker].name.clone();
-        minion.fail_after(Some(FAILURE));
+        minion.fail_next_after(FAILURE);
         let sent_at = Instant::now();
         // The client sends its job once more, to the same host.
         let client = scope.spawn(move || {
@@ -109,7 +112,6 @@
         system.kill(taker);
         let killed_at = Instant::now();
         sleep_until(killed_at + FREEZE_AFTER);
-        minion.fail_after(None);
         system.signal(helper, SIGSTOP);
         record.write(&format!("{} stands still", system.hosts[helper].name));
         sleep_until(killed_at + RESTART_AFTER);
--- a/review/standins-3/worker.rs
+++ b/review/standins-3/worker.rs
@@ -58,8 +58,8 @@
     is_draining: bool,
     report_at: Option<Instant>,
     owner: Option<SocketAddr>,
-    /// Time after which the tasks that start now fail.
-    fail_after: Option<Duration>,
+    /// Time after which the next task that starts fails.
+    fail_next_after: Option<Duration>,
     /// IP addresses of the hosts to which the path is cut.
     cut_from: Vec<String>,
 }
@@ -156,9 +156,9 @@
         self.lock().cut_from = ips.to_vec();
     }
 
-    /// Lets the tasks that start from now on fail after a time, or no more.
-    pub fn fail_after(&self, after: Option<Duration>) {
-        self.lock().fail_after = after;
+    /// Lets the next task that starts fail after a time.
+    pub fn fail_next_after(&self, after: Duration) {
+        self.lock().fail_next_after = Some(after);
     }
 
     /// Whether a request comes from a host to which the path is cut. The low bits of a
@@ -260,13 +260,14 @@
             self.id,
             holder(fence)
         ));
+        let failure = state.fail_next_after.take();
         let run = Active {
             index: runs.len() - 1,
             attempt,
             cpu: self.task_cpu,
             started: Instant::now(),
-            work: state.fail_after.unwrap_or(Duration::from_millis(work_ms)),
-            fails: state.fail_after.is_some(),
+            work: failure.unwrap_or(Duration::from_millis(work_ms)),
+            fails: failure.is_some(),
             stop_at: None,
         };
         state.running.insert(task.to_owned(), run);
