Store the initial voters before a replica's identity

Change: the folder stores `initial_voters` before `identity`, whose rename is the last step of its creation. Folders that the former build left without voters are recognised and completed: an initial voter gets the seeds again, other hosts ask the seeds. The gauges `hornbeam_voters` and `hornbeam_votes` show a host that takes part without a vote.

--- a/crates/control/examples/restart.rs
+++ b/crates/control/examples/restart.rs
@@ -36,7 +36,7 @@
 
 impl Host {
     fn open(folder: &Path) -> Result<Self> {
-        let (storage, recovered) = DiskStorage::open(folder, REPLICA_ID)?;
+        let (storage, recovered) = DiskStorage::open(folder, REPLICA_ID, &[REPLICA_ID])?;
         let options = ReplicaOptions {
             id: REPLICA_ID,
             initial_voters: vec![REPLICA_ID],
--- a/crates/control/src/identity.rs
+++ b/crates/control/src/identity.rs
@@ -7,7 +7,7 @@
 use crate::codec;
 use crate::files::{Files, LOCK_FILE};
 use crate::record;
-use crate::storage::{LOG_FILE, NEW_SUFFIX};
+use crate::storage::{INITIAL_VOTERS_FILE, LOG_FILE, NEW_SUFFIX};
 
 /// Name of the file that holds the identity.
 pub(crate) const IDENTITY_FILE: &str = "identity";
@@ -62,6 +62,17 @@
     }
 }
 
+/// `StoredIdentity` is what a data folder tells about its replica before it is
+/// opened.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct StoredIdentity {
+    /// Id of the replica.
+    pub replica_id: ReplicaId,
+    /// Whether the folder names the voters of the group. Folders of a former version
+    /// do not if their process ended between their first two files.
+    pub knows_voters: bool,
+}
+
 /// Reads the identity, `None` if the folder has none.
 ///
 /// # Errors
@@ -76,10 +87,12 @@
 /// Checks that a folder without an identity contains only the files that an
 /// interrupted first opening leaves behind.
 pub(crate) fn check_unused(names: &[String]) -> Result<()> {
-    let log_new = format!("{LOG_FILE}{NEW_SUFFIX}");
-    let identity_new = format!("{IDENTITY_FILE}{NEW_SUFFIX}");
-    let allowed = [LOCK_FILE, LOG_FILE, &log_new, &identity_new];
-    let unexpected = names.iter().find(|name| !allowed.contains(&name.as_str()));
+    let created = [LOG_FILE, INITIAL_VOTERS_FILE, IDENTITY_FILE];
+    let is_expected = |name: &&String| {
+        let file = name.strip_suffix(NEW_SUFFIX).unwrap_or(name);
+        file == LOCK_FILE || created.contains(&file)
+    };
+    let unexpected = names.iter().find(|name| !is_expected(name));
     match unexpected {
         None => Ok(()),
         Some(name) => Err(Error::refused(format!(
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -53,6 +53,7 @@
     EvacuateCommand, MembersCommand, PublishCommand, PublishResult,
 };
 pub use files::{Files, FolderFiles};
+pub use identity::StoredIdentity;
 pub use io::{
     Entry, HardState, Message, PersistId, PersistRequest, ProposalId, ProposalOutcome, ReadId,
     Refusal, ReplicaInput, ReplicaOptions, ReplicaOutput, SnapshotData, SnapshotPart,
--- a/crates/control/src/replica.rs
+++ b/crates/control/src/replica.rs
@@ -85,16 +85,10 @@
             Some(snapshot) => ControlState::decode(&snapshot.state)?,
             None => ControlState::default(),
         };
-        let initial = match &recovered.snapshot {
-            Some(_) => None,
-            None => Some(initial_snapshot(&options, &state)?),
-        };
-        let base = recovered
-            .snapshot
-            .or_else(|| initial.clone())
-            .unwrap_or_default();
+        let (base, is_new_base) = base_snapshot(&options, &recovered, &state)?;
         check_contiguous(&base, &recovered.entries)?;
         let commit_index = base.index;
+        let new_base = is_new_base.then(|| base.clone());
         let log = Log::new(base, recovered.entries);
         let mut replica = Self {
             rng: seeded_rng(&options),
@@ -112,9 +106,9 @@
             commit_index,
             state,
         };
-        if let Some(initial) = initial {
+        if let Some(new_base) = new_base {
             replica.persist.put_hard_state(replica.hard_state);
-            replica.persist.put_snapshot(initial);
+            replica.persist.put_snapshot(new_base);
         }
         replica.set_election_timer(replica.options.first_election_timeout);
         Ok(replica)
@@ -372,15 +366,46 @@
     rng
 }
 
-/// Creates the first snapshot of a new folder. It stores the initial voters, so
-/// that later settings cannot change them.
-fn initial_snapshot(options: &ReplicaOptions, state: &ControlState) -> Result<SnapshotData> {
-    Ok(SnapshotData {
-        index: 0,
-        term: 0,
-        voters: options.initial_voters.clone(),
-        state: state.encode()?,
-    })
+/// Gets the snapshot that precedes the log, and whether it has to be written. The
+/// first snapshot of a folder stores the initial voters, so that later settings
+/// cannot change them. A snapshot without voters is completed: a former version wrote
+/// one if its process had ended between the first two files of the folder. No change
+/// of the members precedes it, so the group still has its initial voters there.
+fn base_snapshot(
+    options: &ReplicaOptions,
+    recovered: &RecoveredState,
+    state: &ControlState,
+) -> Result<(SnapshotData, bool)> {
+    let stored = &recovered.initial_voters;
+    let voters = if stored.is_empty() {
+        &options.initial_voters
+    } else {
+        stored
+    };
+    match &recovered.snapshot {
+        Some(snapshot) if !snapshot.voters.is_empty() || voters.is_empty() => {
+            Ok((snapshot.clone(), false))
+        }
+        Some(snapshot) => {
+            let voters = voters.clone();
+            Ok((
+                SnapshotData {
+                    voters,
+                    ..snapshot.clone()
+                },
+                true,
+            ))
+        }
+        None => {
+            let first = SnapshotData {
+                index: 0,
+                term: 0,
+                voters: voters.clone(),
+                state: state.encode()?,
+            };
+            Ok((first, true))
+        }
+    }
 }
 
 fn check_contiguous(snapshot: &SnapshotData, entries: &[Entry]) -> Result<()> {
--- a/crates/control/src/storage.rs
+++ b/crates/control/src/storage.rs
@@ -2,6 +2,7 @@
 //!
 //! | file | content |
 //! |---|---|
+//! | `initial_voters` | voters of a new replica, final once `identity` exists |
 //! | `identity` | format and replica id, written once |
 //! | `hard_state` | term and vote, replaced |
 //! | `snapshot` | newest snapshot, replaced |
@@ -10,6 +11,10 @@
 //! A file is replaced by writing and syncing a new file, renaming it and syncing
 //! the folder. The log is append-only: a batch replaces all earlier entries from
 //! its first index on, so a replaced entry cannot reappear after a crash.
+//!
+//! A folder is in use from the rename of `identity` on, which follows everything
+//! that a replica needs to take part. A replica sends no vote and acknowledges no
+//! entry before its first snapshot is synced; see `docs/design.md`, section 8.
 
 use std::path::Path;
 
@@ -21,11 +26,12 @@
 use crate::batch;
 use crate::codec;
 use crate::files::{Files, FolderFiles};
-use crate::identity::{self, IDENTITY_FILE, Identity};
+use crate::identity::{self, IDENTITY_FILE, Identity, StoredIdentity};
 use crate::io::{Entry, HardState, PersistRequest, SnapshotData};
 use crate::record;
 
 const HARD_STATE_FILE: &str = "hard_state";
+pub(crate) const INITIAL_VOTERS_FILE: &str = "initial_voters";
 const SNAPSHOT_FILE: &str = "snapshot";
 pub(crate) const LOG_FILE: &str = "log";
 
@@ -37,6 +43,9 @@
 pub struct RecoveredState {
     /// Whether the folder had no hard state, snapshot or entries.
     pub fresh: bool,
+    /// Voters with which the replica was created; empty if a former version, which
+    /// did not store them, created the folder.
+    pub initial_voters: Vec<ReplicaId>,
     /// Term and vote.
     pub hard_state: HardState,
     /// Newest snapshot.
@@ -63,32 +72,38 @@
 #[derive(Debug, Default)]
 struct FileSizes {
     identity: u64,
+    initial_voters: u64,
     hard_state: u64,
     snapshot: u64,
     log: u64,
 }
 
 impl DiskStorage {
-    /// Opens a data folder for a replica, creating it if missing.
+    /// Opens a data folder for a replica, creating it if missing. A new folder
+    /// stores `initial_voters`; one in use keeps its own.
     ///
     /// # Errors
     /// `Io` if the folder cannot be used or another process has it open,
     /// `Corrupt` if a record before the last one is damaged, `Refused` if the
     /// folder belongs to another replica or contains unexpected files.
-    pub fn open(folder: &Path, id: ReplicaId) -> Result<(Self, RecoveredState)> {
-        Self::open_with(FolderFiles::open(folder)?, id)
+    pub fn open(
+        folder: &Path,
+        id: ReplicaId,
+        initial_voters: &[ReplicaId],
+    ) -> Result<(Self, RecoveredState)> {
+        Self::open_with(FolderFiles::open(folder)?, id, initial_voters)
     }
 
-    /// Gets the replica id of a folder that was used before.
+    /// Gets the identity of a folder that was used before.
     ///
     /// # Errors
-    /// `Io` if the folder cannot be read, `Corrupt` if its identity is damaged.
-    pub fn identity(folder: &Path) -> Result<Option<ReplicaId>> {
+    /// `Io` if the folder cannot be read, `Corrupt` if its identity, initial voters
+    /// or snapshot is damaged.
+    pub fn identity(folder: &Path) -> Result<Option<StoredIdentity>> {
         if !folder.exists() {
             return Ok(None);
         }
-        let identity = identity::read(&mut FolderFiles::open(folder)?)?;
-        Ok(identity.map(|identity| identity.replica_id))
+        Self::identity_with(FolderFiles::open(folder)?)
     }
 }
 
@@ -97,22 +112,48 @@
     ///
     /// # Errors
     /// As those of [`DiskStorage::open`].
-    pub fn open_with(mut files: F, id: ReplicaId) -> Result<(Self, RecoveredState)> {
+    pub fn open_with(
+        mut files: F,
+        id: ReplicaId,
+        initial_voters: &[ReplicaId],
+    ) -> Result<(Self, RecoveredState)> {
         match identity::read(&mut files)? {
             Some(identity) => identity.check(id)?,
             None => identity::check_unused(&files.list()?)?,
         }
-        let mut storage = Self {
+        let mut storage = Self::new(files);
+        storage.initialise(id, initial_voters)?;
+        let recovered = storage.recover()?;
+        storage.syncs = 0;
+        Ok((storage, recovered))
+    }
+
+    /// Gets the identity of a folder that was used before, with the given file
+    /// operations.
+    ///
+    /// # Errors
+    /// As those of [`DiskStorage::identity`].
+    pub fn identity_with(mut files: F) -> Result<Option<StoredIdentity>> {
+        let Some(identity) = identity::read(&mut files)? else {
+            return Ok(None);
+        };
+        let mut storage = Self::new(files);
+        let snapshot = storage.read_record::<SnapshotData>(SNAPSHOT_FILE)?;
+        let has_snapshot_voters = snapshot.is_some_and(|snapshot| !snapshot.voters.is_empty());
+        Ok(Some(StoredIdentity {
+            replica_id: identity.replica_id,
+            knows_voters: has_snapshot_voters || !storage.read_initial_voters()?.is_empty(),
+        }))
+    }
+
+    fn new(files: F) -> Self {
+        Self {
             files,
             last_index: 0,
             sizes_bytes: FileSizes::default(),
             syncs: 0,
             failed: false,
-        };
-        storage.initialise(id)?;
-        let recovered = storage.recover()?;
-        storage.syncs = 0;
-        Ok((storage, recovered))
+        }
     }
 
     /// Writes and syncs one request. After an error the state on disk is unknown,
@@ -136,7 +177,7 @@
     /// Gets the size of all files in bytes.
     pub fn size_bytes(&self) -> u64 {
         let sizes = &self.sizes_bytes;
-        sizes.identity + sizes.hard_state + sizes.snapshot + sizes.log
+        sizes.identity + sizes.initial_voters + sizes.hard_state + sizes.snapshot + sizes.log
     }
 
     /// Gets the number of syncs of files and of the folder since `open`.
@@ -195,18 +236,26 @@
         Ok(())
     }
 
-    /// Creates the log and then the identity, unless the folder has an identity.
-    fn initialise(&mut self, id: ReplicaId) -> Result<()> {
+    /// Creates the files of a new replica, the identity last, unless the folder has
+    /// an identity.
+    fn initialise(&mut self, id: ReplicaId, initial_voters: &[ReplicaId]) -> Result<()> {
         if self.files.read(IDENTITY_FILE)?.is_some() {
             return Ok(());
         }
         self.replace_file(LOG_FILE, &[])?;
+        self.replace_record(INITIAL_VOTERS_FILE, &initial_voters)?;
         let identity = Identity::new(id);
         self.replace_record(IDENTITY_FILE, &identity)?;
         Ok(())
     }
 
+    fn read_initial_voters(&mut self) -> Result<Vec<ReplicaId>> {
+        let voters = self.read_record::<Vec<ReplicaId>>(INITIAL_VOTERS_FILE)?;
+        Ok(voters.unwrap_or_default())
+    }
+
     fn recover(&mut self) -> Result<RecoveredState> {
+        let initial_voters = self.read_initial_voters()?;
         let hard_state = self.read_record::<HardState>(HARD_STATE_FILE)?;
         let snapshot = self.read_record::<SnapshotData>(SNAPSHOT_FILE)?;
         if snapshot.is_some() && hard_state.is_none() {
@@ -234,10 +283,12 @@
             self.sync(LOG_FILE)?;
         }
         self.sizes_bytes.identity = self.length(IDENTITY_FILE)?;
+        self.sizes_bytes.initial_voters = self.length(INITIAL_VOTERS_FILE)?;
         self.sizes_bytes.hard_state = self.length(HARD_STATE_FILE)?;
         self.sizes_bytes.snapshot = self.length(SNAPSHOT_FILE)?;
         Ok(RecoveredState {
             fresh: hard_state.is_none() && snapshot.is_none() && entries.is_empty(),
+            initial_voters,
             hard_state: hard_state.unwrap_or_default(),
             snapshot,
             entries,
--- a/crates/control/tests/common/cluster.rs
+++ b/crates/control/tests/common/cluster.rs
@@ -115,7 +115,7 @@
     pub fn start(&mut self, id: ReplicaId) {
         let seed = self.rng.random();
         let host = self.hosts.get_mut(&id).expect("known host");
-        let opened = DiskStorage::open_with(host.disk.clone(), id);
+        let opened = DiskStorage::open_with(host.disk.clone(), id, &host.initial_voters);
         let (storage, recovered) = opened.expect("a crash never damages a folder");
         let options = ReplicaOptions {
             id,
--- a/crates/control/tests/disk.rs
+++ b/crates/control/tests/disk.rs
@@ -6,6 +6,7 @@
 use common::{change_command, fixed_cases};
 use hornbeam_control::{
     Command, DiskStorage, Entry, HardState, PersistRequest, RecoveredState, SnapshotData,
+    StoredIdentity,
 };
 use hornbeam_core::Error;
 use proptest::prelude::*;
@@ -141,7 +142,9 @@
     let files = MemoryFiles::default();
     files.fail_at(operation, failure);
     let mut allowed = vec![Model::default()];
-    if let Ok((mut storage, recovered)) = DiskStorage::open_with(files.clone(), REPLICA_ID) {
+    if let Ok((mut storage, recovered)) =
+        DiskStorage::open_with(files.clone(), REPLICA_ID, &[REPLICA_ID])
+    {
         assert!(recovered.fresh);
         for (id, step) in (1..).zip(steps) {
             let model = allowed.pop().expect("one state before each step");
@@ -168,11 +171,11 @@
 fn check_recovery(files: &MemoryFiles, allowed: &[Model], rng: &mut ChaCha8Rng) {
     for point in 1..4 {
         files.fail_at(files.operations() + point, FailurePoint::After);
-        let _ = DiskStorage::open_with(files.clone(), REPLICA_ID);
+        let _ = DiskStorage::open_with(files.clone(), REPLICA_ID, &[REPLICA_ID]);
         files.crash(rng);
     }
-    let (mut storage, recovered) =
-        DiskStorage::open_with(files.clone(), REPLICA_ID).expect("a crash is no damage");
+    let (mut storage, recovered) = DiskStorage::open_with(files.clone(), REPLICA_ID, &[REPLICA_ID])
+        .expect("a crash is no damage");
     let model = Model::of(recovered);
     assert!(
         allowed.contains(&model),
@@ -182,8 +185,8 @@
     storage.persist(&request).expect("no failure is injected");
     let expected = model.stages(&request).pop().expect("the request appends");
     drop(storage);
-    let (_, recovered) =
-        DiskStorage::open_with(files.clone(), REPLICA_ID).expect("nothing is damaged");
+    let (_, recovered) = DiskStorage::open_with(files.clone(), REPLICA_ID, &[REPLICA_ID])
+        .expect("nothing is damaged");
     assert_eq!(Model::of(recovered), expected);
 }
 
@@ -209,7 +212,7 @@
     fn flipped_bit_is_reported(flipped: prop::sample::Index, batches in 2..6u64) {
         let files = MemoryFiles::default();
         let (mut storage, _) =
-            DiskStorage::open_with(files.clone(), REPLICA_ID).expect("the folder is new");
+            DiskStorage::open_with(files.clone(), REPLICA_ID, &[REPLICA_ID]).expect("the folder is new");
         let mut end_of_last_but_one = 0;
         for id in 1..=batches {
             end_of_last_but_one = files.length("log");
@@ -218,7 +221,7 @@
             storage.persist(&request).expect("no failure is injected");
         }
         files.flip_bit("log", flipped.index(8 * end_of_last_but_one));
-        let opened = DiskStorage::open_with(files, REPLICA_ID);
+        let opened = DiskStorage::open_with(files, REPLICA_ID, &[REPLICA_ID]);
         prop_assert!(matches!(opened, Err(Error::Corrupt(_))), "{opened:?}");
     }
 
@@ -230,11 +233,11 @@
     ) {
         let files = MemoryFiles::default();
         let (mut storage, _) =
-            DiskStorage::open_with(files.clone(), REPLICA_ID).expect("the folder is new");
+            DiskStorage::open_with(files.clone(), REPLICA_ID, &[REPLICA_ID]).expect("the folder is new");
         let request = request(&Model::default(), 1, &Step::Install(5));
         storage.persist(&request).expect("no failure is injected");
         files.flip_bit(name, flipped.index(8 * files.length(name)));
-        let opened = DiskStorage::open_with(files, REPLICA_ID);
+        let opened = DiskStorage::open_with(files, REPLICA_ID, &[REPLICA_ID]);
         prop_assert!(matches!(opened, Err(Error::Corrupt(_))), "{opened:?}");
     }
 }
@@ -246,7 +249,8 @@
     let folder = tempfile::tempdir().expect("a folder for the test");
     let path = folder.path().join("data");
     assert_eq!(DiskStorage::identity(&path), Ok(None));
-    let (mut storage, recovered) = DiskStorage::open(&path, REPLICA_ID).expect("the folder is new");
+    let (mut storage, recovered) =
+        DiskStorage::open(&path, REPLICA_ID, &[REPLICA_ID]).expect("the folder is new");
     assert!(recovered.fresh);
     let entries = vec![entry(1, 1)];
     let request = PersistRequest {
@@ -256,23 +260,30 @@
     };
     storage.persist(&request).expect("the disk works");
     assert!(matches!(
-        DiskStorage::open(&path, REPLICA_ID),
+        DiskStorage::open(&path, REPLICA_ID, &[REPLICA_ID]),
         Err(Error::Io(_))
     ));
     drop(storage);
 
-    assert_eq!(DiskStorage::identity(&path), Ok(Some(REPLICA_ID)));
+    assert_eq!(
+        DiskStorage::identity(&path),
+        Ok(Some(StoredIdentity {
+            replica_id: REPLICA_ID,
+            knows_voters: true
+        }))
+    );
     assert!(matches!(
-        DiskStorage::open(&path, REPLICA_ID + 1),
+        DiskStorage::open(&path, REPLICA_ID + 1, &[REPLICA_ID]),
         Err(Error::Refused(_))
     ));
-    let (storage, recovered) = DiskStorage::open(&path, REPLICA_ID).expect("it is the own folder");
+    let (storage, recovered) =
+        DiskStorage::open(&path, REPLICA_ID, &[REPLICA_ID]).expect("it is the own folder");
     assert_eq!(recovered.entries, vec![entry(1, 1)]);
     assert!(storage.size_bytes() > 0);
 
     std::fs::write(folder.path().join("photo.jpg"), "").expect("the disk works");
     assert!(matches!(
-        DiskStorage::open(folder.path(), REPLICA_ID),
+        DiskStorage::open(folder.path(), REPLICA_ID, &[REPLICA_ID]),
         Err(Error::Refused(_))
     ));
 }
@@ -282,8 +293,8 @@
 #[test]
 fn torn_tail_is_truncated_and_reported() {
     let files = MemoryFiles::default();
-    let (mut storage, _) =
-        DiskStorage::open_with(files.clone(), REPLICA_ID).expect("the folder is new");
+    let (mut storage, _) = DiskStorage::open_with(files.clone(), REPLICA_ID, &[REPLICA_ID])
+        .expect("the folder is new");
     for index in 1..=2 {
         let entries = vec![Entry {
             index,
@@ -300,7 +311,7 @@
     let last_bit = 8 * files.length("log") - 1;
     files.flip_bit("log", last_bit);
     let (_, recovered) =
-        DiskStorage::open_with(files, REPLICA_ID).expect("a torn tail is no damage");
+        DiskStorage::open_with(files, REPLICA_ID, &[REPLICA_ID]).expect("a torn tail is no damage");
     assert_eq!(recovered.entries.len(), 1);
     assert!(recovered.truncated_bytes > 0);
 }
--- a/crates/control/tests/snapshots.rs
+++ b/crates/control/tests/snapshots.rs
@@ -16,7 +16,7 @@
 #[gtest]
 fn snapshots_cost_no_more_than_the_log() -> googletest::Result<()> {
     let folder = tempfile::tempdir()?;
-    let (_, recovered) = DiskStorage::open(folder.path(), 1)?;
+    let (_, recovered) = DiskStorage::open(folder.path(), 1, &[1])?;
     let options = ReplicaOptions {
         id: 1,
         initial_voters: vec![1],
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -222,9 +222,11 @@
 async fn open_disk(options: &ControlOptions) -> Result<(ReplicaId, DiskStorage, RecoveredState)> {
     let folder = options.data_folder.clone();
     let configured_id = options.new_group.then_some(options.replica.id);
+    let initial_voters = options.replica.initial_voters.clone();
     let opening = tokio::task::spawn_blocking(move || {
-        let id = replica_id(DiskStorage::identity(&folder)?, configured_id);
-        let (disk, recovered) = DiskStorage::open(&folder, id)?;
+        let stored_id = DiskStorage::identity(&folder)?.map(|identity| identity.replica_id);
+        let id = replica_id(stored_id, configured_id);
+        let (disk, recovered) = DiskStorage::open(&folder, id, &initial_voters)?;
         hornbeam_core::Result::Ok((id, disk, recovered))
     });
     let (id, disk, recovered) = opening
--- a/crates/node/src/control/fleet/join.rs
+++ b/crates/node/src/control/fleet/join.rs
@@ -29,6 +29,11 @@
 /// system the seeds are the initial voters. Later a host with an empty folder
 /// joins without a vote, because it may have lost the votes that it cast.
 ///
+/// A folder that a former version left without voters keeps its id. If that is the
+/// id of an initial voter, the seeds are the initial voters again: other hosts can
+/// have such ids only if they started with the same seeds. Any other replica joins as
+/// one with an empty folder does (`docs/design.md`, section 8).
+///
 /// # Errors
 /// If the address is not an IPv4 address or the folder is damaged.
 pub(crate) async fn resolve_replica(
@@ -45,27 +50,46 @@
     let first_voters: Vec<ReplicaId> = first_voters
         .map(|at| replica_id_for(at, INITIAL_NONCE))
         .collect();
-    if let Some(id) = identity {
-        options.replica.id = id;
-    } else if options.new_group && is_seed {
-        options.replica.id = replica_id_for(own_address, INITIAL_NONCE);
-        options.replica.initial_voters = first_voters;
-    } else {
-        options.replica.id = replica_id_for(
-            own_address,
-            rand::random_range(INITIAL_NONCE + 1..=u32::MAX),
-        );
-        options.replica.initial_voters = if options.new_group {
-            first_voters
-        } else {
-            discover_voters(options.link_listen, &fleet.seeds).await
-        };
-        options.new_group = true;
+    let initial_id = replica_id_for(own_address, INITIAL_NONCE);
+    match identity {
+        Some(identity) => {
+            options.replica.id = identity.replica_id;
+            if !identity.knows_voters {
+                let is_initial_voter = is_seed && identity.replica_id == initial_id;
+                options.replica.initial_voters = if is_initial_voter {
+                    first_voters
+                } else {
+                    let mut voters = discover_voters(options.link_listen, &fleet.seeds).await;
+                    // Only the log tells a replica that it may vote.
+                    voters.retain(|id| *id != identity.replica_id);
+                    voters
+                };
+            }
+        }
+        None if options.new_group && is_seed => {
+            options.replica.id = initial_id;
+            options.replica.initial_voters = first_voters;
+        }
+        None => {
+            options.replica.id = replica_id_for(
+                own_address,
+                rand::random_range(INITIAL_NONCE + 1..=u32::MAX),
+            );
+            options.replica.initial_voters = if options.new_group {
+                first_voters
+            } else {
+                discover_voters(options.link_listen, &fleet.seeds).await
+            };
+            options.new_group = true;
+        }
     }
     log_event!(
         Event::GroupRepair, host = options.host_id;
-        "replica {:x} starts with voters {:x?}; data folder in use before: {}",
-        options.replica.id, options.replica.initial_voters, identity.is_some()
+        "replica {:x} starts with voters {:x?}; data folder in use before: {}; voters known there: {}",
+        options.replica.id,
+        options.replica.initial_voters,
+        identity.is_some(),
+        identity.is_some_and(|identity| identity.knows_voters)
     );
     Ok(())
 }
--- a/crates/node/src/control/metrics.rs
+++ b/crates/node/src/control/metrics.rs
@@ -22,6 +22,8 @@
     registry: Registry,
     changes: Family<OutcomeLabel, Counter>,
     leads: Gauge,
+    voters: Gauge,
+    votes: Gauge,
     term: Gauge,
     commit_index: Gauge,
     config_version: Gauge,
@@ -38,6 +40,8 @@
             registry: Registry::default(),
             changes: Family::default(),
             leads: Gauge::default(),
+            voters: Gauge::default(),
+            votes: Gauge::default(),
             term: Gauge::default(),
             commit_index: Gauge::default(),
             config_version: Gauge::default(),
@@ -60,6 +64,9 @@
     pub(crate) fn encode(&self, status: &ControlStatus, list: &EvacuationList) -> String {
         let leads = status.leader == Some(status.replica_id);
         self.leads.set(leads.into());
+        set(&self.voters, status.voters.len() as u64);
+        let votes = status.voters.contains(&status.replica_id);
+        self.votes.set(votes.into());
         set(&self.term, status.term);
         set(&self.commit_index, status.commit_index);
         set(&self.config_version, status.config_version);
@@ -83,6 +90,16 @@
                 "1 if this host leads, else 0",
                 &self.leads,
             ),
+            (
+                "hornbeam_voters",
+                "Voting members known to this host",
+                &self.voters,
+            ),
+            (
+                "hornbeam_votes",
+                "1 if this host knows itself as a voting member, else 0",
+                &self.votes,
+            ),
             ("hornbeam_term", "Current term", &self.term),
             (
                 "hornbeam_commit_index",
