Ignore ends of runs that a former process sent to a peer

Cause: a run is named by job, task and attempt, and each process numbers attempts from 1. A batch names the process for which it is meant by its echo, but only tasks to run were checked against it. The end of a former attempt 1 ended the present attempt 1, and the task started again.

Change: ends and refusals in a batch whose echo names another process than the receiver are dropped and logged, and so are those of a run that is not at the sender. A sender clears its messages when it first hears a new process of a peer, so a batch that names this process holds none of a former one. A host that was just paused names the new process of a peer too, since its refusals would be dropped otherwise. The format of the messages stays.

--- a/crates/fleet/src/peer.rs
+++ b/crates/fleet/src/peer.rs
@@ -264,6 +264,13 @@
         let echo = echo.filter(|echo| echo.incarnation == self.incarnation)?;
         Some(Duration::from_millis(echo.sent_ms))
     }
+
+    /// Whether a batch with this echo is meant for this process. A sender clears its
+    /// messages when it first hears a new process, so none of a batch for this one
+    /// is about runs of a former one.
+    pub(crate) fn is_meant_for(&self, echo: Option<BatchTime>) -> bool {
+        echo.is_some_and(|echo| echo.incarnation == self.incarnation)
+    }
 }
 
 impl Peer {
@@ -519,15 +526,18 @@
     }
 
     /// Gets the echo of a batch that is composed now. After a pause of the process
-    /// it stays, because callers may have left whose jobs have not ended yet.
+    /// its time stays, because callers may have left whose jobs have not ended yet.
     fn next_echo(&mut self, now: Duration, from: &BatchSender) -> Option<BatchTime> {
+        let newest = self.newest_batch?;
         if from.inputs_pending_until.is_none() {
-            self.last_echo = self.newest_batch.map(|newest| BatchTime {
-                sent_ms: newest
-                    .sent_ms
-                    .saturating_add(millis(now.saturating_sub(self.newest_batch_at))),
+            let since_arrival = millis(now.saturating_sub(self.newest_batch_at));
+            self.last_echo = Some(BatchTime {
+                sent_ms: newest.sent_ms.saturating_add(since_arrival),
                 ..newest
             });
+        } else if self.last_echo.map(|echo| echo.incarnation) != Some(newest.incarnation) {
+            // The messages are meant for the process that was heard last.
+            self.last_echo = Some(newest);
         }
         self.last_echo
     }
@@ -567,6 +577,11 @@
     messages.iter().any(is_status)
 }
 
+/// Whether a message is about the end of a run that the receiver has sent.
+pub(crate) fn is_outcome(message: &PeerMessage) -> bool {
+    matches!(message, PeerMessage::Ended(..) | PeerMessage::Refused(_))
+}
+
 fn is_stop(message: &PeerMessage) -> bool {
     matches!(message, PeerMessage::Stop(_))
 }
--- a/crates/fleet/src/peering.rs
+++ b/crates/fleet/src/peering.rs
@@ -12,7 +12,9 @@
 use crate::io::{FleetOutput, PeerInfo, Subject};
 use crate::job::{RunId, TaskState};
 use crate::neighbours::ListedHost;
-use crate::peer::{Peer, PeerBatch, PeerMessage, PeerStatus, SenderIncarnation, has_status};
+use crate::peer::{
+    Peer, PeerBatch, PeerMessage, PeerStatus, SenderIncarnation, has_status, is_outcome,
+};
 use crate::verification::Verification;
 
 impl Fleet {
@@ -50,7 +52,7 @@
             .or_insert_with(|| Peer::new(address, failure_domain))
     }
 
-    pub(crate) fn on_batch(&mut self, batch: PeerBatch, extension: Option<BatchExtension>) {
+    pub(crate) fn on_batch(&mut self, mut batch: PeerBatch, extension: Option<BatchExtension>) {
         let now = self.now;
         let host = batch.from.clone();
         if !self.listed_hosts.contains_key(&host) && !self.peers.contains_key(&host) {
@@ -86,6 +88,9 @@
             );
         }
         if is_new {
+            if !self.sender.is_meant_for(batch.echo) {
+                self.drop_outcomes(&host, &mut batch.messages);
+            }
             if has_status(&batch.messages) {
                 self.record_extension(&host, extension);
             }
@@ -102,11 +107,28 @@
         }
     }
 
+    /// Drops the ends of runs that a former process of this host sent to a peer. This
+    /// process numbers its attempts from 1 again, so its runs can have the same ids.
+    fn drop_outcomes(&mut self, host: &HostId, messages: &mut Vec<PeerMessage>) {
+        let dropped = messages.extract_if(.., |message| is_outcome(message));
+        let dropped = dropped.count();
+        if dropped > 0 {
+            self.log(
+                Event::StaleMessage,
+                Subject::Peer(host.clone()),
+                format!("{dropped} ends of runs from peer {host} are ignored: a former process of this host sent them the runs"),
+            );
+        }
+    }
+
     fn on_message(&mut self, host: &HostId, message: PeerMessage, is_recent: bool) {
         match message {
             PeerMessage::Status(status) => self.on_status(host, status),
             PeerMessage::Run(chunk) => self.on_chunk(host, chunk, is_recent),
             PeerMessage::Refused(runs) => self.on_refused(host, &runs),
+            PeerMessage::Ended(run, _, _) if self.is_assigned_elsewhere(run, host) => {
+                self.log_foreign_end(run, host);
+            }
             PeerMessage::Ended(run, end, took_ms) => {
                 if end == crate::io::RunEnd::Done
                     && let Some(job) = self.jobs.get(&run.job)
@@ -152,10 +174,35 @@
             }
         }
         for run in runs {
-            self.requeue_unstarted(*run);
+            if self.is_assigned_elsewhere(*run, host) {
+                self.log_foreign_end(*run, host);
+            } else {
+                self.requeue_unstarted(*run);
+            }
         }
     }
 
+    /// Whether a run of this host is on a worker of its own or at a peer other than
+    /// `host`.
+    fn is_assigned_elsewhere(&self, run: RunId, host: &HostId) -> bool {
+        let job = self.jobs.get(&run.job);
+        let task = job.and_then(|job| job.tasks.get(run.task as usize));
+        task.is_some_and(|task| {
+            let is_elsewhere = match &task.state {
+                TaskState::Local(_) => true,
+                TaskState::Remote(peer) => peer != host,
+                TaskState::Queued | TaskState::AwaitingExpiry(_) | TaskState::Done => false,
+            };
+            task.attempt == run.attempt && is_elsewhere
+        })
+    }
+
+    fn log_foreign_end(&mut self, run: RunId, host: &HostId) {
+        let message =
+            format!("an end of run {run} from peer {host} is ignored: the run is not there");
+        self.log(Event::StaleMessage, Subject::Run(run), message);
+    }
+
     /// Handles a restart of a peer: its runs end when the leases of its previous
     /// process expire.
     fn peer_restarted(&mut self, host: &HostId) {
