Compare the origin of a run with the host that stops it

Callers saw: nothing wrong; a run of one host could be stopped by a late request of another host for the same job, task and attempt, and its work was lost until the task started again.

Cause: a stop was looked up by the run alone. Hosts number attempts by themselves, so a caller that turns to another host gets runs with the same ids there.

Change: a stop ends a run only if it comes from the origin of the run.

Evidence: `stop_from_another_host_does_not_end_a_run` fails on the former code: a stop is sent to the worker for the request of host 2, although the run is of host 3.

Result: the test passes; tests of peers and stops as before.

--- a/crates/fleet/src/peer_tasks.rs
+++ b/crates/fleet/src/peer_tasks.rs
@@ -200,14 +200,18 @@
         }
     }
 
-    /// Stops runs that their origin no longer needs.
-    pub(crate) fn on_stop_peer_tasks(&mut self, runs: &[RunId]) {
+    /// Stops runs that their origin no longer needs. Another host may run a task of
+    /// the same job, with the same number of the attempt, here.
+    pub(crate) fn on_stop_peer_tasks(&mut self, origin: &HostId, runs: &[RunId]) {
         for run in runs {
-            self.stop_peer_task(*run);
+            let known = self.peer_tasks.get(run);
+            if known.is_some_and(|peer_task| peer_task.origin == *origin) {
+                self.stop_peer_task(*run);
+            }
         }
     }
 
-    fn stop_peer_task(&mut self, run: RunId) {
+    pub(crate) fn stop_peer_task(&mut self, run: RunId) {
         let Some(peer_task) = self.peer_tasks.get(&run) else {
             return;
         };
--- a/crates/fleet/src/peering.rs
+++ b/crates/fleet/src/peering.rs
@@ -143,7 +143,7 @@
                 }
                 self.task_ended(run, end, None);
             }
-            PeerMessage::Stop(runs) => self.on_stop_peer_tasks(&runs),
+            PeerMessage::Stop(runs) => self.on_stop_peer_tasks(host, &runs),
             PeerMessage::HandOver(report, fencing_token) => {
                 let verification = Verification::FormerToken(fencing_token);
                 self.record_report(report, Some(verification));
@@ -256,7 +256,9 @@
             .filter(|(_, peer_task)| !has_recent_contact(&peer_task.origin))
             .map(|(run, _)| *run)
             .collect();
-        self.on_stop_peer_tasks(&unconfirmed);
+        for run in unconfirmed {
+            self.stop_peer_task(run);
+        }
     }
 
     fn handle_lost_peer(&mut self, host: &HostId) {
--- a/crates/fleet/tests/former_processes.rs
+++ b/crates/fleet/tests/former_processes.rs
@@ -119,3 +119,23 @@
     let named = answer.and_then(|batch| Some(batch.echo?.incarnation));
     expect_that!(named, some(eq(incarnation)));
 }
+
+/// Guards against a stop from one host that ends a run of another one, to which the
+/// caller has sent its job meanwhile.
+#[gtest]
+fn stop_from_another_host_does_not_end_a_run() {
+    let mut harness = Harness::new(1);
+    harness.add_worker("w1");
+    for host in [2, 3] {
+        harness.receive_batch(host, 1, vec![free_status()]);
+        harness.batches();
+        acknowledge_batch(&mut harness, host);
+    }
+    harness.receive_batch(3, 2, vec![chunk(5, 1)]);
+    let request = harness.starts().remove(0);
+    harness.accept_start(&request);
+    harness.receive_batch(2, 2, vec![PeerMessage::Stop(vec![request.run])]);
+    expect_that!(harness.stops(), is_empty());
+    harness.receive_batch(3, 3, vec![PeerMessage::Stop(vec![request.run])]);
+    expect_that!(harness.stops().len(), eq(1));
+}
