Recognise the later of two processes of a peer

Callers saw: jobs whose tasks went to a restarted peer ended with a time-out if the first batch of the former process arrived after one of the new process.

Cause: a process that is not known counted as the latest one. A late first batch of the former process made its successor count as past, and all its batches were ignored for good.

Change: a process that counts as past becomes the present one again if the echo of its batch shows that it was alive after the first batch of the other had arrived. Two processes of a host do not run at the same time.

Evidence: `late_first_batch_of_a_former_process_does_not_hide_its_successor` fails on the former code: the tasks of the successor never start.

--- a/crates/fleet/src/peer.rs
+++ b/crates/fleet/src/peer.rs
@@ -163,6 +163,8 @@
     past_incarnations: VecDeque<u64>,
     /// Arrival time of the newest batch from the peer.
     newest_batch_at: Duration,
+    /// Arrival time of the first batch of the process that sent the newest one.
+    incarnation_heard_at: Duration,
     /// Last echo that was sent to the peer.
     last_echo: Option<BatchTime>,
     /// Latest time at which the peer is known to have wanted the tasks that this host
@@ -282,6 +284,7 @@
             newest_batch: None,
             past_incarnations: VecDeque::new(),
             newest_batch_at: Duration::ZERO,
+            incarnation_heard_at: Duration::ZERO,
             last_echo: None,
             wanted_at: None,
             heard_at: None,
@@ -389,10 +392,25 @@
         self.status_due = true;
     }
 
-    /// Records the time of a batch, and classifies the process that sent it.
-    pub(crate) fn record_timestamp(&mut self, time: BatchTime, now: Duration) -> SenderIncarnation {
-        if self.past_incarnations.contains(&time.incarnation) {
-            return SenderIncarnation::Past;
+    /// Records the time of a batch, and classifies the process that sent it. The
+    /// process was alive at `alive_at`, if that is known.
+    ///
+    /// The first batch of a process can be so late that its successor is heard
+    /// before it. The successor then counts as past until it shows that it is alive:
+    /// two processes of a host do not run at the same time, so the one that sent a
+    /// batch after the first batch of the other had arrived is the later one.
+    pub(crate) fn record_timestamp(
+        &mut self,
+        time: BatchTime,
+        alive_at: Option<Duration>,
+        now: Duration,
+    ) -> SenderIncarnation {
+        let mut past = self.past_incarnations.iter();
+        if let Some(index) = past.position(|incarnation| *incarnation == time.incarnation) {
+            if alive_at.is_none_or(|alive_at| alive_at <= self.incarnation_heard_at) {
+                return SenderIncarnation::Past;
+            }
+            self.past_incarnations.remove(index);
         }
         match &mut self.newest_batch {
             Some(newest) if newest.incarnation == time.incarnation => {
@@ -404,6 +422,7 @@
             }
             newest => {
                 self.newest_batch_at = now;
+                self.incarnation_heard_at = now;
                 let Some(previous) = newest.replace(time) else {
                     return SenderIncarnation::Current;
                 };
--- a/crates/fleet/src/peering.rs
+++ b/crates/fleet/src/peering.rs
@@ -59,8 +59,9 @@
             // A host that no control host lists yet may be selected at once.
             self.next_selection_at = Duration::ZERO;
         }
+        let alive_at = self.sender.time_of_echo(batch.echo);
         let peer = self.get_or_insert_peer(host.clone(), batch.address, batch.failure_domain);
-        match peer.record_timestamp(batch.time, now) {
+        match peer.record_timestamp(batch.time, alive_at, now) {
             SenderIncarnation::Current => {}
             SenderIncarnation::New => {
                 peer.last_sequence = 0;
@@ -99,7 +100,7 @@
             }
         }
         // The stops in the batch come first: the sender wants all other runs.
-        if let Some(wanted_at) = self.sender.time_of_echo(batch.echo)
+        if let Some(wanted_at) = alive_at
             && let Some(peer) = self.peers.get_mut(&host)
         {
             peer.record_wanted(wanted_at.min(now));
--- a/crates/fleet/tests/former_processes.rs
+++ b/crates/fleet/tests/former_processes.rs
@@ -139,3 +139,31 @@
     harness.receive_batch(3, 3, vec![PeerMessage::Stop(vec![request.run])]);
     expect_that!(harness.stops().len(), eq(1));
 }
+
+/// Guards against a peer that is ignored for good because the first batch of its
+/// former process arrives after one of the present process.
+#[gtest]
+fn late_first_batch_of_a_former_process_does_not_hide_its_successor() {
+    let mut harness = Harness::new(1);
+    harness.add_worker("w1");
+    let mut first = harness.batch(2, 1, vec![free_status()]);
+    first.echo = None;
+    let former = first.time.incarnation;
+    let restarted = |harness: &Harness, sequence, messages| {
+        let mut batch = harness.batch(2, sequence, messages);
+        batch.time.incarnation = former + 1;
+        batch
+    };
+    let batch = restarted(&harness, 1, vec![free_status()]);
+    harness.step(FleetInput::Batch(batch, None));
+    harness.advance(300);
+    harness.step(FleetInput::Batch(first, None));
+    harness.batches();
+    acknowledge_batch(&mut harness, 2);
+    harness.advance(100);
+    let batch = restarted(&harness, 2, vec![free_status()]);
+    harness.step(FleetInput::Batch(batch, None));
+    let batch = restarted(&harness, 3, vec![chunk(5, 1)]);
+    harness.step(FleetInput::Batch(batch, None));
+    expect_that!(harness.starts().len(), eq(1));
+}
