Start no task of an earlier job until a pause's inputs are handled

Cause: after a pause the leases of runs were limited until the inputs of the pause were handled, but queued tasks were started at once. The first step after a pause is that of a timer, since the stop signal interrupts the wait for events; the reset of the caller's connection is read after it.

Change: tasks of jobs that arrived before a pause wait until every connection has been read since its end, and 50 ms after it at the earliest. The event loop makes the runtime look for readable connections, takes what they gave and reports it. Leases and echoes use the same end. `ProcessPaused` logs each pause, which was not to be seen before.

Two tests jumped over 140 ms or more in one step, which counts as a pause: `pause_beyond_the_lease_ends_the_runs_first` now checks that nothing starts at the wake and that the same start follows 50 ms later; `job_starts_when_cores_become_free_at_its_latest_start` reaches the same time in steps of 1 ms.

--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -53,6 +53,8 @@
     /// Connections did not close in time after a drain, and the process exits
     /// without waiting for them.
     ConnectionsAborted = 107, Warn;
+    /// The process stood still; what arrived meanwhile is handled before tasks start.
+    ProcessPaused = 108, Info;
     /// A backend server leased its slots to this host.
     ServerLeased = 200, Info;
     /// A backend server withdrew.
--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -19,6 +19,7 @@
 use crate::neighbours::ListedHost;
 use crate::options::FleetOptions;
 use crate::pace::ServicePaces;
+use crate::pauses::Pause;
 use crate::peer::{BatchSender, Peer};
 use crate::peer_tasks::PeerTask;
 use crate::queues::QueueTable;
@@ -98,6 +99,10 @@
     pub(crate) handed_over: IndexMap<WorkerId, (HostId, FencingToken)>,
     /// Time at which the last poll was lost.
     pub(crate) poll_lost_at: Option<Duration>,
+    /// Pause of the process whose inputs may not be handled yet.
+    pub(crate) pause: Option<Pause>,
+    /// Number of the last pause.
+    pub(crate) last_pause: u64,
     pub(crate) drain_started: Option<Duration>,
     pub(crate) outputs: Vec<FleetOutput>,
 }
@@ -110,7 +115,7 @@
             address: options.link_address,
             failure_domain: options.failure_domain.clone(),
             incarnation: options.incarnation,
-            inputs_pending_until: None,
+            has_pending_inputs: false,
         };
         Self {
             fencing_tokens: FencingTokens::new(options.link_address),
@@ -149,6 +154,8 @@
             had_waiting_tasks: false,
             handed_over: IndexMap::new(),
             poll_lost_at: None,
+            pause: None,
+            last_pause: 0,
             drain_started: None,
             outputs: Vec::new(),
         }
@@ -213,6 +220,7 @@
             FleetInput::LossReportEnded(host, job, accepted) => {
                 self.on_loss_report_ended(host, job, accepted);
             }
+            FleetInput::InputsRead(pause) => self.on_inputs_read(pause),
             FleetInput::Peers(peers) => self.on_peers(peers),
             FleetInput::Drain => self.start_drain(),
         }
@@ -226,6 +234,7 @@
             self.first_offload_at(),
             self.awaiting_expiry.first().map(|(at, _, _)| *at),
             self.next_settlement_at(),
+            self.pause.map(|pause| pause.pending_until),
         ];
         let workers = self
             .workers
--- a/crates/fleet/src/io.rs
+++ b/crates/fleet/src/io.rs
@@ -67,6 +67,9 @@
     /// A report of losses of a job to another host ended; true if that host
     /// accepted it.
     LossReportEnded(HostId, JobKey, bool),
+    /// Every connection has been read since [`FleetOutput::ReadInputs`] with this
+    /// number, and the inputs that this gave came before.
+    InputsRead(u64),
     /// The other entry hosts that are currently known.
     Peers(Vec<PeerInfo>),
     /// The process was asked to shut down.
@@ -97,6 +100,8 @@
     /// Report losses to another host at an address; the end comes back as
     /// [`FleetInput::LossReportEnded`].
     ReportLosses(HostId, SocketAddr, LossReport),
+    /// Read every connection, then report [`FleetInput::InputsRead`] with this number.
+    ReadInputs(u64),
     /// Close the idle connections to a worker, so that the next request opens a
     /// new one.
     DropConnections(SocketAddr),
--- a/crates/fleet/src/pauses.rs
+++ b/crates/fleet/src/pauses.rs
@@ -1,36 +1,80 @@
 //! Pauses of the process, in which callers may have left.
 //!
 //! The inputs that arrived during a pause are handled one by one after it. Until
-//! then the runs here count as last wanted when the pause began
-//! (`docs/platform.md`, "Leases").
+//! then the runs here count as last wanted when the pause began, and the tasks of
+//! jobs that arrived before it do not start (`docs/platform.md`, "Leases").
 
 use std::time::Duration;
 
+use hornbeam_core::event::Event;
+
 use crate::fleet::Fleet;
+use crate::io::{FleetOutput, Subject};
+use crate::job::JobKey;
 use crate::lease::RUN_END_LIMIT;
 
-/// Time after a pause in which the inputs that arrived meanwhile are handled.
-const PENDING_INPUTS_TIME: Duration = Duration::from_millis(50);
+/// Shortest time after a pause in which its inputs count as not handled. It covers
+/// those that reach the machine only when it runs again.
+const MIN_PENDING_INPUTS_TIME: Duration = Duration::from_millis(50);
+
+/// `Pause` is a pause of the process whose inputs may not be handled yet.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Pause {
+    /// Time of the last step before it. If another pause began before its inputs
+    /// were handled, it is that of the first one.
+    began_at: Duration,
+    /// Time until which its inputs count as not handled.
+    pub(crate) pending_until: Duration,
+    /// Whether all connections have been read since its end.
+    is_read: bool,
+}
 
 impl Fleet {
-    /// Limits the leases of all runs after a pause that began at `paused_at`.
+    /// Limits the leases of all runs after a pause that began at `paused_at`, and
+    /// asks for all connections to be read.
     pub(crate) fn on_paused(&mut self, paused_at: Duration) {
-        self.sender.inputs_pending_until = Some(self.now + PENDING_INPUTS_TIME);
+        let began_at = self.pause.map_or(paused_at, |pause| pause.began_at);
+        self.pause = Some(Pause {
+            began_at,
+            pending_until: self.now + MIN_PENDING_INPUTS_TIME,
+            is_read: false,
+        });
+        self.sender.has_pending_inputs = true;
         for worker in self.workers.values_mut() {
             for run in worker.runs.values_mut() {
                 run.lease_limit.get_or_insert(paused_at + RUN_END_LIMIT);
             }
         }
+        self.last_pause += 1;
+        self.emit(FleetOutput::ReadInputs(self.last_pause));
+        let message = format!(
+            "the process stood still for {} ms; tasks of {} jobs wait until it is known which callers have left",
+            self.now.saturating_sub(paused_at).as_millis(),
+            self.queued_jobs.len()
+        );
+        self.log(Event::ProcessPaused, Subject::Host, message);
+    }
+
+    /// Handles the news that all connections have been read since a pause.
+    pub(crate) fn on_inputs_read(&mut self, pause: u64) {
+        // Those of a later pause may be left.
+        if pause == self.last_pause
+            && let Some(pause) = &mut self.pause
+        {
+            pause.is_read = true;
+        }
+        self.end_pause();
     }
 
     /// Removes these limits from the runs that are still wanted, once the inputs
     /// from the last pause are handled.
     pub(crate) fn end_pause(&mut self) {
-        let is_over = |until: Duration| self.now >= until;
-        if !self.sender.inputs_pending_until.is_some_and(is_over) {
+        let is_over = |pause: Pause| pause.is_read && self.now >= pause.pending_until;
+        if !self.pause.is_some_and(is_over) {
             return;
         }
-        self.sender.inputs_pending_until = None;
+        self.pause = None;
+        self.sender.has_pending_inputs = false;
         for worker in self.workers.values_mut() {
             for (id, run) in &mut worker.runs {
                 if !run.stop_requested && !self.peer_tasks.contains_key(id) {
@@ -39,4 +83,13 @@
             }
         }
     }
+
+    /// Whether the caller of a job may have left in a pause and have sent the job to
+    /// another host. A job that arrived after the pause was read from a connection
+    /// that was open then.
+    pub(crate) fn may_have_been_left(&self, key: JobKey) -> bool {
+        let arrived_at = self.jobs.get(&key).map(|job| job.arrived_at);
+        let began_at = self.pause.map(|pause| pause.began_at);
+        began_at.is_some_and(|began_at| arrived_at.is_some_and(|at| at <= began_at))
+    }
 }
--- a/crates/fleet/src/peer.rs
+++ b/crates/fleet/src/peer.rs
@@ -240,9 +240,8 @@
     pub(crate) address: SocketAddr,
     pub(crate) failure_domain: FailureDomainId,
     pub(crate) incarnation: u64,
-    /// Time until which inputs from a pause of the process may not be handled yet;
-    /// `None` if there was none since.
-    pub(crate) inputs_pending_until: Option<Duration>,
+    /// Whether inputs from a pause of the process may not be handled yet.
+    pub(crate) has_pending_inputs: bool,
 }
 
 impl BatchSender {
@@ -548,7 +547,7 @@
     /// its time stays, because callers may have left whose jobs have not ended yet.
     fn next_echo(&mut self, now: Duration, from: &BatchSender) -> Option<BatchTime> {
         let newest = self.newest_batch?;
-        if from.inputs_pending_until.is_none() {
+        if !from.has_pending_inputs {
             let since_arrival = millis(now.saturating_sub(self.newest_batch_at));
             self.last_echo = Some(BatchTime {
                 sent_ms: newest.sent_ms.saturating_add(since_arrival),
--- a/crates/fleet/src/scheduling.rs
+++ b/crates/fleet/src/scheduling.rs
@@ -51,10 +51,8 @@
     pub(crate) fn schedule(&mut self) {
         self.return_late_peer_tasks();
         self.return_evacuated_peer_tasks();
-        let jobs = self
-            .queued_jobs
-            .iter()
-            .map(|(at, key)| (*at, Waiting::Job(*key)));
+        let jobs = self.startable_jobs();
+        let jobs = jobs.map(|(at, key)| (*at, Waiting::Job(*key)));
         let peer_tasks = self.waiting_peer_tasks.iter();
         let peer_tasks = peer_tasks.map(|(at, run)| (*at, Waiting::PeerTask(*run)));
         let mut waiting: Vec<(Duration, Waiting)> = jobs.chain(peer_tasks).collect();
@@ -82,6 +80,13 @@
         self.start_suspect_tasks();
     }
 
+    /// Gets the jobs with queued tasks whose callers are known to wait, by effective
+    /// start time.
+    pub(crate) fn startable_jobs(&self) -> impl Iterator<Item = &(Duration, JobKey)> {
+        let queued = self.queued_jobs.iter();
+        queued.filter(|(_, key)| !self.may_have_been_left(*key))
+    }
+
     /// Gets the service and the resources that waiting tasks need.
     fn required_resources(&self, waiting: &Waiting) -> Option<(String, Resources)> {
         match waiting {
@@ -100,7 +105,7 @@
     /// tasks per worker, so that a wide job does not depend on the few workers
     /// of one host. Tasks with the earliest effective start time go first.
     fn offload_waiting_tasks(&mut self) {
-        let keys: Vec<JobKey> = self.queued_jobs.iter().map(|(_, key)| *key).collect();
+        let keys: Vec<JobKey> = self.startable_jobs().map(|(_, key)| *key).collect();
         for key in keys {
             let mut chunks: IndexMap<HostId, Vec<ChunkTask>> = IndexMap::new();
             while let Some(index) = self.next_queued(key) {
--- a/crates/fleet/src/suspects.rs
+++ b/crates/fleet/src/suspects.rs
@@ -19,7 +19,7 @@
     /// Starts suspect tasks on workers without other runs. They come last, so that
     /// a worker that may crash is one that no other task needs.
     pub(crate) fn start_suspect_tasks(&mut self) {
-        let queued = self.queued_jobs.iter().map(|(_, key)| *key);
+        let queued = self.startable_jobs().map(|(_, key)| *key);
         let suspects: Vec<(JobKey, TaskIndex)> = queued
             .flat_map(|key| {
                 let tasks = self.losses.suspect_tasks_of(key);
--- a/crates/fleet/tests/admission.rs
+++ b/crates/fleet/tests/admission.rs
@@ -138,7 +138,8 @@
         harness.submit(3, 1);
         harness.starts();
         // Slack of 200 ms * 0.6 + 60 ms, less 12 ms for requests.
-        harness.now += Duration::from_millis(168);
+        harness.advance(167);
+        harness.now += Duration::from_millis(1);
         let running = starts_before[1].run;
         harness.answer_poll(
             worker_key,
--- a/crates/fleet/tests/common/mod.rs
+++ b/crates/fleet/tests/common/mod.rs
@@ -75,7 +75,21 @@
         harness
     }
 
+    /// Steps the fleet. After a pause all connections are read at once.
     pub fn step(&mut self, input: FleetInput) {
+        self.step_unread(input);
+        let pauses = self.take(|output| match output {
+            FleetOutput::ReadInputs(pause) => Some(*pause),
+            _ => None,
+        });
+        for pause in pauses {
+            self.step_unread(FleetInput::InputsRead(pause));
+        }
+    }
+
+    /// Steps the fleet, and leaves it to the test to report that connections have been
+    /// read.
+    pub fn step_unread(&mut self, input: FleetInput) {
         let outputs = self.fleet.step(self.now, self.unix_ms, input);
         self.outputs.extend(outputs);
     }
--- a/crates/fleet/tests/model/callers.rs
+++ b/crates/fleet/tests/model/callers.rs
@@ -6,6 +6,7 @@
 use hornbeam_fleet::{CallId, FleetInput, JobOutcome, Resources, Submission};
 
 use super::Millis;
+use super::hosts::SLOWEST_READ_MS;
 use super::network::{Event, MessageKind};
 use super::site::{HOSTS, NEED_CPU_MILLI, Site, job_key};
 
@@ -129,7 +130,20 @@
         }
     }
 
-    pub(super) fn caller_timeout(&mut self, call: CallId) {
+    /// Resets the connections of the callers of a host. One that stands still reads
+    /// them one after the other when it runs again.
+    pub(super) fn reset_callers(&mut self, host: usize) {
+        let calls = self.calls.iter().filter(|(_, (_, at))| *at == host);
+        let mut calls: Vec<CallId> = calls.map(|(call, _)| *call).collect();
+        calls.sort_unstable();
+        for call in calls {
+            self.caller_leaves(call, call % 4 * SLOWEST_READ_MS / 3);
+        }
+    }
+
+    /// Handles a caller that closes its connection. A host that stands still reads
+    /// that `read_delay_ms` after it runs again.
+    pub(super) fn caller_leaves(&mut self, call: CallId, read_delay_ms: Millis) {
         let Some((index, host)) = self.calls.get(&call).copied() else {
             return;
         };
@@ -141,7 +155,7 @@
         if self.hosts[host].fleet.is_some() {
             let gone = FleetInput::CallerDisconnected(call, job_key(index));
             if self.is_frozen(host) {
-                let at = self.hosts[host].frozen_until;
+                let at = self.hosts[host].frozen_until + read_delay_ms;
                 self.network.at(at, Event::CallerGone(host, call));
             } else {
                 self.step(host, gone);
--- a/crates/fleet/tests/model/hosts.rs
+++ b/crates/fleet/tests/model/hosts.rs
@@ -18,6 +18,9 @@
 
 const POLL_TIMEOUT_MARGIN_MS: Millis = 150;
 
+/// Longest time that a busy host takes to read a connection after a pause.
+pub(super) const SLOWEST_READ_MS: Millis = 75;
+
 /// `Host` is an entry host, through all its processes.
 pub(super) struct Host {
     pub(super) life: u32,
@@ -134,6 +137,10 @@
                 let host = host.host;
                 self.note(|| format!("host {host} {}: {message}", event.name()));
             }
+            FleetOutput::ReadInputs(pause) => {
+                let read_at = self.now + SLOWEST_READ_MS + 1;
+                self.network.at(read_at, Event::InputsRead(host, pause));
+            }
             FleetOutput::DropConnections(_) | FleetOutput::RecordTimes(_) => {}
         }
     }
--- a/crates/fleet/tests/model/network.rs
+++ b/crates/fleet/tests/model/network.rs
@@ -149,6 +149,8 @@
     CallerSends(usize),
     /// A host that stood still sees that a caller has closed its connection.
     CallerGone(usize, CallId),
+    /// A host has read all connections after a pause.
+    InputsRead(HostLife, u64),
     /// A caller stops waiting.
     CallerTimeout(CallId),
     /// Control hosts list the entry hosts.
--- a/crates/fleet/tests/model/schedule.rs
+++ b/crates/fleet/tests/model/schedule.rs
@@ -55,6 +55,8 @@
     Freeze { host: usize, for_ms: Millis },
     /// The host drains and then starts again.
     Restart { host: usize },
+    /// The connections of the host's callers are reset.
+    ResetCallers { host: usize },
 }
 
 /// `Schedule` is the input of one run of the model.
@@ -75,7 +77,10 @@
         let node = |(_, fault): &(Millis, NodeFault)| {
             matches!(
                 fault,
-                NodeFault::Kill { .. } | NodeFault::Freeze { .. } | NodeFault::Restart { .. }
+                NodeFault::Kill { .. }
+                    | NodeFault::Freeze { .. }
+                    | NodeFault::ResetCallers { .. }
+                    | NodeFault::Restart { .. }
             )
         };
         let message =
@@ -134,3 +139,21 @@
         nodes,
     })
 }
+
+/// Generates schedules in which hosts stand still and the connections of their callers
+/// are reset. Most hosts run again shortly after these callers have sent their jobs to
+/// another one.
+pub fn schedules_with_resets() -> impl Strategy<Value = Schedule> {
+    let wakes_after = prop_oneof![3 => 1300..1500_u64, 1 => 100..2500_u64];
+    let parts = (0..3_usize, 0..FAULTS_UNTIL_MS, 0..400_u64, wakes_after);
+    let reset = parts.prop_map(|(host, at, reset_after, wakes_after)| {
+        let for_ms = reset_after + wakes_after;
+        let freeze = (at, NodeFault::Freeze { host, for_ms });
+        let reset = (at + reset_after, NodeFault::ResetCallers { host });
+        [freeze, reset]
+    });
+    (schedules(), vec(reset, 1..4)).prop_map(|(mut schedule, resets)| {
+        schedule.nodes.extend(resets.into_iter().flatten());
+        schedule
+    })
+}
--- a/crates/fleet/tests/model/site.rs
+++ b/crates/fleet/tests/model/site.rs
@@ -202,11 +202,25 @@
             Event::JobAnswered(call, outcome) => self.job_answered(call, outcome),
             Event::CallerSends(job) => self.caller_sends(job),
             Event::CallerGone(host, call) => {
+                if self.is_frozen(host) {
+                    let at = self.hosts[host].frozen_until;
+                    return self.network.at(at, Event::CallerGone(host, call));
+                }
                 let (index, _) = self.calls[&call];
                 let gone = FleetInput::CallerDisconnected(call, job_key(index));
                 self.step(host, gone);
             }
-            Event::CallerTimeout(call) => self.caller_timeout(call),
+            Event::InputsRead(to, pause) => {
+                if self.hosts[to.host].life != to.life {
+                    return;
+                }
+                if self.is_frozen(to.host) {
+                    let at = self.hosts[to.host].frozen_until;
+                    return self.network.at(at, Event::InputsRead(to, pause));
+                }
+                self.step(to.host, FleetInput::InputsRead(pause));
+            }
+            Event::CallerTimeout(call) => self.caller_leaves(call, 0),
             Event::HostsListed => self.list_hosts(),
             Event::NodeFault(fault) => self.node_fault(fault),
         }
@@ -261,6 +275,7 @@
                 };
                 self.network.at(until, Event::Tick(life));
             }
+            NodeFault::ResetCallers { host } => self.reset_callers(host),
             NodeFault::Restart { host } => {
                 self.hosts[host].drain_started = true;
                 self.step(host, FleetInput::Drain);
--- a/crates/fleet/tests/ownership.rs
+++ b/crates/fleet/tests/ownership.rs
@@ -128,6 +128,8 @@
     let worker = harness.add_worker("w1");
     harness.start_job(1);
     harness.advance_at_once(1500);
+    expect_that!(harness.starts(), is_empty());
+    harness.advance(50);
     let second = harness.starts().remove(0);
     expect_that!(second.run, eq(run(1, 0, 2)));
     expect_that!(second.target.worker_key, eq(worker));
--- a/crates/fleet/tests/ownership_model.rs
+++ b/crates/fleet/tests/ownership_model.rs
@@ -10,8 +10,9 @@
 use std::cell::Cell;
 
 use model::network::MessageKind;
-use model::schedule::{Fate, MessageFault, NodeFault, Schedule, schedules};
+use model::schedule::{Fate, MessageFault, NodeFault, Schedule, schedules, schedules_with_resets};
 use model::site::Site;
+use proptest::strategy::Strategy;
 use proptest::test_runner::{Config, RngAlgorithm, TestCaseError, TestRng, TestRunner};
 
 /// Schedules that are played without a setting.
@@ -47,11 +48,8 @@
     )
 }
 
-/// Guards against two runs of a task at the same time, starts on a worker whose
-/// drain was acknowledged, false refusals, partial results and callers without an
-/// answer, whichever messages are late, lost or repeated.
-#[test]
-fn rules_hold_whichever_messages_are_late_lost_or_repeated() {
+/// Plays random schedules until one breaks a rule.
+fn play_random(schedules: impl Strategy<Value = Schedule>) {
     let cases = u32::try_from(setting("MODEL_SCHEDULES", DEFAULT_SCHEDULES.into()));
     let cases = cases.expect("a small number");
     let seed = setting("MODEL_SEED", 1);
@@ -67,7 +65,7 @@
     let mut runner = TestRunner::new_with_rng(config, rng);
     let played = Cell::new(0);
     let starts = Cell::new(0);
-    let result = runner.run(&schedules(), |schedule| {
+    let result = runner.run(&schedules, |schedule| {
         played.set(played.get() + 1);
         match play(&schedule) {
             Ok(count) => {
@@ -85,6 +83,22 @@
     assert!(starts.get() > u64::from(cases) * 20, "the load is too low");
 }
 
+/// Guards against two runs of a task at the same time, starts on a worker whose
+/// drain was acknowledged, false refusals, partial results and callers without an
+/// answer, whichever messages are late, lost or repeated.
+#[test]
+fn rules_hold_whichever_messages_are_late_lost_or_repeated() {
+    play_random(schedules());
+}
+
+/// Guards against the same, and against starts by a host that has not yet read which
+/// callers have left (review, case 14), when connections of callers are reset while
+/// their hosts stand still.
+#[test]
+fn rules_hold_when_callers_of_frozen_hosts_leave() {
+    play_random(schedules_with_resets());
+}
+
 /// Guards against a model worker whose runs outlive its lease: a repeated start
 /// extends the lease, and the runs must end when the extended lease expires.
 #[test]
@@ -169,6 +183,43 @@
     }
 }
 
+/// Guards against two runs of a task after its host was killed and started again, by
+/// ends that a peer sent to the former process (review, case 13).
+#[test]
+fn rules_hold_when_ends_for_a_former_process_arrive() {
+    let kill = NodeFault::Kill {
+        host: 1,
+        down_ms: 1271,
+    };
+    check(&Schedule {
+        seed: 17_914_297_591_924_677_107,
+        messages: vec![],
+        nodes: vec![(1387, kill)],
+    });
+}
+
+/// Guards against two runs of a task whose caller left while its host stood still and
+/// sent it to another host shortly before the first one runs again (review, case 14).
+#[test]
+fn rules_hold_when_a_host_wakes_after_its_callers_have_retried() {
+    for seed in 0..LOADS {
+        let faults = |step: u64| {
+            let host = usize::try_from((seed + step) % 3).expect("a small number");
+            let at = 800 + 3300 * step;
+            let for_ms = 1310 + seed % 180;
+            [
+                (at, NodeFault::Freeze { host, for_ms }),
+                (at + 5, NodeFault::ResetCallers { host }),
+            ]
+        };
+        check(&Schedule {
+            seed,
+            messages: vec![],
+            nodes: (0..3).flat_map(faults).collect(),
+        });
+    }
+}
+
 /// Guards against two runs of a task after its worker has restarted, while messages
 /// of one kind to or from each worker are late.
 #[test]
--- a/crates/node/src/fleet_entry/event_loop.rs
+++ b/crates/node/src/fleet_entry/event_loop.rs
@@ -100,19 +100,22 @@
                         break;
                     }
                 }
-                input = self.requests.next_completed() => self.step(input),
+                input = self.requests.next_completed() => {
+                    if matches!(input, FleetInput::InputsRead(_)) {
+                        // What the connections gave is in the channel.
+                        received.extend(std::iter::from_fn(|| inputs.try_recv().ok()));
+                        received.push(FleetLoopInput::Fleet(input));
+                    } else {
+                        self.step(input);
+                    }
+                }
                 () = &mut drain_started, if !draining => {
                     draining = true;
                     self.step(FleetInput::Drain);
                 }
                 () = self.timer.sleep_until(wakeup) => self.step(FleetInput::Tick),
             }
-            let mut stopped = false;
-            for input in received.drain(..) {
-                stopped |= matches!(input, FleetLoopInput::Stop);
-                self.handle_input(input);
-            }
-            if stopped {
+            if self.handle_received(&mut received) {
                 break;
             }
             self.publish();
@@ -126,6 +129,16 @@
         self.requests.shutdown().await;
     }
 
+    /// Handles the received inputs; true if the event loop is to end.
+    fn handle_received(&mut self, received: &mut Vec<FleetLoopInput>) -> bool {
+        let mut stopped = false;
+        for input in received.drain(..) {
+            stopped |= matches!(input, FleetLoopInput::Stop);
+            self.handle_input(input);
+        }
+        stopped
+    }
+
     fn handle_input(&mut self, input: FleetLoopInput) {
         match input {
             FleetLoopInput::Fleet(input) => self.step(input),
@@ -205,6 +218,7 @@
             FleetOutput::ReportLosses(host, address, report) => {
                 self.requests.report_losses((host, address), report);
             }
+            FleetOutput::ReadInputs(pause) => self.requests.read_inputs(pause),
             FleetOutput::DropConnections(worker) => self.requests.drop_connections(worker),
             FleetOutput::RecordTimes(times) => self.metrics.job_ended(times),
             FleetOutput::Log(event, subject, message) => self.log(event, &subject, &message),
--- a/crates/node/src/fleet_entry/outbound_requests.rs
+++ b/crates/node/src/fleet_entry/outbound_requests.rs
@@ -23,6 +23,11 @@
 /// Number of times that a report of losses is sent if it gets no answer.
 const LOSS_REPORT_TRIES: u32 = 3;
 
+/// Number of times that the runtime is made to look for readable connections after a
+/// pause. Each time it takes at most 1,024 of them, and there are up to 4,096 of
+/// callers and some hundred others.
+const READ_ROUNDS: usize = 8;
+
 /// Maximum number of cached links to peers; more than there are entry hosts.
 const MAX_LINKS: usize = 256;
 
@@ -124,6 +129,18 @@
         });
     }
 
+    /// Waits until every connection has been read that is readable now. A task that
+    /// yields goes on after the runtime has looked for readable connections, and
+    /// after the tasks that this woke.
+    pub(crate) fn read_inputs(&mut self, pause: u64) {
+        self.tasks.spawn(async move {
+            for _ in 0..READ_ROUNDS {
+                tokio::task::yield_now().await;
+            }
+            FleetInput::InputsRead(pause)
+        });
+    }
+
     fn link(&mut self, address: SocketAddr) -> BatchLink {
         if self.links.len() >= MAX_LINKS && !self.links.contains_key(&address) {
             self.links.clear();
