Acknowledge reports only of workers that are reached

Cause: an entry host answered the relayed report of a worker that it did not own when its first poll was queued. It could not reach the worker, but the control host recorded it as the owner and the worker sent it all later reports. The former owner, which reached the worker, was told nothing.

Change: the answer to a report waits until the worker has answered a request that was sent after it with this host's fencing token, if the host does not own the worker yet, if the worker drains, or if it has been silent for a lease. Control hosts rank an entry host that declined a worker's report last for that worker, for 3 s.

--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -176,6 +176,7 @@
         self.expire_leases();
         self.handle_input(input);
         self.remove_unresponsive_workers();
+        self.decline_overdue_reports();
         self.settle_restarted_workers();
         self.check_peers();
         self.requeue_expired();
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -31,6 +31,7 @@
 mod probes;
 mod queues;
 mod report;
+mod report_answers;
 mod resources;
 mod restarts;
 mod run_losses;
--- a/crates/fleet/src/ownership.rs
+++ b/crates/fleet/src/ownership.rs
@@ -27,6 +27,15 @@
 /// host's clock.
 const MAX_CLOCK_LEAD_MS: u64 = 24 * 60 * 60 * 1000;
 
+/// `RecordedReport` is what became of a report.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum RecordedReport {
+    /// It is recorded for this worker, and is to be answered.
+    Recorded(WorkerKey),
+    /// It was not recorded, and has this answer.
+    Answered(ReportAnswer),
+}
+
 impl Fleet {
     pub(crate) fn on_reported(
         &mut self,
@@ -34,8 +43,10 @@
         report: WorkerReport,
         verification: Option<Verification>,
     ) {
-        let answer = self.record_report(report, verification);
-        self.emit(FleetOutput::AnswerReport(id, answer));
+        match self.record_report(report, verification) {
+            RecordedReport::Recorded(worker_key) => self.answer_recorded_report(id, worker_key),
+            RecordedReport::Answered(answer) => self.emit(FleetOutput::AnswerReport(id, answer)),
+        }
     }
 
     /// Records a report. An unknown worker is taken over, after the report is
@@ -44,7 +55,7 @@
         &mut self,
         report: WorkerReport,
         verification: Option<Verification>,
-    ) -> ReportAnswer {
+    ) -> RecordedReport {
         // Such an incarnation would hide all sound reports of the worker.
         if report.born_unix_ms > self.unix_ms.saturating_add(MAX_CLOCK_LEAD_MS) {
             let message = format!(
@@ -53,25 +64,30 @@
             );
             let subject = Subject::Worker(report.worker_id);
             self.log(Event::StaleMessage, subject, message);
-            return ReportAnswer::Declined;
+            return RecordedReport::Answered(ReportAnswer::Declined);
         }
         let Some(worker_key) = self.worker_keys_by_id.get(&report.worker_id).copied() else {
             return self.add_worker(report, verification);
         };
         let now = self.now;
         let Some(worker) = self.workers.get_mut(&worker_key) else {
-            return ReportAnswer::Declined;
+            return RecordedReport::Answered(ReportAnswer::Declined);
         };
         if report.born_unix_ms > worker.report.born_unix_ms {
             self.worker_restarted(worker_key);
             return self.add_worker(report, verification);
         }
+        let is_repeated = report.born_unix_ms == worker.report.born_unix_ms
+            && report.sequence == worker.report.sequence;
+        if is_repeated {
+            return RecordedReport::Recorded(worker_key);
+        }
         // A late report of a previous incarnation, or one that a later report
         // overtook.
         if report.born_unix_ms < worker.report.born_unix_ms
-            || report.sequence <= worker.report.sequence
+            || report.sequence < worker.report.sequence
         {
-            return ReportAnswer::Taken;
+            return RecordedReport::Answered(ReportAnswer::Taken);
         }
         let starts_to_drain = report.draining && !worker.report.draining;
         let former_capacity = worker.report.capacity;
@@ -95,7 +111,7 @@
             self.log(Event::WorkerDraining, Subject::Worker(worker_id), message);
         }
         self.check_capacity(worker_key, former_capacity);
-        ReportAnswer::Taken
+        RecordedReport::Recorded(worker_key)
     }
 
     /// Handles a change of a worker's capacity.
@@ -126,11 +142,10 @@
         &mut self,
         report: WorkerReport,
         verification: Option<Verification>,
-    ) -> ReportAnswer {
+    ) -> RecordedReport {
         if self.drain_started.is_some() {
-            return self
-                .forward_report(&report)
-                .unwrap_or(ReportAnswer::Declined);
+            let answer = self.forward_report(&report);
+            return RecordedReport::Answered(answer.unwrap_or(ReportAnswer::Declined));
         }
         self.known_capacities.add(&report.service, report.capacity);
         self.last_worker_key += 1;
@@ -148,7 +163,7 @@
         let mut worker = Worker::new(worker_key, report, ownership, self.now);
         worker.is_evacuated = is_evacuated;
         self.workers.insert(worker_key, worker);
-        ReportAnswer::Taken
+        RecordedReport::Recorded(worker_key)
     }
 
     /// Handles the deregistration of a worker. It does not name the incarnation
@@ -208,9 +223,10 @@
     /// Removes a worker that this host no longer owns. Its runs count as lost once
     /// `ends_by` has passed.
     pub(crate) fn remove_worker(&mut self, worker_key: WorkerKey, ends_by: Duration, reason: &str) {
-        let Some(worker) = self.workers.remove(&worker_key) else {
+        let Some(mut worker) = self.workers.remove(&worker_key) else {
             return;
         };
+        self.decline_reports(std::mem::take(&mut worker.pending_reports));
         if self.worker_keys_by_id.get(&worker.report.worker_id) == Some(&worker_key) {
             self.worker_keys_by_id.swap_remove(&worker.report.worker_id);
         }
@@ -275,6 +291,7 @@
         let stops = worker.runs.values().filter_map(|run| run.stop_at);
         let first_stop = stops.min().unwrap_or(poll_at);
         let probe_at = self.probe_at(worker).unwrap_or(poll_at);
-        poll_at.min(first_stop).min(probe_at)
+        let decline_at = worker.decline_at().unwrap_or(poll_at);
+        poll_at.min(first_stop).min(probe_at).min(decline_at)
     }
 }
--- a/crates/fleet/src/polls.rs
+++ b/crates/fleet/src/polls.rs
@@ -163,8 +163,12 @@
             Some(Phase::Verifying(Verification::FormerToken(_))) => {
                 self.begin_take_over(worker_key);
             }
-            Some(Phase::TakingOver) => self.take_over(worker_key, response),
+            Some(Phase::TakingOver) => {
+                self.acknowledge_reports(worker_key, sent_at);
+                self.take_over(worker_key, response);
+            }
             Some(Phase::Ready) => {
+                self.acknowledge_reports(worker_key, sent_at);
                 self.record_ended_runs(worker_key, response);
                 self.reconcile_runs(worker_key, sent_at, response);
                 self.check_progress(worker_key, response);
--- a/crates/fleet/src/probes.rs
+++ b/crates/fleet/src/probes.rs
@@ -3,7 +3,8 @@
 //! A poll waits at its worker for the next end of a run. If its answer is lost,
 //! the ends of several runs are learned only after that wait. While polls are
 //! being lost, a poll that has not returned some time after the expected end of
-//! a run is followed by a probe: a second poll that does not wait.
+//! a run is followed by a probe: a second poll that does not wait. So is a report that
+//! is acknowledged only after the worker has answered.
 
 use std::time::Duration;
 
@@ -43,6 +44,11 @@
 
     /// Gets the time at which a worker is to be probed, if it is to be.
     pub(crate) fn probe_at(&self, worker: &Worker) -> Option<Duration> {
+        if worker.has_pending_reports() {
+            // A poll in flight may wait for longer than the report may.
+            let may_probe = worker.phase == Phase::Ready && worker.probe_sent_at.is_none();
+            return may_probe.then_some(self.now);
+        }
         let lost_at = self.poll_lost_at?;
         let may_probe = worker.phase == Phase::Ready
             && worker.probe_sent_at.is_none()
--- a/crates/fleet/src/worker.rs
+++ b/crates/fleet/src/worker.rs
@@ -11,6 +11,7 @@
 use crate::job::RunId;
 use crate::lease::{Lease, RUN_END_LIMIT};
 use crate::report::WorkerReport;
+use crate::report_answers::PendingReport;
 use crate::resources::Resources;
 use crate::verification::Verification;
 
@@ -75,6 +76,8 @@
     pub(crate) refused_polls: u32,
     /// Runs that were on the worker when it became silent, until it answers.
     pub(crate) lost_runs: IndexMap<RunId, LostRun>,
+    /// Reports that are answered when the worker answers, the oldest first.
+    pub(crate) pending_reports: Vec<PendingReport>,
 }
 
 /// `LostRun` is a run that was on a worker when it became silent.
@@ -199,6 +202,7 @@
             start_unanswered_at: None,
             refused_polls: 0,
             lost_runs: IndexMap::new(),
+            pending_reports: Vec::new(),
         }
     }
 
--- a/crates/node/src/control/fleet/registry.rs
+++ b/crates/node/src/control/fleet/registry.rs
@@ -20,6 +20,10 @@
 /// one.
 const OWNER_TTL: Duration = Duration::from_secs(6);
 
+/// Time for which an entry host that declined a worker's report comes last for it. The
+/// worker reports again within 1.5 s.
+const DECLINE_TTL: Duration = Duration::from_secs(3);
+
 /// Interval at which expired records are removed. A search at each request
 /// would cost time in proportion to all hosts and workers.
 const EXPIRY_INTERVAL: Duration = Duration::from_millis(100);
@@ -41,6 +45,8 @@
 struct Table {
     hosts: IndexMap<HostId, RegisteredHost>,
     owners: IndexMap<WorkerId, (HostId, Duration)>,
+    /// Times at which entry hosts declined the reports of workers.
+    declines: IndexMap<(WorkerId, HostId), Duration>,
     /// Number of changes of the membership so far.
     change_count: u64,
     /// Hosts that joined, moved or left, the latest last.
@@ -150,9 +156,9 @@
         update
     }
 
-    /// Gets at most `count` entry hosts for a worker, best first: the one that
-    /// accepted its last report, then those that answer, those in its failure
-    /// domain, and those that own the fewest workers.
+    /// Gets at most `count` entry hosts for a worker, best first: those that have not
+    /// declined its reports, then the one that accepted its last report, those that
+    /// answer, those in its failure domain, and those that own the fewest workers.
     pub(crate) fn candidates(
         &self,
         report: &WorkerReport,
@@ -162,6 +168,11 @@
         let mut table = self.lock();
         table.expire(now);
         let owner = table.owners.get(&report.worker_id).map(|(host, _)| host);
+        let declines = table.declines.keys();
+        let declined: IndexSet<&HostId> = declines
+            .filter(|(worker_id, _)| *worker_id == report.worker_id)
+            .map(|(_, host_id)| host_id)
+            .collect();
         let mut entries: Vec<&RegisteredHost> = table
             .hosts
             .values()
@@ -170,6 +181,7 @@
         let rank = |entry: &&RegisteredHost| {
             let host = &entry.registration.host;
             (
+                declined.contains(&host.host_id),
                 owner != Some(&host.host_id),
                 entry.is_unresponsive,
                 host.failure_domain != report.failure_domain,
@@ -202,6 +214,12 @@
         }
     }
 
+    /// Records that an entry host declined a worker's report: it cannot reach the worker.
+    pub(crate) fn record_declined(&self, worker_id: &WorkerId, host_id: &HostId, now: Duration) {
+        let decline = (worker_id.clone(), host_id.clone());
+        self.lock().declines.insert(decline, now);
+    }
+
     /// Records that an entry host did not answer a relayed report. Until it
     /// registers again, it comes last for workers that it does not own.
     pub(crate) fn record_unanswered(&self, host_id: &HostId) {
@@ -232,6 +250,7 @@
         }
         self.next_expiry_at = now + EXPIRY_INTERVAL;
         self.owners.retain(|_, (_, at)| now <= *at + OWNER_TTL);
+        self.declines.retain(|_, at| now <= *at + DECLINE_TTL);
         let has_expired =
             |_: &HostId, entry: &mut RegisteredHost| now > entry.registered_at + REGISTRATION_TTL;
         let expired: Vec<HostId> = self
--- a/crates/node/src/control/fleet/routes.rs
+++ b/crates/node/src/control/fleet/routes.rs
@@ -202,7 +202,10 @@
                     let next = report_answer(Some(candidate.report_address));
                     return reply::json(OK, &next);
                 }
-                Ok(_) => {}
+                Ok(_) => {
+                    self.registry
+                        .record_declined(&report.worker_id, &candidate.host_id, now);
+                }
                 Err(_) => self.registry.record_unanswered(&candidate.host_id),
             }
         }
