--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -142,7 +142,7 @@
     MessageRejected = 730, Warn;
     /// A guarded worker reported another capacity.
     WorkerResized = 731, Info;
-    /// A delayed or implausible message about a guarded worker was ignored.
+    /// A delayed or implausible message about a guarded worker or a run was ignored.
     StaleMessage = 732, Info;
     /// A newer list of evacuated failure domains is in force on this host.
     EvacuationsApplied = 733, Info;
