Look up declined reports by worker, and rename parts of the pauses

Cause: each relay searched the declines of all workers; a failure domain that is cut off makes hundreds of them at once. Some names of the pauses said less than they could, and the check of an unused folder took a file that no first opening leaves.

Change: declines are kept by worker. `connections_are_read`, `caller_may_have_left`; comments.

Not measured.

--- a/crates/control/src/identity.rs
+++ b/crates/control/src/identity.rs
@@ -90,7 +90,7 @@
     let created = [LOG_FILE, INITIAL_VOTERS_FILE, IDENTITY_FILE];
     let is_expected = |name: &&String| {
         let file = name.strip_suffix(NEW_SUFFIX).unwrap_or(name);
-        file == LOCK_FILE || created.contains(&file)
+        *name == LOCK_FILE || created.contains(&file)
     };
     let unexpected = names.iter().find(|name| !is_expected(name));
     match unexpected {
--- a/crates/fleet/src/pauses.rs
+++ b/crates/fleet/src/pauses.rs
@@ -26,7 +26,7 @@
     /// Time until which its inputs count as not handled.
     pub(crate) pending_until: Duration,
     /// Whether all connections have been read since its end.
-    is_read: bool,
+    connections_are_read: bool,
 }
 
 impl Fleet {
@@ -37,7 +37,7 @@
         self.pause = Some(Pause {
             began_at,
             pending_until: self.now + MIN_PENDING_INPUTS_TIME,
-            is_read: false,
+            connections_are_read: false,
         });
         self.sender.has_pending_inputs = true;
         for worker in self.workers.values_mut() {
@@ -55,21 +55,21 @@
         self.log(Event::ProcessPaused, Subject::Host, message);
     }
 
-    /// Handles the news that all connections have been read since a pause.
+    /// Records that all connections have been read since a pause. If another pause
+    /// followed, they have to be read again.
     pub(crate) fn on_inputs_read(&mut self, pause: u64) {
-        // Those of a later pause may be left.
         if pause == self.last_pause
             && let Some(pause) = &mut self.pause
         {
-            pause.is_read = true;
+            pause.connections_are_read = true;
         }
         self.end_pause();
     }
 
-    /// Removes these limits from the runs that are still wanted, once the inputs
-    /// from the last pause are handled.
+    /// Removes the limits of [`Self::on_paused`] from the runs that are still wanted,
+    /// once the inputs from the last pause are handled.
     pub(crate) fn end_pause(&mut self) {
-        let is_over = |pause: Pause| pause.is_read && self.now >= pause.pending_until;
+        let is_over = |pause: Pause| pause.connections_are_read && self.now >= pause.pending_until;
         if !self.pause.is_some_and(is_over) {
             return;
         }
@@ -87,9 +87,11 @@
     /// Whether the caller of a job may have left in a pause and have sent the job to
     /// another host. A job that arrived after the pause was read from a connection
     /// that was open then.
-    pub(crate) fn may_have_been_left(&self, key: JobKey) -> bool {
-        let arrived_at = self.jobs.get(&key).map(|job| job.arrived_at);
-        let began_at = self.pause.map(|pause| pause.began_at);
-        began_at.is_some_and(|began_at| arrived_at.is_some_and(|at| at <= began_at))
+    pub(crate) fn caller_may_have_left(&self, key: JobKey) -> bool {
+        let Some(pause) = self.pause else {
+            return false;
+        };
+        let job = self.jobs.get(&key);
+        job.is_some_and(|job| job.arrived_at <= pause.began_at)
     }
 }
--- a/crates/fleet/src/peer_tasks.rs
+++ b/crates/fleet/src/peer_tasks.rs
@@ -200,8 +200,8 @@
         }
     }
 
-    /// Stops runs that their origin no longer needs. Another host may run a task of
-    /// the same job, with the same number of the attempt, here.
+    /// Stops runs that their origin no longer needs. A run of another host can have the
+    /// same id, if the caller sent its job to both.
     pub(crate) fn on_stop_peer_tasks(&mut self, origin: &HostId, runs: &[RunId]) {
         for run in runs {
             let known = self.peer_tasks.get(run);
--- a/crates/fleet/src/scheduling.rs
+++ b/crates/fleet/src/scheduling.rs
@@ -84,7 +84,7 @@
     /// start time.
     pub(crate) fn startable_jobs(&self) -> impl Iterator<Item = &(Duration, JobKey)> {
         let queued = self.queued_jobs.iter();
-        queued.filter(|(_, key)| !self.may_have_been_left(*key))
+        queued.filter(|(_, key)| !self.caller_may_have_left(*key))
     }
 
     /// Gets the service and the resources that waiting tasks need.
--- a/crates/node/src/control/fleet/registry.rs
+++ b/crates/node/src/control/fleet/registry.rs
@@ -45,8 +45,8 @@
 struct Table {
     hosts: IndexMap<HostId, RegisteredHost>,
     owners: IndexMap<WorkerId, (HostId, Duration)>,
-    /// Times at which entry hosts declined the reports of workers.
-    declines: IndexMap<(WorkerId, HostId), Duration>,
+    /// Entry hosts that declined a worker's reports, and when they last did so.
+    declines: IndexMap<WorkerId, IndexMap<HostId, Duration>>,
     /// Number of changes of the membership so far.
     change_count: u64,
     /// Hosts that joined, moved or left, the latest last.
@@ -168,11 +168,9 @@
         let mut table = self.lock();
         table.expire(now);
         let owner = table.owners.get(&report.worker_id).map(|(host, _)| host);
-        let declines = table.declines.keys();
-        let declined: IndexSet<&HostId> = declines
-            .filter(|(worker_id, _)| *worker_id == report.worker_id)
-            .map(|(_, host_id)| host_id)
-            .collect();
+        let declines = table.declines.get(&report.worker_id);
+        let has_declined =
+            |host_id: &HostId| declines.is_some_and(|hosts| hosts.contains_key(host_id));
         let mut entries: Vec<&RegisteredHost> = table
             .hosts
             .values()
@@ -181,7 +179,7 @@
         let rank = |entry: &&RegisteredHost| {
             let host = &entry.registration.host;
             (
-                declined.contains(&host.host_id),
+                has_declined(&host.host_id),
                 owner != Some(&host.host_id),
                 entry.is_unresponsive,
                 host.failure_domain != report.failure_domain,
@@ -216,8 +214,9 @@
 
     /// Records that an entry host declined a worker's report: it cannot reach the worker.
     pub(crate) fn record_declined(&self, worker_id: &WorkerId, host_id: &HostId, now: Duration) {
-        let decline = (worker_id.clone(), host_id.clone());
-        self.lock().declines.insert(decline, now);
+        let mut table = self.lock();
+        let hosts = table.declines.entry(worker_id.clone()).or_default();
+        hosts.insert(host_id.clone(), now);
     }
 
     /// Records that an entry host did not answer a relayed report. Until it
@@ -250,7 +249,10 @@
         }
         self.next_expiry_at = now + EXPIRY_INTERVAL;
         self.owners.retain(|_, (_, at)| now <= *at + OWNER_TTL);
-        self.declines.retain(|_, at| now <= *at + DECLINE_TTL);
+        self.declines.retain(|_, hosts| {
+            hosts.retain(|_, at| now <= *at + DECLINE_TTL);
+            !hosts.is_empty()
+        });
         let has_expired =
             |_: &HostId, entry: &mut RegisteredHost| now > entry.registered_at + REGISTRATION_TTL;
         let expired: Vec<HostId> = self
