Hold jobs that arrived between two pauses

Cause: if a pause began before the inputs of the one before it were handled, jobs counted as of before the pause by the start of the first one. A job that arrived between the two started at once after the second, in which its caller may have left.

Change: jobs are compared with the start of the last pause.

Evidence: `job_that_arrived_between_two_pauses_waits_for_the_second_one` fails on the former code.

--- a/crates/fleet/src/pauses.rs
+++ b/crates/fleet/src/pauses.rs
@@ -20,8 +20,7 @@
 /// `Pause` is a pause of the process whose inputs may not be handled yet.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Pause {
-    /// Time of the last step before it. If another pause began before its inputs
-    /// were handled, it is that of the first one.
+    /// Time of the last step before it.
     began_at: Duration,
     /// Time until which its inputs count as not handled.
     pub(crate) pending_until: Duration,
@@ -33,9 +32,10 @@
     /// Limits the leases of all runs after a pause that began at `paused_at`, and
     /// asks for all connections to be read.
     pub(crate) fn on_paused(&mut self, paused_at: Duration) {
-        let began_at = self.pause.map_or(paused_at, |pause| pause.began_at);
+        // It replaces an earlier one: jobs that arrived before that one arrived before
+        // this one too.
         self.pause = Some(Pause {
-            began_at,
+            began_at: paused_at,
             pending_until: self.now + MIN_PENDING_INPUTS_TIME,
             connections_are_read: false,
         });
--- a/crates/fleet/tests/pauses.rs
+++ b/crates/fleet/tests/pauses.rs
@@ -71,6 +71,24 @@
     expect_that!(harness.starts().len(), eq(1));
 }
 
+/// Guards against starts of a job that arrived between two pauses: its caller may have
+/// left in the second one.
+#[gtest]
+fn job_that_arrived_between_two_pauses_waits_for_the_second_one() {
+    let mut harness = Harness::new(1);
+    harness.add_worker("w1");
+    pause(&mut harness, 300);
+    harness.now += std::time::Duration::from_millis(10);
+    harness.submit(1, 1);
+    let request = harness.starts().remove(0);
+    harness.accept_start(&request);
+    let second = pause(&mut harness, 1400);
+    expect_that!(harness.starts(), is_empty());
+    harness.step(FleetInput::InputsRead(second));
+    harness.advance(60);
+    expect_that!(harness.starts().len(), eq(1));
+}
+
 /// Guards against new jobs that wait because the process was paused before they
 /// arrived.
 #[gtest]
