Ask a worker for its clock after it refused a start as late

Callers saw: after their host had stood still, tasks waited for up to 400 ms although workers were free, while starts were refused one after the other.

Cause: an answer to a poll that waited during the pause is taken for a present reading of the worker's clock, so leases end in the past. The next reading came with the next answer, and a poll may wait for 400 ms.

Change: a start that is refused as late lets the worker be probed at once, and it gets no further starts until it has answered.

Result: the test passes.

--- a/crates/fleet/src/polls.rs
+++ b/crates/fleet/src/polls.rs
@@ -141,6 +141,7 @@
             return self.worker_restarted(worker_key);
         }
         worker.lease.record_clock(response.clock_ms, now);
+        worker.needs_clock_reading = false;
         worker.last_answer_at = now;
         worker.last_poll_answer_at = now;
         worker.incarnation_seen_at = worker.incarnation_seen_at.max(sent_at);
--- a/crates/fleet/src/probes.rs
+++ b/crates/fleet/src/probes.rs
@@ -4,7 +4,8 @@
 //! the ends of several runs are learned only after that wait. While polls are
 //! being lost, a poll that has not returned some time after the expected end of
 //! a run is followed by a probe: a second poll that does not wait. So is a report that
-//! is acknowledged only after the worker has answered.
+//! is acknowledged only after the worker has answered, and a start that was refused as
+//! late.
 
 use std::time::Duration;
 
@@ -44,8 +45,8 @@
 
     /// Gets the time at which a worker is to be probed, if it is to be.
     pub(crate) fn probe_at(&self, worker: &Worker) -> Option<Duration> {
-        if worker.has_pending_reports() {
-            // A poll in flight may wait for longer than the report may.
+        if worker.has_pending_reports() || worker.needs_clock_reading {
+            // A poll in flight may wait at the worker for longer than that may.
             let may_probe = worker.phase == Phase::Ready && worker.probe_sent_at.is_none();
             return may_probe.then_some(self.now);
         }
--- a/crates/fleet/src/starts.rs
+++ b/crates/fleet/src/starts.rs
@@ -117,7 +117,7 @@
             StartRefusal::Fenced | StartRefusal::OtherIncarnation => {}
             StartRefusal::InsufficientResources => worker.block(now + NO_RESOURCES_PAUSE),
             StartRefusal::Unhealthy => self.record_failure(worker_key),
-            StartRefusal::LeaseExpired => worker.next_poll_at = now,
+            StartRefusal::LeaseExpired => worker.needs_clock_reading = true,
             StartRefusal::StaleAttempt => self.skip_attempts(id),
             StartRefusal::Malformed => {}
         }
--- a/crates/fleet/src/worker.rs
+++ b/crates/fleet/src/worker.rs
@@ -76,6 +76,9 @@
     pub(crate) refused_polls: u32,
     /// Runs that were on the worker when it became silent, until it answers.
     pub(crate) lost_runs: IndexMap<RunId, LostRun>,
+    /// Whether the worker refused a start as late, so that the last reading of its
+    /// clock is too old for leases.
+    pub(crate) needs_clock_reading: bool,
     /// Reports that are answered when the worker answers, the oldest first.
     pub(crate) pending_reports: Vec<PendingReport>,
 }
@@ -202,6 +205,7 @@
             start_unanswered_at: None,
             refused_polls: 0,
             lost_runs: IndexMap::new(),
+            needs_clock_reading: false,
             pending_reports: Vec::new(),
         }
     }
@@ -250,6 +254,7 @@
     /// Whether the worker may get new runs now.
     pub(crate) fn accepts_runs(&self, now: Duration) -> bool {
         self.may_extend_lease()
+            && !self.needs_clock_reading
             && !self.has_short_lease(now)
             && !self.report.draining
             && !self.is_evacuated
--- a/crates/fleet/tests/pauses.rs
+++ b/crates/fleet/tests/pauses.rs
@@ -4,7 +4,7 @@
 
 use common::Harness;
 use googletest::prelude::*;
-use hornbeam_fleet::{FleetInput, FleetOutput};
+use hornbeam_fleet::{FleetInput, FleetOutput, StartOutcome, StartRefusal};
 
 /// Starts a job and pauses the process until the lease of its run has expired. The
 /// job waits for a second run then.
@@ -89,6 +89,23 @@
     expect_that!(harness.starts().len(), eq(1));
 }
 
+/// Guards against starts that are refused as late, one after the other, because an answer
+/// that waited during the pause gave an old reading of the worker's clock. The worker is
+/// asked at once, and gets no starts until it has answered.
+#[gtest]
+fn worker_that_refuses_a_start_as_late_is_asked_for_its_clock() {
+    let mut harness = Harness::new(1);
+    let worker_key = harness.add_worker("w1");
+    harness.submit(1, 1);
+    let late = harness.starts().remove(0);
+    harness.answer_start(&late, StartOutcome::Refused(StartRefusal::LeaseExpired));
+    harness.advance(20);
+    expect_that!(harness.starts(), is_empty());
+    expect_that!(harness.probes().len(), eq(1));
+    harness.answer_probe(worker_key, &[], &[]);
+    expect_that!(harness.starts().len(), eq(1));
+}
+
 /// Guards against new jobs that wait because the process was paused before they
 /// arrived.
 #[gtest]
