--- a/crates/fleet/src/admission.rs
+++ b/crates/fleet/src/admission.rs
@@ -11,7 +11,7 @@
     DISPATCH_OVERHEAD, Job, JobKey, JobOutcome, NotRun, RunId, Submission, Task, TaskState,
 };
 use crate::lease::RUN_END_LIMIT;
-use crate::peer::PeerMessage;
+use crate::peer_messages::PeerMessage;
 use crate::queues::Queue;
 use crate::run_times::scaled;
 
--- a/crates/fleet/src/draining.rs
+++ b/crates/fleet/src/draining.rs
@@ -6,7 +6,8 @@
 use crate::fleet::Fleet;
 use crate::io::{ReportAnswer, Subject};
 use crate::job::{Job, JobKey, JobOutcome, NotRun};
-use crate::peer::{Peer, PeerMessage};
+use crate::peer::Peer;
+use crate::peer_messages::PeerMessage;
 use crate::report::WorkerReport;
 use crate::worker::{Phase, Worker, WorkerKey};
 
--- a/crates/fleet/src/io.rs
+++ b/crates/fleet/src/io.rs
@@ -13,7 +13,7 @@
 use crate::fencing::FencingToken;
 use crate::job::{JobKey, JobOutcome, RunId, Submission};
 use crate::loss_reports::LossReport;
-use crate::peer::PeerBatch;
+use crate::peer_messages::PeerBatch;
 use crate::queues::QueueTable;
 use crate::report::WorkerReport;
 use crate::worker::WorkerKey;
--- a/crates/fleet/src/peer_tasks.rs
+++ b/crates/fleet/src/peer_tasks.rs
@@ -9,7 +9,7 @@
 use crate::fleet::Fleet;
 use crate::io::{RunEnd, Subject};
 use crate::job::RunId;
-use crate::peer::{PeerMessage, TaskChunk};
+use crate::peer_messages::{PeerMessage, TaskChunk};
 use crate::placement::Preference;
 use crate::worker::WorkerKey;
 
--- a/crates/fleet/src/peering.rs
+++ b/crates/fleet/src/peering.rs
@@ -12,9 +12,8 @@
 use crate::io::{FleetOutput, PeerInfo, Subject};
 use crate::job::{RunId, TaskState};
 use crate::neighbours::ListedHost;
-use crate::peer::{
-    Peer, PeerBatch, PeerMessage, PeerStatus, SenderIncarnation, has_status, is_outcome,
-};
+use crate::peer::{Peer, SenderIncarnation};
+use crate::peer_messages::{PeerBatch, PeerMessage, PeerStatus, has_status, is_outcome};
 use crate::verification::Verification;
 
 impl Fleet {
--- a/crates/fleet/src/runs.rs
+++ b/crates/fleet/src/runs.rs
@@ -8,7 +8,7 @@
 use crate::fleet::Fleet;
 use crate::io::{RunEnd, Subject};
 use crate::job::{JobOutcome, RunId, TaskState};
-use crate::peer::PeerMessage;
+use crate::peer_messages::PeerMessage;
 use crate::worker::WorkerKey;
 
 /// Number of attempts to skip when a worker already knows a later run of a
--- a/crates/fleet/src/scheduling.rs
+++ b/crates/fleet/src/scheduling.rs
@@ -8,7 +8,7 @@
 use crate::fleet::Fleet;
 use crate::io::FleetOutput;
 use crate::job::{JobKey, JobOutcome, RunId, Task, TaskState};
-use crate::peer::{ChunkTask, PeerMessage, TaskChunk};
+use crate::peer_messages::{ChunkTask, PeerMessage, TaskChunk};
 use crate::placement::Preference;
 use crate::resources::Resources;
 use crate::worker::{Run, RunState, WorkerKey};
--- a/crates/fleet/src/suspects.rs
+++ b/crates/fleet/src/suspects.rs
@@ -4,7 +4,7 @@
 
 use crate::fleet::Fleet;
 use crate::job::{Job, JobKey, TaskState};
-use crate::peer::ChunkTask;
+use crate::peer_messages::ChunkTask;
 use crate::resources::Resources;
 use crate::scheduling::FREE_RESOURCES_WAIT;
 use crate::worker::{Worker, WorkerKey};
--- a/crates/node/src/control/fleet/registry.rs
+++ b/crates/node/src/control/fleet/registry.rs
@@ -212,7 +212,8 @@
         }
     }
 
-    /// Records that an entry host declined a worker's report: it cannot reach the worker.
+    /// Records that an entry host did not take a worker's report, as one that cannot reach
+    /// the worker.
     pub(crate) fn record_declined(&self, worker_id: &WorkerId, host_id: &HostId, now: Duration) {
         let mut table = self.lock();
         let hosts = table.declines.entry(worker_id.clone()).or_default();
